--- /dev/null
+++ b/scenario/world.cc
@@ -0,0 +1,450 @@
+// @file world.cc Members, targets and time of the world.
+#include "scenario/world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+#include "scenario/world_internal.h"
+#include "src/admission/admission.h"
+#include "src/core/hash.h"
+
+namespace medlargauge {
+namespace {
+
+constexpr Duration kTickInterval = Milliseconds(100);
+/// After a change, hops count as "during change" this long.
+constexpr Duration kChangeWindow = Seconds(10);
+/// Membership travels by gossip; a fake of its delay.
+constexpr int64_t kMinGossipMs = 20;
+constexpr int64_t kMaxGossipMs = 300;
+constexpr Duration kFabricNotice = Milliseconds(500);
+constexpr Duration kFabricHealthTimeout = Seconds(1);
+constexpr Duration kBalancerWarmUp = Seconds(1);
+
+}  // namespace
+
+World::World(WorldOptions options)
+    : m_options(std::move(options)), m_random(m_options.seed) {
+  if (!m_options.policy) {
+    m_options.policy = PlaceWithinBound;
+  }
+  ScheduleTick();
+}
+
+World::~World() = default;
+
+void World::AddBalancer(std::string_view name) {
+  auto host = std::make_unique<BalancerHost>();
+  host->name = std::string(name);
+  m_balancer_index[MemberIdOf(name)] = host.get();
+  m_balancers.push_back(std::move(host));
+  StartBalancer(name);
+  m_balancers.back()->in_fabric = true;
+}
+
+void World::StartBalancer(std::string_view name) {
+  BalancerHost& host = FindBalancer(name);
+  ++host.incarnation;
+  AgentFacts facts;
+  facts.id = MemberIdOf(name);
+  facts.incarnation = host.incarnation;
+  facts.state = AgentState::kReady;
+  host.balancer = std::make_unique<Balancer>(facts, m_options.timeouts);
+  host.local_table.clear();
+  host.hidden_until.clear();
+  host.seen.clear();
+  for (const ClassTarget& target : m_targets.All()) {
+    host.book.Merge(target);
+  }
+  host.balancer->SetTargets(host.book.All());
+  for (const auto& agent : m_agents) {
+    if (agent->agent != nullptr) {
+      host.balancer->LearnMember(m_events.Now(), ServiceIdOf(agent->service),
+                                 agent->agent->ServiceGroup().Self());
+      agent->agent->LearnMember(m_events.Now(), facts, true);
+    }
+  }
+  const uint64_t incarnation = host.incarnation;
+  m_events.After(kBalancerWarmUp, [&host, incarnation] {
+    if (host.incarnation == incarnation && host.balancer != nullptr) {
+      host.in_fabric = true;
+    }
+  });
+}
+
+void World::CrashBalancer(std::string_view name) {
+  BalancerHost& host = FindBalancer(name);
+  host.balancer = nullptr;
+  m_events.After(kFabricHealthTimeout, [&host] {
+    host.in_fabric = host.in_fabric && host.balancer != nullptr;
+  });
+}
+
+void World::RestartBalancer(std::string_view name, Duration away) {
+  BalancerHost& host = FindBalancer(name);
+  host.in_fabric = false;
+  m_events.After(kFabricNotice, [this, &host] {
+    if (host.balancer != nullptr) {
+      host.balancer->Leave(m_events.Now());
+      SendGroupMessages(MemberIdOf(host.name),
+                        host.balancer->TakeOutgoing());
+      host.balancer = nullptr;
+    }
+  });
+  m_events.After(away, [this, &host] {
+    if (host.balancer == nullptr) {
+      StartBalancer(host.name);
+    }
+  });
+}
+
+void World::AddServer(std::string_view name,
+                      std::string_view service,
+                      std::string_view version,
+                      std::string_view domain) {
+  auto host = std::make_unique<AgentHost>();
+  host->name = std::string(name);
+  host->service = std::string(service);
+  host->version = std::string(version);
+  host->domain = std::string(domain);
+  host->server.service = host->service;
+  m_agent_index[MemberIdOf(name)] = host.get();
+  m_agents.push_back(std::move(host));
+  StartAgentProcess(m_agents.back().get(), StartKind::kFresh);
+}
+
+void World::StartAgentProcess(AgentHost* host, StartKind kind) {
+  ++host->incarnation;
+  ++host->epoch;
+  host->leave_when_drained = false;
+  host->drain_started = TimePoint();
+  AgentConfig config;
+  config.service = ServiceIdOf(host->service);
+  config.self.id = MemberIdOf(host->name);
+  config.self.incarnation = host->incarnation;
+  config.self.version = VersionIdOf(host->version);
+  config.self.domain = DomainIdOf(host->domain);
+  config.limits = m_options.limits;
+  config.timeouts = m_options.timeouts;
+  config.policy = m_options.policy;
+  config.start = kind;
+  config.faulty = m_options.faulty;
+  host->agent = std::make_unique<Agent>(m_events.Now(), std::move(config));
+  for (const ClassTarget& target : m_targets.All()) {
+    host->book.Merge(target);
+  }
+  ApplyTargets(host);
+  Announce(*host);
+  NoteChange();
+}
+
+void World::StopAgentProcess(AgentHost* host) {
+  // Incarnations must grow over rejoins that the agent made by itself.
+  host->incarnation = std::max(
+      host->incarnation, host->agent->ServiceGroup().Self().incarnation);
+  host->agent = nullptr;
+  host->backlog.clear();
+  host->paused_until = TimePoint();
+  ++host->epoch;
+  NoteChange();
+}
+
+void World::Announce(const AgentHost& host) {
+  const AgentFacts facts = host.agent->ServiceGroup().Self();
+  const ServiceId service = ServiceIdOf(host.service);
+  const auto gossip_delay = [this] {
+    return Milliseconds(kMinGossipMs +
+                        static_cast<int64_t>(Uniform() * (kMaxGossipMs -
+                                                          kMinGossipMs)));
+  };
+  for (const auto& other : m_agents) {
+    if (other.get() == &host || other->service != host.service) {
+      continue;
+    }
+    AgentHost* to = other.get();
+    m_events.After(gossip_delay(), [this, to, facts] {
+      WhenRunning(to, [this, to, facts] {
+        to->agent->LearnMember(m_events.Now(), facts, false);
+      });
+    });
+    if (other->agent != nullptr) {
+      AgentHost* newcomer = m_agent_index[facts.id];
+      const AgentFacts known = other->agent->ServiceGroup().Self();
+      m_events.After(gossip_delay(), [this, newcomer, known] {
+        WhenRunning(newcomer, [this, newcomer, known] {
+          newcomer->agent->LearnMember(m_events.Now(), known, false);
+        });
+      });
+    }
+  }
+  for (const auto& balancer : m_balancers) {
+    BalancerHost* to = balancer.get();
+    const Duration lag = Duration(static_cast<int64_t>(
+        Uniform() *
+        static_cast<double>(m_options.faults.balancer_lag.count())));
+    m_events.After(gossip_delay() + lag, [this, to, facts, service] {
+      if (to->balancer != nullptr) {
+        to->balancer->LearnMember(m_events.Now(), service, facts);
+      }
+    });
+    if (to->balancer != nullptr) {
+      AgentFacts observer;
+      observer.id = MemberIdOf(to->name);
+      observer.incarnation = to->incarnation;
+      observer.state = AgentState::kReady;
+      host.agent->LearnMember(m_events.Now(), observer, true);
+    }
+  }
+}
+
+void World::Drain(std::string_view name, Duration deadline) {
+  AgentHost& host = FindAgent(name);
+  WhenRunning(&host, [this, &host, deadline] {
+    host.drain_started = m_events.Now();
+    host.leave_when_drained = true;
+    host.agent->StartDrain(m_events.Now(), m_events.Now() + deadline);
+    SendGroupMessages(MemberIdOf(host.name), host.agent->TakeOutgoing());
+    NoteChange();
+  });
+}
+
+void World::FinishDrains(AgentHost* host) {
+  const bool done =
+      host->leave_when_drained && host->agent->IsDrained(m_events.Now());
+  if (!done) {
+    return;
+  }
+  host->agent->Leave(m_events.Now());
+  SendGroupMessages(MemberIdOf(host->name), host->agent->TakeOutgoing());
+  StopAgentProcess(host);
+  host->server.alive = false;
+}
+
+void World::StartServer(std::string_view name) {
+  AgentHost& host = FindAgent(name);
+  host.server.alive = true;
+  host.server.open = 0;
+  host.server.connections.clear();
+  StartAgentProcess(&host, StartKind::kFresh);
+}
+
+void World::CrashAgent(std::string_view name) {
+  AgentHost& host = FindAgent(name);
+  if (host.agent != nullptr) {
+    StopAgentProcess(&host);
+  }
+}
+
+void World::RecoverAgent(std::string_view name) {
+  AgentHost& host = FindAgent(name);
+  if (host.agent == nullptr && host.server.alive) {
+    StartAgentProcess(&host, StartKind::kRecovering);
+  }
+}
+
+void World::UpgradeAgent(std::string_view name, Duration away) {
+  AgentHost& host = FindAgent(name);
+  std::vector<FlowEntry> owned;
+  host.agent->Flows().ForEach([&owned](const FlowEntry& entry) {
+    if (entry.IsOwned()) {
+      owned.push_back(entry);
+    }
+  });
+  StopAgentProcess(&host);
+  m_events.After(away, [this, &host, owned] {
+    StartAgentProcess(&host, StartKind::kSuccessor);
+    host.agent->TakeOver(owned);
+  });
+}
+
+void World::CrashServer(std::string_view name) {
+  CrashAgent(name);
+  AgentHost& host = FindAgent(name);
+  host.server.alive = false;
+}
+
+void World::PauseAgent(std::string_view name, Duration length) {
+  AgentHost& host = FindAgent(name);
+  host.paused_until = m_events.Now() + length;
+  const uint64_t epoch = host.epoch;
+  NoteChange();
+  m_events.After(length, [&host, epoch] {
+    if (host.epoch != epoch) {
+      return;
+    }
+    std::vector<std::function<void()>> backlog;
+    backlog.swap(host.backlog);
+    for (const std::function<void()>& action : backlog) {
+      action();
+    }
+  });
+}
+
+void World::SetCut(std::string_view from, std::string_view to, bool cut) {
+  const std::pair link{MemberIdOf(from), MemberIdOf(to)};
+  if (cut) {
+    m_cuts.insert(link);
+  } else {
+    m_cuts.erase(link);
+  }
+  NoteChange();
+}
+
+void World::SetShedding(std::string_view name, bool shedding) {
+  AgentHost& host = FindAgent(name);
+  if (host.agent != nullptr) {
+    host.agent->SetShedding(shedding);
+  }
+}
+
+void World::SetTarget(const ClassTarget& target, Duration spread) {
+  ClassTarget accepted = target;
+  accepted.revision = m_next_revision++;
+  m_targets.Merge(accepted);
+  const auto delay = [this, spread] {
+    return Duration(static_cast<int64_t>(
+        Uniform() * static_cast<double>(spread.count())));
+  };
+  for (const auto& agent : m_agents) {
+    AgentHost* host = agent.get();
+    m_events.After(delay(), [this, host, accepted] {
+      WhenRunning(host, [this, host, accepted] {
+        DeliverTarget(accepted, &host->book);
+        ApplyTargets(host);
+      });
+    });
+  }
+  for (const auto& balancer : m_balancers) {
+    BalancerHost* host = balancer.get();
+    m_events.After(delay(), [this, host, accepted] {
+      DeliverTarget(accepted, &host->book);
+      if (host->balancer != nullptr) {
+        host->balancer->SetTargets(host->book.All());
+      }
+    });
+  }
+  NoteChange();
+}
+
+void World::DeliverTarget(const ClassTarget& target, TargetBook* book) {
+  const ClassTarget* known = book->Find(target.name);
+  const uint64_t before = known == nullptr ? 0 : known->revision;
+  book->Merge(target);
+  m_counts.reverts += book->Find(target.name)->revision < before ? 1 : 0;
+}
+
+void World::ApplyTargets(AgentHost* host) {
+  host->agent->SetSplits(
+      m_events.Now(), SplitsOf(host->book.All(), ServiceIdOf(host->service)));
+}
+
+void World::Run(Duration length) {
+  m_events.RunUntil(m_events.Now() + length);
+}
+
+void World::ScheduleTick() {
+  m_events.After(kTickInterval, [this] {
+    TickAgents();
+    TickBalancers();
+    ScheduleTick();
+  });
+}
+
+void World::TickAgents() {
+  for (const auto& host : m_agents) {
+    if (!IsRunning(*host)) {
+      continue;
+    }
+    host->agent->OnTick(m_events.Now());
+    SendGroupMessages(MemberIdOf(host->name), host->agent->TakeOutgoing());
+    FinishDrains(host.get());
+  }
+}
+
+void World::TickBalancers() {
+  for (const auto& host : m_balancers) {
+    if (host->balancer == nullptr) {
+      continue;
+    }
+    host->balancer->OnTick(m_events.Now());
+    SendGroupMessages(MemberIdOf(host->name), host->balancer->TakeOutgoing());
+  }
+}
+
+bool World::IsRunning(const AgentHost& host) const {
+  return host.agent != nullptr && m_events.Now() >= host.paused_until;
+}
+
+void World::WhenRunning(AgentHost* host, std::function<void()> action) {
+  if (host->agent == nullptr) {
+    return;
+  }
+  if (IsRunning(*host)) {
+    action();
+    return;
+  }
+  host->backlog.push_back(std::move(action));
+}
+
+void World::NoteChange() {
+  m_change_until = m_events.Now() + kChangeWindow;
+}
+
+World::AgentHost& World::FindAgent(std::string_view name) {
+  return *m_agent_index.at(MemberIdOf(name));
+}
+
+World::BalancerHost& World::FindBalancer(std::string_view name) {
+  return *m_balancer_index.at(MemberIdOf(name));
+}
+
+World::AgentHost* World::AgentById(MemberId id) {
+  const auto found = m_agent_index.find(id);
+  return found == m_agent_index.end() ? nullptr : found->second;
+}
+
+World::BalancerHost* World::BalancerById(MemberId id) {
+  const auto found = m_balancer_index.find(id);
+  return found == m_balancer_index.end() ? nullptr : found->second;
+}
+
+size_t World::OpenFlows() const {
+  return m_open_flows;
+}
+
+double World::Uniform() {
+  return std::ldexp(static_cast<double>(m_random()), -32);
+}
+
+Duration World::Exponential(Duration mean) {
+  const double factor = -std::log(1.0 - Uniform());
+  return Duration(
+      static_cast<int64_t>(factor * static_cast<double>(mean.count())));
+}
+
+AgentCounters World::SumCounters() const {
+  AgentCounters sum;
+  for (const auto& host : m_agents) {
+    if (host->agent == nullptr) {
+      continue;
+    }
+    const AgentCounters& one = host->agent->Counters();
+    for (size_t i = 0; i < kAdmissionKinds; ++i) {
+      sum.delivered[i] += one.delivered[i];
+    }
+    for (size_t i = 0; i < kErrorKindCount; ++i) {
+      sum.rejected[i] += one.rejected[i];
+    }
+    sum.forwarded += one.forwarded;
+    sum.handed_over += one.handed_over;
+    sum.consulted += one.consulted;
+    sum.searched += one.searched;
+    sum.admissions_while_draining += one.admissions_while_draining;
+    sum.admissions_of_other_service += one.admissions_of_other_service;
+    sum.flows_with_two_owners += one.flows_with_two_owners;
+  }
+  return sum;
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/core/event_log.cc
@@ -0,0 +1,56 @@
+// @file event_log.cc Structured lines on top of glog.
+#include "src/core/event_log.h"
+
+#include <glog/logging.h>
+
+namespace medlargauge {
+
+std::string QuoteLogValue(std::string_view value) {
+  const bool plain =
+      !value.empty() && value.find_first_of(" \"=\n\t") == value.npos;
+  if (plain) {
+    return std::string(value);
+  }
+  std::string quoted = "\"";
+  for (const char c : value) {
+    if (c == '\n') {
+      quoted += "\\n";
+      continue;
+    }
+    if (c == '"' || c == '\\') {
+      quoted += '\\';
+    }
+    quoted += c;
+  }
+  return quoted + '"';
+}
+
+EventLine::EventLine(Severity severity, std::string_view event)
+    : m_severity(severity) {
+  Append("event", event);
+}
+
+EventLine::~EventLine() {
+  switch (m_severity) {
+    case Severity::kInfo:
+      LOG(INFO) << m_line;
+      break;
+    case Severity::kWarning:
+      LOG(WARNING) << m_line;
+      break;
+    case Severity::kError:
+      LOG(ERROR) << m_line;
+      break;
+  }
+}
+
+void EventLine::Append(std::string_view key, std::string_view value) {
+  if (!m_line.empty()) {
+    m_line += ' ';
+  }
+  m_line += key;
+  m_line += '=';
+  m_line += QuoteLogValue(value);
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/core/event_log.h
@@ -0,0 +1,45 @@
+// @file event_log.h One line of key=value pairs for each event.
+#ifndef MEDLARGAUGE_CORE_EVENT_LOG_H_
+#define MEDLARGAUGE_CORE_EVENT_LOG_H_
+
+#include <sstream>
+#include <string>
+#include <string_view>
+
+#include "src/core/error_type.h"
+
+namespace medlargauge {
+
+/// Builds one log line; the destructor writes it through glog.
+/// Use from one thread; distinct lines may be written by distinct threads.
+class EventLine {
+ public:
+  /// Starts a line. @param severity level @param event name of the event.
+  EventLine(Severity severity, std::string_view event);
+  EventLine(const EventLine&) = delete;
+  EventLine& operator=(const EventLine&) = delete;
+  ~EventLine();
+
+  /// Appends one pair; values with spaces or quotes are quoted.
+  template <typename Value>
+  EventLine& With(std::string_view key, const Value& value) {
+    std::ostringstream text;
+    text << value;
+    Append(key, text.str());
+    return *this;
+  }
+
+ private:
+  void Append(std::string_view key, std::string_view value);
+
+  Severity m_severity;  ///< Level of the line.
+  std::string m_line;   ///< Pairs so far.
+};
+
+/// Returns `value`, quoted where a reader of key=value pairs needs it.
+/// Thread-safe.
+std::string QuoteLogValue(std::string_view value);
+
+}  // namespace medlargauge
+
+#endif  // MEDLARGAUGE_CORE_EVENT_LOG_H_
--- /dev/null
+++ b/src/flow/flow_table.cc
@@ -0,0 +1,121 @@
+// @file flow_table.cc Linear probing with backward-shift deletion.
+#include "src/flow/flow_table.h"
+
+#include <utility>
+
+namespace medlargauge {
+namespace {
+
+constexpr size_t kInitialSlots = 64;
+constexpr size_t kMaxLoadNumerator = 4;
+constexpr size_t kMaxLoadDenominator = 5;
+
+}  // namespace
+
+FlowTable::FlowTable() : m_slots(kInitialSlots) {}
+
+FlowEntry* FlowTable::Find(FlowId flow) {
+  size_t slot = HomeSlot(flow);
+  while (!IsEmpty(slot)) {
+    if (m_slots[slot].flow == flow) {
+      return &m_slots[slot];
+    }
+    slot = NextSlot(slot);
+  }
+  return nullptr;
+}
+
+FlowEntry& FlowTable::Insert(FlowId flow) {
+  if ((m_size + 1) * kMaxLoadDenominator >
+      m_slots.size() * kMaxLoadNumerator) {
+    Grow();
+  }
+  size_t slot = HomeSlot(flow);
+  while (!IsEmpty(slot)) {
+    if (m_slots[slot].flow == flow) {
+      return m_slots[slot];
+    }
+    slot = NextSlot(slot);
+  }
+  m_slots[slot].flow = flow;
+  ++m_size;
+  return m_slots[slot];
+}
+
+void FlowTable::Erase(FlowId flow) {
+  FlowEntry* entry = Find(flow);
+  if (entry != nullptr) {
+    EraseSlot(entry - m_slots.data());
+  }
+}
+
+void FlowTable::Sweep(FlowDeadline now,
+                      size_t budget,
+                      const std::function<void(const FlowEntry&)>& on_expired) {
+  for (size_t i = 0; i < budget && m_size > 0; ++i) {
+    if (m_cursor >= m_slots.size()) {
+      m_cursor = 0;
+    }
+    const FlowEntry& entry = m_slots[m_cursor];
+    const bool expired = !IsEmpty(m_cursor) && entry.expires < now;
+    if (!expired) {
+      ++m_cursor;
+      continue;
+    }
+    on_expired(entry);
+    // A later entry may have moved into this slot: look at it again.
+    EraseSlot(m_cursor);
+  }
+}
+
+void FlowTable::ForEach(
+    const std::function<void(const FlowEntry&)>& visit) const {
+  for (size_t slot = 0; slot < m_slots.size(); ++slot) {
+    if (!IsEmpty(slot)) {
+      visit(m_slots[slot]);
+    }
+  }
+}
+
+size_t FlowTable::HomeSlot(FlowId flow) const {
+  return (flow.low ^ (flow.high >> 17U)) & (m_slots.size() - 1);
+}
+
+size_t FlowTable::NextSlot(size_t slot) const {
+  return (slot + 1) & (m_slots.size() - 1);
+}
+
+bool FlowTable::IsEmpty(size_t slot) const {
+  return m_slots[slot].flow == FlowId{};
+}
+
+void FlowTable::Grow() {
+  std::vector<FlowEntry> old(m_slots.size() * 2);
+  old.swap(m_slots);
+  m_size = 0;
+  m_cursor = 0;
+  for (const FlowEntry& entry : old) {
+    if (!(entry.flow == FlowId{})) {
+      Insert(entry.flow) = entry;
+    }
+  }
+}
+
+void FlowTable::EraseSlot(size_t slot) {
+  size_t hole = slot;
+  size_t next = NextSlot(slot);
+  while (!IsEmpty(next)) {
+    const size_t home = HomeSlot(m_slots[next].flow);
+    const size_t mask = m_slots.size() - 1;
+    // The entry may fill the hole only if its probe path crosses it.
+    if (((next - home) & mask) >= ((next - hole) & mask)) {
+      m_slots[hole] = m_slots[next];
+      hole = next;
+    }
+    next = NextSlot(next);
+  }
+  m_slots[hole] = FlowEntry{};
+  --m_size;
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/group/group.cc
@@ -0,0 +1,442 @@
+// @file group.cc Heartbeats, fencing, removal and views.
+#include "src/group/group.h"
+
+#include <algorithm>
+
+#include "src/packet/envelope_type.h"
+#include "src/routing/routing.h"
+
+namespace medlargauge {
+namespace {
+
+/// Beyond this many views the home asks until the index is complete again.
+constexpr size_t kMaxRememberedViews = 8;
+/// Ramps travel in thousandths.
+constexpr double kWholeRamp = 1000.0;
+/// A member that was never heard is removed after this many removal timeouts,
+/// so that its peers have counted it before it votes about them.
+constexpr int kUnheardPatience = 3;
+
+/// Copies facts into a message.
+void WriteFacts(const AgentFacts& facts, proto::AgentFacts* out) {
+  out->set_id(facts.id.value);
+  out->set_incarnation(facts.incarnation);
+  out->set_state(static_cast<uint32_t>(facts.state));
+  out->set_version(facts.version.value);
+  out->set_domain(facts.domain.value);
+}
+
+/// Reads facts from a message; an unknown state counts as gone.
+AgentFacts ReadFacts(const proto::AgentFacts& in) {
+  AgentFacts facts;
+  facts.id.value = in.id();
+  facts.incarnation = in.incarnation();
+  const bool known = in.state() <= static_cast<uint32_t>(AgentState::kGone);
+  facts.state = known ? static_cast<AgentState>(in.state()) : AgentState::kGone;
+  facts.version.value = in.version();
+  facts.domain.value = in.domain();
+  return facts;
+}
+
+/// Returns whether `a` is newer than `b`: by incarnation, then by state.
+bool IsNewer(const AgentFacts& a, const AgentFacts& b) {
+  if (a.incarnation != b.incarnation) {
+    return a.incarnation > b.incarnation;
+  }
+  return a.state > b.state;
+}
+
+/// Returns whether the peer's present incarnation has been heard directly.
+bool WasHeard(const Peer& peer) {
+  return peer.last_sent_at != 0;
+}
+
+}  // namespace
+
+Group::Group(ServiceId service,
+             AgentFacts self,
+             bool observer,
+             GroupTimeouts timeouts)
+    : m_service(service),
+      m_self(self),
+      m_observer(observer),
+      m_timeouts(timeouts) {
+  RebuildView();
+}
+
+void Group::LearnMember(TimePoint now, const AgentFacts& facts, bool observer) {
+  if (facts.id == m_self.id) {
+    RefuteRemoval(facts);
+    return;
+  }
+  const std::optional<PeerSlot> slot = FindSlot(facts.id);
+  if (slot.has_value() && !IsNewer(facts, PeerAt(*slot).facts)) {
+    return;
+  }
+  if (!slot.has_value()) {
+    if (facts.state == AgentState::kGone) {
+      return;
+    }
+    m_peers.emplace_back();
+  }
+  Peer& peer = slot.has_value() ? PeerAt(*slot) : m_peers.back();
+  const bool restarted =
+      slot.has_value() && facts.incarnation != peer.facts.incarnation;
+  const bool fresh = !slot.has_value() || restarted;
+  peer.facts = facts;
+  peer.observer = observer;
+  if (fresh) {
+    peer.removal_deadline = now + m_timeouts.removal * kUnheardPatience;
+    peer.fence_deadline = TimePoint();
+    peer.last_sent_at = 0;
+    peer.done_view = ViewId();
+    peer.indexed_view = ViewId();
+    peer.sync = 0;
+    peer.silent.clear();
+  }
+  RebuildView();
+}
+
+void Group::RefuteRemoval(const AgentFacts& facts) {
+  const bool removed = facts.state == AgentState::kGone &&
+                       facts.incarnation >= m_self.incarnation &&
+                       m_self.state != AgentState::kGone;
+  if (removed) {
+    Rejoin(facts.incarnation + 1);
+  }
+}
+
+void Group::Rejoin(uint64_t incarnation) {
+  m_self.incarnation = incarnation;
+  m_views_since_complete.clear();
+  for (Peer& peer : m_peers) {
+    peer.done_view = ViewId();
+    peer.indexed_view = ViewId();
+  }
+  RebuildView();
+}
+
+void Group::SetSplits(std::vector<VersionSplit> splits) {
+  m_splits = std::move(splits);
+  RebuildView();
+}
+
+void Group::SetOwnState(TimePoint now, AgentState state, const OwnLoad& load) {
+  if (m_self.state == state) {
+    return;
+  }
+  m_self.state = state;
+  RebuildView();
+  SendHeartbeats(now, load);
+}
+
+void Group::OnHeartbeat(TimePoint now, const proto::GroupMessage& message) {
+  const proto::Heartbeat& heartbeat = message.heartbeat();
+  const AgentFacts facts = ReadFacts(heartbeat.facts());
+  LearnMember(now, facts, heartbeat.observer());
+  const std::optional<PeerSlot> slot = FindSlot(facts.id);
+  if (!slot.has_value()) {
+    return;
+  }
+  Peer& peer = PeerAt(*slot);
+  const bool outdated = facts.incarnation != peer.facts.incarnation ||
+                        peer.facts.state == AgentState::kGone ||
+                        heartbeat.sent_at() < peer.last_sent_at;
+  if (outdated) {
+    return;
+  }
+  if (peer.last_sent_at == 0) {
+    // A member that was heard for the first time cannot have echoed yet.
+    peer.fence_deadline = now + m_timeouts.fence;
+  }
+  peer.last_sent_at = heartbeat.sent_at();
+  peer.removal_deadline = now + m_timeouts.removal;
+  if (heartbeat.echo_incarnation() == m_self.incarnation &&
+      heartbeat.echo() != 0) {
+    // Counted from the time of sending, so a pause here cannot prolong it.
+    const TimePoint sent{Duration(static_cast<int64_t>(heartbeat.echo()))};
+    peer.fence_deadline =
+        std::max(peer.fence_deadline, sent + m_timeouts.fence);
+  }
+  peer.open_flows = heartbeat.open_flows();
+  peer.handed_over = 0;
+  peer.capacity = heartbeat.capacity();
+  peer.ramp = heartbeat.ramp() / kWholeRamp;
+  peer.shedding = heartbeat.shedding();
+  peer.indexed_view.value = heartbeat.indexed_view();
+  peer.silent.assign(heartbeat.silent().begin(), heartbeat.silent().end());
+}
+
+void Group::OnDone(MemberId from, const proto::SyncDone& done) {
+  const std::optional<PeerSlot> slot = FindSlot(from);
+  if (!slot.has_value()) {
+    return;
+  }
+  Peer& peer = PeerAt(*slot);
+  const uint32_t received = peer.sync == done.sync() ? peer.sync_count : 0;
+  if (received != done.count()) {
+    // A registration was lost: the sender repeats when it sees no progress.
+    return;
+  }
+  peer.done_view.value = done.view();
+  NoteCompleteness();
+}
+
+void Group::OnRegistrations(MemberId from,
+                            const proto::Registration& registration) {
+  const std::optional<PeerSlot> slot = FindSlot(from);
+  if (!slot.has_value() || registration.sync() == 0) {
+    return;
+  }
+  Peer& peer = PeerAt(*slot);
+  if (peer.sync != registration.sync()) {
+    peer.sync = registration.sync();
+    peer.sync_count = 0;
+  }
+  peer.sync_count += registration.flow_low_size();
+}
+
+void Group::Observe(TimePoint now) {
+  if (m_fenced || HasMajorityOfEchoes(now)) {
+    return;
+  }
+  m_fenced = true;
+  m_views_since_complete.clear();
+}
+
+void Group::OnTick(TimePoint now, const OwnLoad& load) {
+  if (m_fenced && HasMajorityOfEchoes(now)) {
+    m_fenced = false;
+    if (!m_observer) {
+      // Others may have replaced this member while it was cut off, so it
+      // comes back as a newcomer that has to synchronise.
+      Rejoin(m_self.incarnation + 1);
+    }
+  }
+  RemoveSilentPeers(now);
+  NoteCompleteness();
+  if (now >= m_heartbeat_deadline) {
+    SendHeartbeats(now, load);
+    m_heartbeat_deadline = now + m_timeouts.heartbeat;
+  }
+}
+
+bool Group::TakeViewChange() {
+  const bool changed = m_view_changed;
+  m_view_changed = false;
+  return changed;
+}
+
+std::vector<MemberId> Group::PeersToSync(TimePoint now) {
+  std::vector<MemberId> due;
+  for (Peer& peer : m_peers) {
+    const bool agent =
+        !peer.observer && peer.facts.state != AgentState::kGone;
+    const bool missing = peer.indexed_view != m_view_id;
+    if (agent && missing && now >= peer.resend_deadline) {
+      peer.resend_deadline = now + m_timeouts.resend;
+      due.push_back(peer.facts.id);
+    }
+  }
+  return due;
+}
+
+bool Group::IsCleanHome(ClassId class_id, FlowId flow) const {
+  if (m_views_since_complete.empty()) {
+    return false;
+  }
+  const auto is_home = [&](const ServiceView& view) {
+    const AgentFacts* home = HomeOf(view, class_id, flow);
+    return home != nullptr && home->id == m_self.id;
+  };
+  return std::all_of(m_views_since_complete.begin(),
+                     m_views_since_complete.end(), is_home);
+}
+
+bool Group::IsSynced(const Peer& peer) const {
+  return peer.done_view == m_view_id;
+}
+
+bool Group::IsIndexComplete() const {
+  return std::all_of(m_peers.begin(), m_peers.end(), [&](const Peer& peer) {
+    return peer.observer || peer.facts.state == AgentState::kGone ||
+           IsSynced(peer);
+  });
+}
+
+bool Group::MayHaveUnreachableFlows(TimePoint now) const {
+  if (now < m_reappear_deadline) {
+    return true;
+  }
+  return std::any_of(m_peers.begin(), m_peers.end(), [&](const Peer& peer) {
+    return !peer.observer && peer.facts.state != AgentState::kGone &&
+           now + m_timeouts.removal / 2 > peer.removal_deadline;
+  });
+}
+
+std::optional<PeerSlot> Group::FindSlot(MemberId id) const {
+  for (size_t i = 0; i < m_peers.size(); ++i) {
+    if (m_peers[i].facts.id == id) {
+      return PeerSlot{static_cast<uint16_t>(i)};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<PeerSlot> Group::FindShort(uint32_t short_id) const {
+  for (size_t i = 0; i < m_peers.size(); ++i) {
+    if (ShortId(m_peers[i].facts.id) == short_id) {
+      return PeerSlot{static_cast<uint16_t>(i)};
+    }
+  }
+  return std::nullopt;
+}
+
+proto::GroupMessage Group::NewMessage() const {
+  proto::GroupMessage message;
+  message.set_from(m_self.id.value);
+  message.set_incarnation(m_self.incarnation);
+  message.set_service(m_service.value);
+  return message;
+}
+
+std::vector<OutgoingGroupMessage> Group::TakeOutgoing() {
+  std::vector<OutgoingGroupMessage> outgoing;
+  outgoing.swap(m_outgoing);
+  return outgoing;
+}
+
+bool Group::HasMajorityOfEchoes(TimePoint now) const {
+  size_t others = 0;
+  size_t hearing = 0;
+  for (const Peer& peer : m_peers) {
+    if (peer.facts.state == AgentState::kGone || !WasHeard(peer)) {
+      continue;
+    }
+    ++others;
+    if (peer.fence_deadline >= now) {
+      ++hearing;
+    }
+  }
+  // Half is enough: a removal needs more than half of the others.
+  return hearing * 2 >= others;
+}
+
+bool Group::MayRemove(TimePoint now, const Peer& peer) const {
+  if (now <= peer.removal_deadline) {
+    return false;
+  }
+  size_t others = 1;  // This member, which finds the peer silent.
+  size_t agreeing = 1;
+  for (const Peer& witness : m_peers) {
+    const bool counts = witness.facts.id != peer.facts.id &&
+                        witness.facts.state != AgentState::kGone &&
+                        WasHeard(witness);
+    if (!counts) {
+      continue;
+    }
+    ++others;
+    const bool recent =
+        witness.removal_deadline - m_timeouts.removal +
+            m_timeouts.heartbeat * 2 >=
+        now;
+    const bool agrees =
+        recent && std::find(witness.silent.begin(), witness.silent.end(),
+                            peer.facts.id.value) != witness.silent.end();
+    agreeing += agrees ? 1 : 0;
+  }
+  return agreeing * 2 > others;
+}
+
+void Group::RebuildView() {
+  ServiceView view;
+  view.service = m_service;
+  view.splits = m_splits;
+  if (!m_observer && m_self.state != AgentState::kGone) {
+    view.agents.push_back(m_self);
+  }
+  for (const Peer& peer : m_peers) {
+    if (!peer.observer && peer.facts.state != AgentState::kGone) {
+      view.agents.push_back(peer.facts);
+    }
+  }
+  std::sort(
+      view.agents.begin(), view.agents.end(),
+      [](const AgentFacts& a, const AgentFacts& b) { return a.id < b.id; });
+  const ViewId id = HashView(view);
+  m_view = std::move(view);
+  if (id == m_view_id) {
+    return;
+  }
+  m_view_id = id;
+  m_view_changed = true;
+  for (Peer& peer : m_peers) {
+    peer.resend_deadline = TimePoint();
+  }
+  if (m_views_since_complete.size() >= kMaxRememberedViews) {
+    m_views_since_complete.clear();
+  }
+  if (!m_views_since_complete.empty()) {
+    m_views_since_complete.push_back(m_view);
+  }
+  NoteCompleteness();
+}
+
+void Group::SendHeartbeats(TimePoint now, const OwnLoad& load) {
+  for (const Peer& peer : m_peers) {
+    // Observers need not hear one another: only agents decide about flows.
+    const bool skipped = peer.facts.state == AgentState::kGone ||
+                         (m_observer && peer.observer);
+    if (skipped) {
+      continue;
+    }
+    proto::GroupMessage message = NewMessage();
+    proto::Heartbeat* heartbeat = message.mutable_heartbeat();
+    WriteFacts(m_self, heartbeat->mutable_facts());
+    heartbeat->set_sent_at(now.time_since_epoch().count());
+    heartbeat->set_echo(peer.last_sent_at);
+    heartbeat->set_echo_incarnation(peer.facts.incarnation);
+    heartbeat->set_view(m_view_id.value);
+    heartbeat->set_indexed_view(peer.done_view.value);
+    heartbeat->set_open_flows(load.open_flows);
+    heartbeat->set_capacity(load.capacity);
+    heartbeat->set_ramp(static_cast<uint32_t>(load.ramp * kWholeRamp));
+    heartbeat->set_shedding(load.shedding);
+    heartbeat->set_observer(m_observer);
+    for (const Peer& other : m_peers) {
+      const bool silent = other.facts.state != AgentState::kGone &&
+                          now > other.removal_deadline;
+      if (silent) {
+        heartbeat->add_silent(other.facts.id.value);
+      }
+    }
+    m_outgoing.push_back({peer.facts.id, std::move(message)});
+  }
+}
+
+void Group::RemoveSilentPeers(TimePoint now) {
+  if (m_fenced) {
+    return;
+  }
+  bool removed = false;
+  for (Peer& peer : m_peers) {
+    const bool silent =
+        peer.facts.state != AgentState::kGone && MayRemove(now, peer);
+    if (silent) {
+      peer.facts.state = AgentState::kGone;
+      m_reappear_deadline = now + m_timeouts.reappear;
+      removed = true;
+    }
+  }
+  if (removed) {
+    RebuildView();
+  }
+}
+
+void Group::NoteCompleteness() {
+  if (!m_fenced && IsIndexComplete()) {
+    m_views_since_complete.assign(1, m_view);
+  }
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/locate/agent.cc
@@ -0,0 +1,237 @@
+// @file agent.cc Timers, messages and the life of an agent.
+#include "src/locate/agent.h"
+
+#include <algorithm>
+
+#include "src/locate/agent_internal.h"
+#include "src/routing/routing.h"
+
+namespace medlargauge {
+namespace {
+
+/// Flows in one registration message.
+constexpr int kRegistrationBatch = 256;
+/// Slots examined for expiry on each tick.
+constexpr size_t kSweepBudget = 4096;
+/// A starting server carries at least this part of the mean.
+constexpr double kMinRamp = 0.1;
+
+/// Returns the own facts at the start.
+AgentFacts InitialFacts(const AgentConfig& config) {
+  AgentFacts facts = config.self;
+  facts.state =
+      config.start == StartKind::kFresh ? AgentState::kJoining
+                                        : AgentState::kReady;
+  return facts;
+}
+
+}  // namespace
+
+Agent::Agent(TimePoint now, AgentConfig config)
+    : m_config(std::move(config)),
+      m_group(m_config.service,
+              InitialFacts(m_config),
+              false,
+              m_config.timeouts),
+      m_join_deadline(now + m_config.limits.join),
+      m_ramp_start(now),
+      m_recovery_deadline(m_config.start == StartKind::kRecovering
+                              ? now + m_config.limits.recovery
+                              : TimePoint()) {}
+
+void Agent::OnMessage(TimePoint now, const proto::GroupMessage& message) {
+  m_group.Observe(now);
+  switch (message.body_case()) {
+    case proto::GroupMessage::kHeartbeat:
+      m_group.OnHeartbeat(now, message);
+      break;
+    case proto::GroupMessage::kRegistration:
+      OnRegistration(now, message);
+      break;
+    case proto::GroupMessage::kDone:
+      m_group.OnDone(MemberId{message.from()}, message.done());
+      break;
+    case proto::GroupMessage::BODY_NOT_SET:
+      break;
+  }
+  SynchroniseDuePeers(now);
+}
+
+void Agent::LearnMember(TimePoint now, const AgentFacts& facts, bool observer) {
+  m_group.Observe(now);
+  m_group.LearnMember(now, facts, observer);
+  SynchroniseDuePeers(now);
+}
+
+void Agent::SetSplits(TimePoint now, std::vector<VersionSplit> splits) {
+  m_group.Observe(now);
+  m_group.SetSplits(std::move(splits));
+  SynchroniseDuePeers(now);
+}
+
+void Agent::OnTick(TimePoint now) {
+  m_group.Observe(now);
+  m_flows.Sweep(ToFlowDeadline(now), kSweepBudget, [this](const FlowEntry& e) {
+    ForgetOwned(e);
+  });
+  m_group.OnTick(now, Load(now));
+  BecomeReadyIfSynced(now);
+  SynchroniseDuePeers(now);
+}
+
+void Agent::StartDrain(TimePoint now, TimePoint deadline) {
+  m_group.Observe(now);
+  m_draining = true;
+  m_drain_deadline = deadline;
+  m_group.SetOwnState(now, AgentState::kDraining, Load(now));
+  SynchroniseDuePeers(now);
+}
+
+bool Agent::IsDrained(TimePoint now) const {
+  return m_draining && (m_owned_flows == 0 || now >= m_drain_deadline);
+}
+
+void Agent::Leave(TimePoint now) {
+  m_group.SetOwnState(now, AgentState::kGone, Load(now));
+}
+
+void Agent::TakeOver(const std::vector<FlowEntry>& owned) {
+  for (const FlowEntry& entry : owned) {
+    FlowEntry& copy = m_flows.Insert(entry.flow);
+    ForgetOwned(copy);
+    copy = entry;
+    CountOwned(copy);
+  }
+}
+
+std::vector<OutgoingGroupMessage> Agent::TakeOutgoing() {
+  std::vector<OutgoingGroupMessage> outgoing = m_group.TakeOutgoing();
+  std::move(m_outgoing.begin(), m_outgoing.end(), std::back_inserter(outgoing));
+  m_outgoing.clear();
+  return outgoing;
+}
+
+bool Agent::MayDecide(TimePoint now) const {
+  const bool cut_off = m_group.IsFenced() && !m_config.faulty.skip_fence;
+  return !cut_off && now >= m_join_deadline;
+}
+
+double Agent::OwnRamp(TimePoint now) const {
+  const bool warm = m_config.start != StartKind::kFresh || m_config.limits.ramp.count() == 0;
+  if (warm) {
+    return 1.0;
+  }
+  const double passed = static_cast<double>((now - m_ramp_start).count()) /
+                        static_cast<double>(m_config.limits.ramp.count());
+  return std::clamp(passed, kMinRamp, 1.0);
+}
+
+OwnLoad Agent::Load(TimePoint now) const {
+  OwnLoad load;
+  load.open_flows = m_open_flows;
+  load.capacity = m_config.limits.capacity;
+  load.ramp = OwnRamp(now);
+  // While recovering the own count is too low to be compared with others.
+  load.shedding = m_server_shedding || IsRecovering(now);
+  return load;
+}
+
+void Agent::OnRegistration(TimePoint now, const proto::GroupMessage& message) {
+  const proto::Registration& registration = message.registration();
+  const MemberId from{message.from()};
+  const std::optional<PeerSlot> slot = m_group.FindSlot(from);
+  const bool valid =
+      slot.has_value() &&
+      registration.flow_high_size() == registration.flow_low_size() &&
+      registration.class_id_size() == registration.flow_low_size();
+  if (!valid || m_config.faulty.forget_pointers) {
+    return;
+  }
+  const Peer& peer = m_group.PeerAt(*slot);
+  if (message.incarnation() != peer.facts.incarnation) {
+    return;
+  }
+  for (int i = 0; i < registration.flow_low_size(); ++i) {
+    const FlowId flow{registration.flow_high(i), registration.flow_low(i)};
+    if (flow == FlowId{}) {
+      continue;
+    }
+    FlowEntry& entry = m_flows.Insert(flow);
+    const bool is_new = entry.class_id.value == 0;
+    if (!is_new && entry.IsOwned()) {
+      m_counters.flows_with_two_owners += entry.state == FlowState::kOwned;
+      continue;
+    }
+    entry.class_id.value = registration.class_id(i);
+    entry.owner = *slot;
+    entry.state = FlowState::kPointer;
+    entry.expires = ToFlowDeadline(now + m_config.limits.tcp_idle);
+  }
+  m_group.OnRegistrations(from, registration);
+}
+
+void Agent::SynchroniseDuePeers(TimePoint now) {
+  for (const MemberId peer : m_group.PeersToSync(now)) {
+    Synchronise(peer);
+  }
+}
+
+void Agent::Synchronise(MemberId peer) {
+  const uint32_t sync = m_next_sync++;
+  uint32_t count = 0;
+  proto::GroupMessage batch = m_group.NewMessage();
+  batch.mutable_registration()->set_sync(sync);
+  const auto flush = [&] {
+    m_outgoing.push_back({peer, batch});
+    batch = m_group.NewMessage();
+    batch.mutable_registration()->set_sync(sync);
+  };
+  m_flows.ForEach([&](const FlowEntry& entry) {
+    if (!entry.IsOwned()) {
+      return;
+    }
+    const AgentFacts* home =
+        HomeOf(m_group.View(), entry.class_id, entry.flow);
+    if (home == nullptr || home->id != peer) {
+      return;
+    }
+    detail::AddToRegistration(entry, batch.mutable_registration());
+    ++count;
+    if (batch.registration().flow_low_size() == kRegistrationBatch) {
+      flush();
+    }
+  });
+  if (batch.registration().flow_low_size() > 0) {
+    flush();
+  }
+  proto::GroupMessage done = m_group.NewMessage();
+  done.mutable_done()->set_sync(sync);
+  done.mutable_done()->set_view(m_group.CurrentView().value);
+  done.mutable_done()->set_count(count);
+  m_outgoing.push_back({peer, std::move(done)});
+}
+
+void Agent::BecomeReadyIfSynced(TimePoint now) {
+  const bool may = m_group.Self().state == AgentState::kJoining &&
+                   now >= m_join_deadline && !m_group.IsFenced() &&
+                   m_group.IsIndexComplete();
+  if (may) {
+    m_ramp_start = now;
+    m_group.SetOwnState(now, AgentState::kReady, Load(now));
+  }
+}
+
+void Agent::CountOwned(const FlowEntry& entry) {
+  m_owned_flows += entry.IsOwned() ? 1 : 0;
+  m_open_flows += entry.state == FlowState::kOwned ? 1 : 0;
+}
+
+void Agent::ForgetOwned(const FlowEntry& entry) {
+  if (entry.class_id.value == 0) {
+    return;
+  }
+  m_owned_flows -= entry.IsOwned() ? 1 : 0;
+  m_open_flows -= entry.state == FlowState::kOwned ? 1 : 0;
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/locate/agent_admit.cc
@@ -0,0 +1,175 @@
+// @file agent_admit.cc Placing and admitting new flows.
+#include "src/locate/agent.h"
+#include "src/locate/agent_internal.h"
+#include "src/routing/routing.h"
+
+namespace medlargauge {
+
+Verdict Agent::Place(const Request& request, const VersionSplit& split) {
+  const bool own_choice =
+      IsRecovering(request.now) && !m_draining &&
+      MayAdmit(m_group.View(), m_group.Self(), split, request.packet.flow);
+  if (own_choice) {
+    // The flow may have been admitted here before the restart.
+    return Admit(request, Admission::kRecovered);
+  }
+  const AdmissionInput input = MakeInput(request, split);
+  const std::optional<size_t> choice = m_config.policy(input);
+  if (!choice.has_value()) {
+    return Reject(ErrorKind::kOverloaded);
+  }
+  const MemberId chosen = input.candidates[*choice].id;
+  if (chosen == m_group.Self().id) {
+    return Admit(request, Admission::kHome);
+  }
+  const std::optional<PeerSlot> slot = m_group.FindSlot(chosen);
+  Peer& peer = m_group.PeerAt(*slot);
+  ++peer.handed_over;
+  ++m_counters.handed_over;
+  const bool is_udp = request.packet.tuple.transport == Transport::kUdp;
+  if (!m_config.faulty.forget_pointers) {
+    FlowEntry& entry = m_flows.Insert(request.packet.flow);
+    entry.class_id = request.envelope.class_id;
+    entry.owner = *slot;
+    entry.state = FlowState::kPointer;
+    entry.expires =
+        ToFlowDeadline(request.now + (is_udp ? m_config.limits.udp_idle
+                                             : m_config.limits.tcp_idle));
+  }
+  Envelope envelope = request.envelope;
+  envelope.purpose = Purpose::kHandover;
+  envelope.view = m_group.CurrentView();
+  envelope.asker = ShortId(m_group.Self().id);
+  envelope.pending = {};
+  return Forward(request, chosen, envelope);
+}
+
+AdmissionInput Agent::MakeInput(const Request& request,
+                                const VersionSplit& split) const {
+  AdmissionInput input;
+  input.flow = request.packet.flow;
+  input.evenness = split.evenness;
+  for (const AgentFacts& facts : m_group.View().agents) {
+    const bool excluded =
+        request.envelope.visited.Contains(ShortId(facts.id)) ||
+        !MayAdmit(m_group.View(), facts, split, request.packet.flow);
+    if (excluded) {
+      continue;
+    }
+    AdmissionCandidate candidate;
+    candidate.id = facts.id;
+    candidate.domain = facts.domain;
+    if (facts.id == m_group.Self().id) {
+      const OwnLoad load = Load(request.now);
+      candidate.open_flows = load.open_flows;
+      candidate.capacity = load.capacity;
+      candidate.ramp = load.ramp;
+      candidate.shedding = load.shedding;
+      input.self = input.candidates.size();
+    } else {
+      const Peer& peer = m_group.PeerAt(*m_group.FindSlot(facts.id));
+      candidate.open_flows = peer.open_flows + peer.handed_over;
+      candidate.capacity = peer.capacity;
+      candidate.ramp = peer.ramp;
+      candidate.shedding = peer.shedding;
+    }
+    input.candidates.push_back(candidate);
+  }
+  return input;
+}
+
+Verdict Agent::Admit(const Request& request, Admission how) {
+  const bool new_work = how != Admission::kRecovered;
+  m_counters.admissions_while_draining += m_draining && new_work ? 1 : 0;
+  const bool ours = FindSplit(m_group.View(), request.envelope.class_id) !=
+                    nullptr;
+  m_counters.admissions_of_other_service += ours ? 0 : 1;
+  FlowEntry& entry = m_flows.Insert(request.packet.flow);
+  ForgetOwned(entry);
+  entry.class_id = request.envelope.class_id;
+  entry.state = FlowState::kOwned;
+  entry.initial_sequence = request.packet.sequence;
+  CountOwned(entry);
+  RefreshOwned(request.now, request.packet, &entry);
+  ClaimFor(request);
+  Verdict verdict;
+  verdict.kind = VerdictKind::kDeliver;
+  verdict.admission = how;
+  ++m_counters.delivered[static_cast<size_t>(how)];
+  return verdict;
+}
+
+void Agent::RefreshOwned(TimePoint now,
+                         const PacketInfo& packet,
+                         FlowEntry* entry) {
+  const AgentLimits& limits = m_config.limits;
+  if (packet.tuple.transport == Transport::kUdp) {
+    entry->expires = ToFlowDeadline(now + limits.udp_idle);
+    return;
+  }
+  const bool reopened = packet.syn && entry->state == FlowState::kClosing;
+  const bool closes =
+      (packet.fin || packet.rst) && entry->state == FlowState::kOwned;
+  if (reopened || closes) {
+    ForgetOwned(*entry);
+    entry->state = closes ? FlowState::kClosing : FlowState::kOwned;
+    CountOwned(*entry);
+  }
+  if (packet.syn) {
+    entry->initial_sequence = packet.sequence;
+    entry->expires = ToFlowDeadline(now + limits.opening);
+  } else if (entry->state == FlowState::kClosing) {
+    entry->expires = ToFlowDeadline(now + limits.closing);
+  } else {
+    entry->expires = ToFlowDeadline(now + limits.tcp_idle);
+  }
+}
+
+void Agent::LeaveMark(const Request& request, PeerSlot asker) {
+  if (m_config.faulty.skip_marks) {
+    return;
+  }
+  FlowEntry& entry = m_flows.Insert(request.packet.flow);
+  entry.class_id = request.envelope.class_id;
+  entry.owner = asker;
+  entry.state = FlowState::kMark;
+  entry.expires = ToFlowDeadline(request.now + m_config.limits.mark);
+}
+
+void Agent::ClaimFor(const Request& request) {
+  const bool asked = request.envelope.asker != 0 &&
+                     request.envelope.purpose != Purpose::kHandover;
+  const std::optional<PeerSlot> asker =
+      asked ? m_group.FindShort(request.envelope.asker) : std::nullopt;
+  if (!asker.has_value()) {
+    return;
+  }
+  const FlowEntry* entry = m_flows.Find(request.packet.flow);
+  proto::GroupMessage claim = m_group.NewMessage();
+  detail::AddToRegistration(*entry, claim.mutable_registration());
+  m_outgoing.push_back({m_group.PeerAt(*asker).facts.id, std::move(claim)});
+}
+
+Verdict Agent::Forward(const Request& request,
+                       MemberId next,
+                       Envelope envelope) {
+  if (request.envelope.hops >= m_config.limits.max_hops) {
+    return Reject(ErrorKind::kHopLimit);
+  }
+  envelope.hops = request.envelope.hops + 1;
+  ++m_counters.forwarded;
+  Verdict verdict;
+  verdict.kind = VerdictKind::kForward;
+  verdict.next = next;
+  verdict.envelope = envelope;
+  return verdict;
+}
+
+Verdict Agent::Reject(ErrorKind kind) {
+  ++m_counters.rejected[static_cast<size_t>(kind)];
+  Verdict verdict;
+  verdict.error = kind;
+  return verdict;
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/locate/agent_packet.cc
@@ -0,0 +1,403 @@
+// @file agent_packet.cc Where a packet goes: known flows, pointers, questions.
+#include <algorithm>
+
+#include "src/locate/agent.h"
+#include "src/locate/agent_internal.h"
+#include "src/routing/routing.h"
+
+namespace medlargauge {
+namespace {
+
+/// From this many hops on, forwarders list themselves so that members whose
+/// views disagree do not pass a packet to and fro.
+constexpr uint8_t kHopsBeforeListing = 2;
+
+/// Removes `id` from a list, keeping the order.
+void RemoveFrom(uint32_t id, MemberList<kMaxPending>* list) {
+  MemberList<kMaxPending> rest;
+  for (uint8_t i = 0; i < list->count; ++i) {
+    if (list->ids[i] != id) {
+      rest.Add(list->ids[i]);
+    }
+  }
+  *list = rest;
+}
+
+}  // namespace
+
+Verdict Agent::OnPacket(TimePoint now,
+                        const PacketInfo& packet,
+                        const Envelope& envelope) {
+  m_group.Observe(now);
+  const Request request{now, packet, envelope, false};
+  FlowEntry* entry = m_flows.Find(packet.flow);
+  if (entry == nullptr) {
+    return OnUnknown(request);
+  }
+  if (entry->class_id != envelope.class_id) {
+    return Reject(ErrorKind::kWrongService);
+  }
+  switch (entry->state) {
+    case FlowState::kOwned:
+    case FlowState::kClosing:
+      return OnKnown(request, entry);
+    case FlowState::kPointer:
+      return OnPointer(request, entry);
+    case FlowState::kMark:
+      return OnMark(request, entry);
+  }
+  return Reject(ErrorKind::kFlowUnknown);
+}
+
+Verdict Agent::OnKnown(const Request& request, FlowEntry* entry) {
+  const bool new_work = IsNewConnection(request.packet, *entry);
+  if (new_work && m_draining) {
+    ForgetOwned(*entry);
+    m_flows.Erase(request.packet.flow);
+    Envelope bounced = request.envelope;
+    bounced.visited.Add(ShortId(m_group.Self().id));
+    const Request again{request.now, request.packet, bounced, true};
+    return RouteToHome(again);
+  }
+  RefreshOwned(request.now, request.packet, entry);
+  ClaimFor(request);
+  Verdict verdict;
+  verdict.kind = VerdictKind::kDeliver;
+  verdict.admission = Admission::kKnown;
+  ++m_counters.delivered[static_cast<size_t>(Admission::kKnown)];
+  return verdict;
+}
+
+Verdict Agent::OnPointer(const Request& request, FlowEntry* entry) {
+  const Peer& owner = m_group.PeerAt(entry->owner);
+  const MemberId owner_id = owner.facts.id;
+  const bool bounced = request.envelope.visited.Contains(ShortId(owner_id));
+  if (bounced || owner.facts.state == AgentState::kGone) {
+    m_flows.Erase(request.packet.flow);
+    const Request again{request.now, request.packet, request.envelope, true};
+    return OnUnknown(again);
+  }
+  const bool is_udp = request.packet.tuple.transport == Transport::kUdp;
+  entry->expires =
+      ToFlowDeadline(request.now + (is_udp ? m_config.limits.udp_idle
+                                           : m_config.limits.tcp_idle));
+  Envelope envelope = request.envelope;
+  // Only the deciding home may ask for an admission; anybody else just points.
+  const bool decides =
+      request.packet.MayOpen() && MayDecide(request.now) &&
+      m_group.IsCleanHome(request.envelope.class_id, request.packet.flow);
+  if (decides) {
+    envelope.purpose = Purpose::kHandover;
+    envelope.view = m_group.CurrentView();
+    envelope.asker = ShortId(m_group.Self().id);
+  } else {
+    envelope.purpose = Purpose::kFollow;
+  }
+  return Forward(request, owner_id, envelope);
+}
+
+Verdict Agent::OnMark(const Request& request, FlowEntry* entry) {
+  const Peer& asker = m_group.PeerAt(entry->owner);
+  const MemberId asker_id = asker.facts.id;
+  const uint32_t asker_short = ShortId(asker_id);
+  const bool same_question = request.envelope.purpose == Purpose::kConsult &&
+                             request.envelope.asker == asker_short;
+  if (same_question) {
+    return OnConsult(request);
+  }
+  // A clean home serialises all decisions, so older marks are void.
+  const bool clean =
+      m_group.IsCleanHome(request.envelope.class_id, request.packet.flow);
+  const bool returned = request.envelope.visited.Contains(asker_short);
+  const bool wins = RankWeight(request.packet.flow, m_group.Self().id) >
+                    RankWeight(request.packet.flow, asker_id);
+  if (clean || asker.facts.state == AgentState::kGone || (returned && wins)) {
+    m_flows.Erase(request.packet.flow);
+    const Request again{request.now, request.packet, request.envelope,
+                        request.must_ask || !clean};
+    return OnUnknown(again);
+  }
+  if (returned) {
+    return Reject(ErrorKind::kMaybeElsewhere);
+  }
+  Envelope envelope = request.envelope;
+  envelope.purpose = Purpose::kRoute;
+  envelope.pending = {};
+  envelope.visited.Add(ShortId(m_group.Self().id));
+  return Forward(request, asker_id, envelope);
+}
+
+Verdict Agent::OnUnknown(const Request& request) {
+  switch (request.envelope.purpose) {
+    case Purpose::kRoute:
+      return RouteToHome(request);
+    case Purpose::kHandover:
+      return OnHandover(request);
+    case Purpose::kConsult:
+      return OnConsult(request);
+    case Purpose::kSearch:
+      return OnSearch(request);
+    case Purpose::kFollow:
+      break;
+  }
+  // Somebody pointed here in vain.
+  if (IsRecovering(request.now)) {
+    return Admit(request, Admission::kRecovered);
+  }
+  Envelope bounced = request.envelope;
+  bounced.visited.Add(ShortId(m_group.Self().id));
+  const Request again{request.now, request.packet, bounced, true};
+  return RouteToHome(again);
+}
+
+Verdict Agent::OnHandover(const Request& request) {
+  const ServiceView& view = m_group.View();
+  const VersionSplit* split = FindSplit(view, request.envelope.class_id);
+  const bool same_view = request.envelope.view == m_group.CurrentView() ||
+                         m_config.faulty.skip_view_check;
+  const bool may_admit =
+      split != nullptr &&
+      (m_config.faulty.admit_while_draining ||
+       MayAdmit(view, m_group.Self(), *split, request.packet.flow));
+  // A member that was paused may hold a handover that is long out of date.
+  const bool room =
+      MayDecide(request.now) && m_open_flows < m_config.limits.capacity;
+  if (same_view && may_admit && room && request.packet.MayOpen()) {
+    return Admit(request, Admission::kHandover);
+  }
+  const std::optional<PeerSlot> asker =
+      m_group.FindShort(request.envelope.asker);
+  if (asker.has_value()) {
+    LeaveMark(request, *asker);
+  }
+  Envelope bounced = request.envelope;
+  bounced.purpose = Purpose::kRoute;
+  bounced.visited.Add(ShortId(m_group.Self().id));
+  const Request again{request.now, request.packet, bounced, true};
+  if (asker.has_value()) {
+    return Forward(again, m_group.PeerAt(*asker).facts.id, bounced);
+  }
+  return RouteToHome(again);
+}
+
+Verdict Agent::OnConsult(const Request& request) {
+  const uint32_t self = ShortId(m_group.Self().id);
+  const VersionSplit* split =
+      FindSplit(m_group.View(), request.envelope.class_id);
+  if (request.envelope.asker == self) {
+    const bool same_view = request.envelope.view == m_group.CurrentView();
+    if (!same_view || split == nullptr) {
+      return RouteToHome(request);
+    }
+    if (request.envelope.pending.count > 0) {
+      return PassAlong(request, request.envelope);
+    }
+    return AskNextLeg(request, Purpose::kConsult);
+  }
+  const bool clean =
+      split != nullptr && MayDecide(request.now) &&
+      m_group.IsCleanHome(request.envelope.class_id, request.packet.flow);
+  if (clean) {
+    return Place(request, *split);
+  }
+  const std::optional<PeerSlot> asker =
+      m_group.FindShort(request.envelope.asker);
+  if (!asker.has_value()) {
+    // Unknown askers cannot be pointed to; the caller's transport retries.
+    return Reject(ErrorKind::kMaybeElsewhere);
+  }
+  LeaveMark(request, *asker);
+  return PassAlong(request, request.envelope);
+}
+
+Verdict Agent::OnSearch(const Request& request) {
+  const uint32_t self = ShortId(m_group.Self().id);
+  if (request.envelope.asker == self) {
+    if (request.envelope.pending.count > 0) {
+      return PassAlong(request, request.envelope);
+    }
+    return AskNextLeg(request, Purpose::kSearch);
+  }
+  if (!IsRecovering(request.now)) {
+    return PassAlong(request, request.envelope);
+  }
+  const bool deferred = request.envelope.visited.Contains(self);
+  const bool last =
+      request.envelope.pending.count <= 1 &&
+      (request.envelope.pending.count == 0 ||
+       request.envelope.pending.ids[0] == self);
+  if (deferred || last) {
+    return Admit(request, Admission::kRecovered);
+  }
+  // Those who know their flows answer first: go to the end of the line.
+  Envelope envelope = request.envelope;
+  envelope.visited.Add(self);
+  RemoveFrom(self, &envelope.pending);
+  const std::optional<PeerSlot> next =
+      m_group.FindShort(envelope.pending.ids[0]);
+  envelope.pending.Add(self);
+  if (!next.has_value()) {
+    return Admit(request, Admission::kRecovered);
+  }
+  return Forward(request, m_group.PeerAt(*next).facts.id, envelope);
+}
+
+Verdict Agent::RouteToHome(const Request& request) {
+  const ServiceView& view = m_group.View();
+  const VersionSplit* split = FindSplit(view, request.envelope.class_id);
+  if (split == nullptr) {
+    return Reject(ErrorKind::kUnknownAddress);
+  }
+  const AgentFacts* home =
+      HomeOf(view, request.envelope.class_id, request.packet.flow);
+  const bool elsewhere =
+      home != nullptr && home->id != m_group.Self().id &&
+      !request.envelope.visited.Contains(ShortId(home->id));
+  if (!elsewhere) {
+    return DecideAsHome(request, *split);
+  }
+  Envelope envelope = request.envelope;
+  envelope.purpose = Purpose::kRoute;
+  envelope.pending = {};
+  if (envelope.hops >= kHopsBeforeListing) {
+    envelope.visited.Add(ShortId(m_group.Self().id));
+  }
+  return Forward(request, home->id, envelope);
+}
+
+Verdict Agent::DecideAsHome(const Request& request, const VersionSplit& split) {
+  if (!request.packet.MayOpen()) {
+    // A reset for a flow that nobody has needs no answer.
+    return request.packet.rst ? Reject(ErrorKind::kMaybeElsewhere)
+                              : Ask(request, Purpose::kSearch, false, 0);
+  }
+  if (!MayDecide(request.now)) {
+    return Reject(ErrorKind::kFenced);
+  }
+  if (m_config.faulty.skip_consult) {
+    return Place(request, split);
+  }
+  const bool bounced = request.must_ask || request.envelope.visited.count > 0;
+  const bool clean =
+      m_group.IsCleanHome(request.envelope.class_id, request.packet.flow);
+  if (clean && !bounced) {
+    return Place(request, split);
+  }
+  ++m_counters.consulted;
+  return Ask(request, Purpose::kConsult, !bounced, 0);
+}
+
+Verdict Agent::Ask(const Request& request,
+                   Purpose purpose,
+                   bool skip_synced,
+                   uint32_t leg) {
+  m_counters.searched += purpose == Purpose::kSearch && leg == 0 ? 1 : 0;
+  Envelope envelope = request.envelope;
+  envelope.purpose = purpose;
+  envelope.asker = ShortId(m_group.Self().id);
+  envelope.view = m_group.CurrentView();
+  envelope.leg = leg;
+  envelope.pending = RankedPending(request, skip_synced, leg);
+  if (envelope.pending.count == 0) {
+    const Request again{request.now, request.packet, envelope, false};
+    return AskNextLeg(again, purpose);
+  }
+  return PassAlong(request, envelope);
+}
+
+Verdict Agent::AskNextLeg(const Request& request, Purpose purpose) {
+  const size_t next_start =
+      (static_cast<size_t>(request.envelope.leg) + 1) * kMaxPending;
+  if (next_start < m_group.View().agents.size()) {
+    return Ask(request, purpose, false, request.envelope.leg + 1);
+  }
+  if (purpose == Purpose::kSearch) {
+    return ConcludeSearch(request);
+  }
+  const VersionSplit* split =
+      FindSplit(m_group.View(), request.envelope.class_id);
+  if (!MayDecide(request.now)) {
+    return Reject(ErrorKind::kFenced);
+  }
+  return split == nullptr ? Reject(ErrorKind::kUnknownAddress)
+                          : Place(request, *split);
+}
+
+MemberList<kMaxPending> Agent::RankedPending(const Request& request,
+                                             bool skip_synced,
+                                             uint32_t leg) const {
+  // Everybody asks in the same order, so two askers meet at the first member
+  // that both know, and that member decides which of them goes on.
+  std::vector<AgentFacts> ranked = m_group.View().agents;
+  const FlowId flow = request.packet.flow;
+  std::sort(ranked.begin(), ranked.end(),
+            [flow](const AgentFacts& a, const AgentFacts& b) {
+              return RankWeight(flow, a.id) > RankWeight(flow, b.id);
+            });
+  const size_t first = static_cast<size_t>(leg) * kMaxPending;
+  const size_t last = std::min(ranked.size(), first + kMaxPending);
+  const AgentFacts* home =
+      HomeOf(m_group.View(), request.envelope.class_id, flow);
+  const bool agreed = home != nullptr && home->id == m_group.Self().id;
+  const bool one_leg = ranked.size() <= kMaxPending;
+  MemberList<kMaxPending> pending;
+  for (size_t i = first; i < last; ++i) {
+    const std::optional<PeerSlot> slot = m_group.FindSlot(ranked[i].id);
+    if (!slot.has_value()) {
+      continue;  // This agent itself.
+    }
+    const Peer& peer = m_group.PeerAt(*slot);
+    const bool synced = skip_synced && agreed && one_leg &&
+                        m_group.IsSynced(peer);
+    const uint32_t short_id = ShortId(ranked[i].id);
+    if (!synced && !request.envelope.visited.Contains(short_id)) {
+      pending.Add(short_id);
+    }
+  }
+  return pending;
+}
+
+Verdict Agent::PassAlong(const Request& request, Envelope envelope) {
+  RemoveFrom(ShortId(m_group.Self().id), &envelope.pending);
+  for (uint8_t i = 0; i < envelope.pending.count; ++i) {
+    const std::optional<PeerSlot> next =
+        m_group.FindShort(envelope.pending.ids[i]);
+    const bool alive =
+        next.has_value() &&
+        m_group.PeerAt(*next).facts.state != AgentState::kGone;
+    if (alive) {
+      const MemberId next_id = m_group.PeerAt(*next).facts.id;
+      return Forward(request, next_id, envelope);
+    }
+  }
+  envelope.pending = {};
+  const bool own_question = envelope.asker == ShortId(m_group.Self().id);
+  if (own_question) {
+    const Request again{request.now, request.packet, envelope, false};
+    return AskNextLeg(again, envelope.purpose);
+  }
+  const std::optional<PeerSlot> asker = m_group.FindShort(envelope.asker);
+  if (!asker.has_value()) {
+    return Reject(ErrorKind::kMaybeElsewhere);
+  }
+  return Forward(request, m_group.PeerAt(*asker).facts.id, envelope);
+}
+
+Verdict Agent::ConcludeSearch(const Request& request) {
+  if (IsRecovering(request.now)) {
+    return Admit(request, Admission::kRecovered);
+  }
+  const bool somebody_may_know = m_group.MayHaveUnreachableFlows(request.now) ||
+                                 !MayDecide(request.now) ||
+                                 !m_group.IsIndexComplete();
+  return Reject(somebody_may_know ? ErrorKind::kMaybeElsewhere
+                                  : ErrorKind::kFlowUnknown);
+}
+
+bool Agent::IsNewConnection(const PacketInfo& packet,
+                            const FlowEntry& entry) const {
+  return packet.syn && (entry.state == FlowState::kClosing ||
+                        entry.initial_sequence != packet.sequence);
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/packet/packet_type.h
@@ -0,0 +1,77 @@
+// @file packet_type.h Types of the packets that callers send.
+#ifndef MEDLARGAUGE_PACKET_PACKET_TYPE_H_
+#define MEDLARGAUGE_PACKET_PACKET_TYPE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace medlargauge {
+
+/// A view of packet bytes; the owner keeps them alive.
+using ByteView = std::basic_string_view<uint8_t>;
+
+/// A writable stretch of bytes; the owner keeps them alive.
+struct ByteSpan {
+  uint8_t* data = nullptr;  ///< First byte.
+  size_t size = 0;          ///< Number of bytes.
+};
+
+/// An IPv6 address; IPv4 addresses are held in their mapped form.
+struct IpAddress {
+  std::array<uint8_t, 16> bytes{};  ///< Network byte order.
+
+  friend bool operator==(const IpAddress& a, const IpAddress& b) {
+    return a.bytes == b.bytes;
+  }
+  friend bool operator<(const IpAddress& a, const IpAddress& b) {
+    return a.bytes < b.bytes;
+  }
+};
+
+/// Transport protocols that are balanced.
+enum class Transport : uint8_t { kTcp = 6, kUdp = 17 };
+
+/// Addresses and ports of one flow.
+struct FiveTuple {
+  IpAddress source;           ///< Caller.
+  IpAddress destination;      ///< Address of the class.
+  uint16_t source_port = 0;   ///< Host byte order.
+  uint16_t target_port = 0;   ///< Host byte order.
+  Transport transport = Transport::kTcp;  ///< TCP or UDP.
+};
+
+/// The seeded 128-bit hash that stands for a five-tuple everywhere.
+struct FlowId {
+  uint64_t high = 0;  ///< Chooses the trial slice.
+  uint64_t low = 0;   ///< Chooses the home agent.
+
+  friend bool operator==(FlowId a, FlowId b) {
+    return a.high == b.high && a.low == b.low;
+  }
+  friend bool operator<(FlowId a, FlowId b) {
+    return a.high != b.high ? a.high < b.high : a.low < b.low;
+  }
+};
+
+/// What the decisions need to know of one packet.
+struct PacketInfo {
+  FiveTuple tuple;          ///< Who talks to whom.
+  FlowId flow;              ///< Hash of `tuple`.
+  bool syn = false;         ///< TCP SYN without ACK.
+  bool ack = false;         ///< TCP ACK.
+  bool fin = false;         ///< TCP FIN.
+  bool rst = false;         ///< TCP RST.
+  uint32_t sequence = 0;    ///< TCP sequence number.
+  uint32_t acknowledged = 0;  ///< TCP acknowledgement number.
+  ByteView payload;         ///< Bytes after the transport header.
+
+  /// Returns whether this packet may open a flow. Any UDP datagram may: only
+  /// an agent that knows the flow can tell. Thread-safe.
+  bool MayOpen() const { return tuple.transport == Transport::kUdp || syn; }
+};
+
+}  // namespace medlargauge
+
+#endif  // MEDLARGAUGE_PACKET_PACKET_TYPE_H_
--- /dev/null
+++ b/src/target/target_book.cc
@@ -0,0 +1,31 @@
+// @file target_book.cc A join over store revisions.
+#include "src/target/target_book.h"
+
+#include <algorithm>
+
+namespace medlargauge {
+
+bool TargetBook::Merge(const ClassTarget& target) {
+  const auto known = m_targets.find(target.name);
+  if (known != m_targets.end() && known->second.revision >= target.revision) {
+    return false;
+  }
+  m_targets[target.name] = target;
+  m_highest = std::max(m_highest, target.revision);
+  return true;
+}
+
+const ClassTarget* TargetBook::Find(std::string_view name) const {
+  const auto known = m_targets.find(name);
+  return known == m_targets.end() ? nullptr : &known->second;
+}
+
+std::vector<ClassTarget> TargetBook::All() const {
+  std::vector<ClassTarget> all;
+  for (const auto& [name, target] : m_targets) {
+    all.push_back(target);
+  }
+  return all;
+}
+
+}  // namespace medlargauge
