Fix: Recovering, paused and upgraded agents no longer admit a flow twice

Cause: random schedules showed an agent that had just started counting its empty index as complete, a paused agent taking an old handover, a crashed agent losing flows that only it knew, and duplicates of refused packets. Change: completeness needs a listening time; handovers are dropped while cut off; a new flow is registered with a second agent, and peers return a recovering agent's flows to it; a refusal is remembered; a successor takes over pointers too; an agent that is cut off announces a new incarnation until heard.

--- a/scenario/schedule.cc
+++ b/scenario/schedule.cc
@@ -30,8 +30,10 @@
 /// Applies one schedule to one world.
 class ScheduleRun {
  public:
-  ScheduleRun(const Schedule& schedule, const FaultyRules& faulty)
-      : m_world(Options(schedule, faulty)) {
+  ScheduleRun(const Schedule& schedule,
+              const FaultyRules& faulty,
+              VerdictHook on_verdict)
+      : m_world(Options(schedule, faulty, std::move(on_verdict))) {
     SetUp();
     for (const ScheduledFault& fault : schedule.faults) {
       m_world.Events().After(Milliseconds(fault.at_ms),
@@ -49,8 +51,10 @@
 
  private:
   static WorldOptions Options(const Schedule& schedule,
-                              const FaultyRules& faulty) {
+                              const FaultyRules& faulty,
+                              VerdictHook on_verdict) {
     WorldOptions options;
+    options.on_verdict = std::move(on_verdict);
     options.seed = schedule.seed;
     options.faulty = faulty;
     options.limits.ramp = Seconds(5);
@@ -280,8 +284,9 @@
 }
 
 ScheduleResult RunSchedule(const Schedule& schedule,
-                           const FaultyRules& faulty) {
-  return ScheduleRun(schedule, faulty).Finish();
+                           const FaultyRules& faulty,
+                           VerdictHook on_verdict) {
+  return ScheduleRun(schedule, faulty, std::move(on_verdict)).Finish();
 }
 
 std::string Describe(const Schedule& schedule) {
--- a/scenario/schedule.h
+++ b/scenario/schedule.h
@@ -28,8 +28,10 @@
 
 /// Runs one schedule with two services under traffic. Thread-safe.
 /// @param faulty breaks central rules, to show that checks notice
+/// @param on_verdict traces decisions; may be empty
 ScheduleResult RunSchedule(const Schedule& schedule,
-                           const FaultyRules& faulty);
+                           const FaultyRules& faulty,
+                           VerdictHook on_verdict = {});
 
 /// Returns one line a fault, as text. Thread-safe.
 std::string Describe(const Schedule& schedule);
--- a/scenario/world.cc
+++ b/scenario/world.cc
@@ -45,7 +45,7 @@
 
 void World::StartBalancer(std::string_view name) {
   BalancerHost& host = FindBalancer(name);
-  ++host.incarnation;
+  host.incarnation = NewIncarnation();
   AgentFacts facts;
   facts.id = MemberIdOf(name);
   facts.incarnation = host.incarnation;
@@ -115,7 +115,7 @@
 }
 
 void World::StartAgentProcess(AgentHost* host, StartKind kind) {
-  ++host->incarnation;
+  host->incarnation = NewIncarnation();
   ++host->epoch;
   host->leave_when_drained = false;
   host->drain_started = TimePoint();
@@ -139,10 +139,12 @@
   NoteChange();
 }
 
+uint64_t World::NewIncarnation() const {
+  // The time of the start, as in the daemon, which keeps nothing on its host.
+  return ToMilliseconds(m_events.Now().time_since_epoch());
+}
+
 void World::StopAgentProcess(AgentHost* host) {
-  // Incarnations must grow over rejoins that the agent made by itself.
-  host->incarnation = std::max(
-      host->incarnation, host->agent->ServiceGroup().Self().incarnation);
   host->agent = nullptr;
   host->backlog.clear();
   host->paused_until = TimePoint();
@@ -245,16 +247,11 @@
 
 void World::UpgradeAgent(std::string_view name, Duration away) {
   AgentHost& host = FindAgent(name);
-  std::vector<FlowEntry> owned;
-  host.agent->Flows().ForEach([&owned](const FlowEntry& entry) {
-    if (entry.IsOwned()) {
-      owned.push_back(entry);
-    }
-  });
+  const HandoverState state = host.agent->MakeHandover();
   StopAgentProcess(&host);
-  m_events.After(away, [this, &host, owned] {
+  m_events.After(away, [this, &host, state] {
     StartAgentProcess(&host, StartKind::kSuccessor);
-    host.agent->TakeOver(owned);
+    host.agent->TakeOver(m_events.Now(), state);
   });
 }
 
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -158,6 +158,7 @@
 
   // Members.
   void StartAgentProcess(AgentHost* host, StartKind kind);
+  uint64_t NewIncarnation() const;
   void StopAgentProcess(AgentHost* host);
   void Announce(const AgentHost& host);
   void TickAgents();
--- a/scenario/world_network.cc
+++ b/scenario/world_network.cc
@@ -159,6 +159,10 @@
           ? host->agent->OnPacket(m_events.Now(), packet, envelope)
           : DecideByBaseline(host, packet, envelope);
   SendGroupMessages(self, host->agent->TakeOutgoing());
+  if (m_options.on_verdict) {
+    m_options.on_verdict(m_events.Now(), host->name, instance, envelope,
+                         verdict);
+  }
   switch (verdict.kind) {
     case VerdictKind::kDeliver:
       DeliverToServer(host, packet, instance, envelope);
--- a/scenario/world_type.h
+++ b/scenario/world_type.h
@@ -4,9 +4,11 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/locate/agent_type.h"
@@ -32,6 +34,13 @@
   Duration balancer_lag{0};  ///< A balancer learns changes up to so late.
 };
 
+/// Called for each decision of an agent, to trace one flow while debugging.
+using VerdictHook = std::function<void(TimePoint now,
+                                       std::string_view agent,
+                                       uint64_t instance,
+                                       const Envelope& envelope,
+                                       const Verdict& verdict)>;
+
 /// Settings of a world.
 struct WorldOptions {
   uint64_t seed = 1;                        ///< Of all randomness.
@@ -42,6 +51,7 @@
   AgentLimits limits;                       ///< Of every agent.
   GroupTimeouts timeouts;                   ///< Of every member.
   AdmissionPolicy policy;                   ///< Of every agent.
+  VerdictHook on_verdict;                   ///< May be empty.
   FaultyRules faulty;                       ///< Test only.
 };
 
--- a/src/flow/flow_type.h
+++ b/src/flow/flow_type.h
@@ -16,6 +16,7 @@
   kClosing,  ///< Owned; the caller has sent FIN or RST.
   kPointer,  ///< Served by the agent in `owner`.
   kMark,     ///< Another agent asked first and decides; see `owner`.
+  kRefused,  ///< Told "not run", so no copy of the packet may be admitted.
 };
 
 /// A deadline in coarse ticks, small enough for 400,000 flows.
@@ -45,6 +46,7 @@
   uint32_t initial_sequence = 0;            ///< Of the SYN that opened it.
   PeerSlot owner;                           ///< Owner if not this agent.
   FlowState state = FlowState::kOwned;      ///< Kind of entry.
+  Transport transport = Transport::kTcp;    ///< Valid for owned flows.
 
   /// Returns whether this agent's backend server has the flow.
   bool IsOwned() const {
--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -83,6 +83,11 @@
   const bool restarted =
       slot.has_value() && facts.incarnation != peer.facts.incarnation;
   const bool fresh = !slot.has_value() || restarted;
+  const bool left = facts.state == AgentState::kGone;
+  if (left && peer.facts.state != AgentState::kGone) {
+    // News of a removal by others; a member that leaves says so by itself.
+    peer.reappear_deadline = now + m_timeouts.reappear;
+  }
   peer.facts = facts;
   peer.observer = observer;
   if (fresh) {
@@ -92,6 +97,7 @@
     peer.done_view = ViewId();
     peer.indexed_view = ViewId();
     peer.sync = 0;
+    peer.recovering = false;
     peer.silent.clear();
   }
   RebuildView();
@@ -135,6 +141,9 @@
   const AgentFacts facts = ReadFacts(heartbeat.facts());
   LearnMember(now, facts, heartbeat.observer());
   const std::optional<PeerSlot> slot = FindSlot(facts.id);
+  if (slot.has_value() && facts.state == AgentState::kGone) {
+    PeerAt(*slot).reappear_deadline = TimePoint();
+  }
   if (!slot.has_value()) {
     return;
   }
@@ -163,6 +172,11 @@
   peer.capacity = heartbeat.capacity();
   peer.ramp = heartbeat.ramp() / kWholeRamp;
   peer.shedding = heartbeat.shedding();
+  if (heartbeat.recovering() && !peer.recovering) {
+    peer.resend_deadline = now;
+    peer.returns_due = true;
+  }
+  peer.recovering = heartbeat.recovering();
   peer.indexed_view.value = heartbeat.indexed_view();
   peer.silent.assign(heartbeat.silent().begin(), heartbeat.silent().end());
 }
@@ -202,16 +216,16 @@
   }
   m_fenced = true;
   m_views_since_complete.clear();
+  m_rejoin_deadline = now;
 }
 
 void Group::OnTick(TimePoint now, const OwnLoad& load) {
-  if (m_fenced && HasMajorityOfEchoes(now)) {
-    m_fenced = false;
-    if (!m_observer) {
-      // Others may have replaced this member while it was cut off, so it
-      // comes back as a newcomer that has to synchronise.
-      Rejoin(m_self.incarnation + 1);
-    }
+  m_fenced = m_fenced && !HasMajorityOfEchoes(now);
+  if (m_fenced && now >= m_rejoin_deadline) {
+    // The others may have removed this member, so it announces itself as a
+    // newcomer that has to synchronise, again and again until it is heard.
+    Rejoin(m_self.incarnation + 1);
+    m_rejoin_deadline = now + m_timeouts.removal;
   }
   RemoveSilentPeers(now);
   NoteCompleteness();
@@ -221,6 +235,10 @@
   }
 }
 
+void Group::FinishListening() {
+  m_listened = true;
+}
+
 bool Group::TakeViewChange() {
   const bool changed = m_view_changed;
   m_view_changed = false;
@@ -232,9 +250,10 @@
   for (Peer& peer : m_peers) {
     const bool agent =
         !peer.observer && peer.facts.state != AgentState::kGone;
-    const bool missing = peer.indexed_view != m_view_id;
+    const bool missing = peer.indexed_view != m_view_id || peer.returns_due;
     if (agent && missing && now >= peer.resend_deadline) {
       peer.resend_deadline = now + m_timeouts.resend;
+      peer.returns_due = false;
       due.push_back(peer.facts.id);
     }
   }
@@ -265,10 +284,10 @@
 }
 
 bool Group::MayHaveUnreachableFlows(TimePoint now) const {
-  if (now < m_reappear_deadline) {
-    return true;
-  }
   return std::any_of(m_peers.begin(), m_peers.end(), [&](const Peer& peer) {
+    if (now < peer.reappear_deadline) {
+      return true;
+    }
     return !peer.observer && peer.facts.state != AgentState::kGone &&
            now + m_timeouts.removal / 2 > peer.removal_deadline;
   });
@@ -402,6 +421,7 @@
     heartbeat->set_capacity(load.capacity);
     heartbeat->set_ramp(static_cast<uint32_t>(load.ramp * kWholeRamp));
     heartbeat->set_shedding(load.shedding);
+    heartbeat->set_recovering(load.recovering);
     heartbeat->set_observer(m_observer);
     for (const Peer& other : m_peers) {
       const bool silent = other.facts.state != AgentState::kGone &&
@@ -424,7 +444,7 @@
         peer.facts.state != AgentState::kGone && MayRemove(now, peer);
     if (silent) {
       peer.facts.state = AgentState::kGone;
-      m_reappear_deadline = now + m_timeouts.reappear;
+      peer.reappear_deadline = now + m_timeouts.reappear;
       removed = true;
     }
   }
@@ -434,7 +454,7 @@
 }
 
 void Group::NoteCompleteness() {
-  if (!m_fenced && IsIndexComplete()) {
+  if (m_listened && !m_fenced && IsIndexComplete()) {
     m_views_since_complete.assign(1, m_view);
   }
 }
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -22,6 +22,7 @@
   uint32_t capacity = 0;    ///< Limit beyond which new flows are refused.
   double ramp = 1.0;        ///< Part of the mean that may be carried by now.
   bool shedding = false;    ///< Takes no handed-over flows just now.
+  bool recovering = false;  ///< Lost its flow table a short while ago.
 };
 
 /// Membership, failure detection and synchronisation within one service.
@@ -63,6 +64,10 @@
   /// Sends due heartbeats, removes silent members and rejoins after a fence.
   void OnTick(TimePoint now, const OwnLoad& load);
 
+  /// Ends the time after a start in which peers are still being discovered.
+  /// Before it, an index without registrations must not count as complete.
+  void FinishListening();
+
   /// Returns whether the view changed since the last call, and resets that.
   bool TakeViewChange();
 
@@ -124,11 +129,12 @@
   ServiceView m_view;             ///< Current view.
   ViewId m_view_id;               ///< Its hash.
   bool m_view_changed = true;     ///< Not yet taken by the owner.
+  bool m_listened = false;        ///< Had time to discover its peers.
   bool m_fenced = false;          ///< Must not decide now.
   /// Views since the index was last complete, the complete one first; empty
   /// when it never was or since a fence.
   std::vector<ServiceView> m_views_since_complete;
-  TimePoint m_reappear_deadline;  ///< A removed member may return until then.
+  TimePoint m_rejoin_deadline;  ///< While fenced: next new incarnation.
   TimePoint m_heartbeat_deadline;           ///< Next heartbeat.
   std::vector<OutgoingGroupMessage> m_outgoing;  ///< To be sent.
 };
--- a/src/group/group_type.h
+++ b/src/group/group_type.h
@@ -28,6 +28,7 @@
 struct Peer {
   AgentFacts facts;              ///< Newest facts.
   bool observer = false;         ///< A balancer: hears, but owns no flows.
+  TimePoint reappear_deadline;   ///< Removed for silence; may return by then.
   TimePoint removal_deadline;    ///< Silent beyond this: may be removed.
   TimePoint fence_deadline;      ///< Until then it is known to hear us.
   TimePoint resend_deadline;     ///< When to repeat the synchronisation.
@@ -37,6 +38,8 @@
   uint32_t capacity = 0;         ///< Limit that it reported.
   double ramp = 1.0;             ///< Part of the mean it may carry by now.
   bool shedding = false;         ///< Takes no handed-over flows.
+  bool recovering = false;       ///< Lost its flow table a short while ago.
+  bool returns_due = false;      ///< Its flows must be returned to it.
   ViewId done_view;              ///< View its registrations are complete for.
   ViewId indexed_view;           ///< View it holds our registrations for.
   uint32_t sync = 0;             ///< Synchronisation being received.
--- a/src/locate/agent.cc
+++ b/src/locate/agent.cc
@@ -74,6 +74,9 @@
   m_flows.Sweep(ToFlowDeadline(now), kSweepBudget, [this](const FlowEntry& e) {
     ForgetOwned(e);
   });
+  if (now >= m_join_deadline) {
+    m_group.FinishListening();
+  }
   m_group.OnTick(now, Load(now));
   BecomeReadyIfSynced(now);
   SynchroniseDuePeers(now);
@@ -95,12 +98,33 @@
   m_group.SetOwnState(now, AgentState::kGone, Load(now));
 }
 
-void Agent::TakeOver(const std::vector<FlowEntry>& owned) {
-  for (const FlowEntry& entry : owned) {
-    FlowEntry& copy = m_flows.Insert(entry.flow);
-    ForgetOwned(copy);
-    copy = entry;
-    CountOwned(copy);
+HandoverState Agent::MakeHandover() const {
+  HandoverState state;
+  state.peers = m_group.Peers();
+  state.flows.reserve(m_flows.Size());
+  m_flows.ForEach(
+      [&state](const FlowEntry& entry) { state.flows.push_back(entry); });
+  return state;
+}
+
+void Agent::TakeOver(TimePoint now, const HandoverState& state) {
+  for (const Peer& peer : state.peers) {
+    m_group.LearnMember(now, peer.facts, peer.observer);
+  }
+  for (const FlowEntry& handed : state.flows) {
+    FlowEntry copy = handed;
+    if (!copy.IsOwned() && copy.state != FlowState::kRefused) {
+      const std::optional<PeerSlot> owner =
+          m_group.FindSlot(state.peers[copy.owner.value].facts.id);
+      if (!owner.has_value()) {
+        continue;  // The owner had left already.
+      }
+      copy.owner = *owner;
+    }
+    FlowEntry& entry = m_flows.Insert(copy.flow);
+    ForgetOwned(entry);
+    entry = copy;
+    CountOwned(entry);
   }
 }
 
@@ -132,6 +156,7 @@
   load.capacity = m_config.limits.capacity;
   load.ramp = OwnRamp(now);
   // While recovering the own count is too low to be compared with others.
+  load.recovering = IsRecovering(now);
   load.shedding = m_server_shedding || IsRecovering(now);
   return load;
 }
@@ -140,10 +165,12 @@
   const proto::Registration& registration = message.registration();
   const MemberId from{message.from()};
   const std::optional<PeerSlot> slot = m_group.FindSlot(from);
-  const bool valid =
-      slot.has_value() &&
-      registration.flow_high_size() == registration.flow_low_size() &&
-      registration.class_id_size() == registration.flow_low_size();
+  const int count = registration.flow_low_size();
+  const bool valid = slot.has_value() &&
+                     registration.flow_high_size() == count &&
+                     registration.class_id_size() == count &&
+                     registration.initial_sequence_size() == count &&
+                     registration.udp_size() == count;
   if (!valid || m_config.faulty.forget_pointers) {
     return;
   }
@@ -151,25 +178,54 @@
   if (message.incarnation() != peer.facts.incarnation) {
     return;
   }
-  for (int i = 0; i < registration.flow_low_size(); ++i) {
-    const FlowId flow{registration.flow_high(i), registration.flow_low(i)};
-    if (flow == FlowId{}) {
-      continue;
-    }
-    FlowEntry& entry = m_flows.Insert(flow);
-    const bool is_new = entry.class_id.value == 0;
-    if (!is_new && entry.IsOwned()) {
-      m_counters.flows_with_two_owners += entry.state == FlowState::kOwned;
-      continue;
-    }
+  for (int i = 0; i < count; ++i) {
+    FlowEntry entry;
+    entry.flow = FlowId{registration.flow_high(i), registration.flow_low(i)};
     entry.class_id.value = registration.class_id(i);
-    entry.owner = *slot;
-    entry.state = FlowState::kPointer;
-    entry.expires = ToFlowDeadline(now + m_config.limits.tcp_idle);
+    entry.initial_sequence = registration.initial_sequence(i);
+    entry.transport =
+        registration.udp(i) ? Transport::kUdp : Transport::kTcp;
+    const bool usable =
+        !(entry.flow == FlowId{}) && entry.class_id.value != 0;
+    if (usable && registration.returned()) {
+      TakeBackFlow(now, entry);
+    } else if (usable) {
+      entry.owner = *slot;
+      PointToOwner(now, entry);
+    }
   }
   m_group.OnRegistrations(from, registration);
 }
 
+void Agent::PointToOwner(TimePoint now, const FlowEntry& registered) {
+  FlowEntry& entry = m_flows.Insert(registered.flow);
+  if (entry.class_id.value != 0 && entry.IsOwned()) {
+    m_counters.flows_with_two_owners += entry.state == FlowState::kOwned;
+    return;
+  }
+  entry = registered;
+  entry.state = FlowState::kPointer;
+  entry.expires = ToFlowDeadline(now + IdleTimeout(entry.transport));
+}
+
+void Agent::TakeBackFlow(TimePoint now, const FlowEntry& returned) {
+  if (!IsRecovering(now) || m_flows.Find(returned.flow) != nullptr) {
+    return;
+  }
+  FlowEntry& entry = m_flows.Insert(returned.flow);
+  entry = returned;
+  entry.owner = PeerSlot();
+  entry.state = FlowState::kOwned;
+  entry.expires = ToFlowDeadline(now + IdleTimeout(entry.transport));
+  CountOwned(entry);
+  ++m_counters.flows_taken_back;
+}
+
+Duration Agent::IdleTimeout(Transport transport) const {
+  return transport == Transport::kUdp ? m_config.limits.udp_idle
+                                      : m_config.limits.tcp_idle;
+}
+
 void Agent::SynchroniseDuePeers(TimePoint now) {
   for (const MemberId peer : m_group.PeersToSync(now)) {
     Synchronise(peer);
@@ -178,37 +234,56 @@
 
 void Agent::Synchronise(MemberId peer) {
   const uint32_t sync = m_next_sync++;
+  uint32_t count = SendRegistrations(peer, sync, false, [&](const FlowEntry& entry) {
+    if (!entry.IsOwned()) {
+      return false;
+    }
+    const AgentFacts* home =
+        HomeOf(m_group.View(), entry.class_id, entry.flow);
+    const bool homed_there = home != nullptr && home->id == peer;
+    return homed_there || BackupOf(entry) == peer;
+  });
+  const std::optional<PeerSlot> slot = m_group.FindSlot(peer);
+  if (m_group.PeerAt(*slot).recovering) {
+    count += SendRegistrations(peer, sync, true, [&](const FlowEntry& entry) {
+      return entry.state == FlowState::kPointer && entry.owner == *slot;
+    });
+  }
+  proto::GroupMessage done = m_group.NewMessage();
+  done.mutable_done()->set_sync(sync);
+  done.mutable_done()->set_view(m_group.CurrentView().value);
+  done.mutable_done()->set_count(count);
+  m_outgoing.push_back({peer, std::move(done)});
+}
+
+uint32_t Agent::SendRegistrations(
+    MemberId peer,
+    uint32_t sync,
+    bool returned,
+    const std::function<bool(const FlowEntry&)>& wanted) {
   uint32_t count = 0;
-  proto::GroupMessage batch = m_group.NewMessage();
-  batch.mutable_registration()->set_sync(sync);
-  const auto flush = [&] {
-    m_outgoing.push_back({peer, batch});
+  proto::GroupMessage batch;
+  const auto start = [&] {
     batch = m_group.NewMessage();
     batch.mutable_registration()->set_sync(sync);
+    batch.mutable_registration()->set_returned(returned);
   };
+  start();
   m_flows.ForEach([&](const FlowEntry& entry) {
-    if (!entry.IsOwned()) {
-      return;
-    }
-    const AgentFacts* home =
-        HomeOf(m_group.View(), entry.class_id, entry.flow);
-    if (home == nullptr || home->id != peer) {
+    if (!wanted(entry)) {
       return;
     }
     detail::AddToRegistration(entry, batch.mutable_registration());
     ++count;
     if (batch.registration().flow_low_size() == kRegistrationBatch) {
-      flush();
+      m_outgoing.push_back({peer, batch});
+      start();
     }
   });
   if (batch.registration().flow_low_size() > 0) {
-    flush();
+    m_outgoing.push_back({peer, std::move(batch)});
   }
-  proto::GroupMessage done = m_group.NewMessage();
-  done.mutable_done()->set_sync(sync);
-  done.mutable_done()->set_view(m_group.CurrentView().value);
-  done.mutable_done()->set_count(count);
-  m_outgoing.push_back({peer, std::move(done)});
+  return count;
 }
 
 void Agent::BecomeReadyIfSynced(TimePoint now) {
--- a/src/locate/agent.h
+++ b/src/locate/agent.h
@@ -32,6 +32,12 @@
   FaultyRules faulty;         ///< Test only.
 };
 
+/// What an agent hands to its successor at a planned restart.
+struct HandoverState {
+  std::vector<Peer> peers;       ///< Slots that the flows refer to.
+  std::vector<FlowEntry> flows;  ///< All entries.
+};
+
 /// State machine of one agent: (now, event) -> verdict and messages.
 /// Reads no clock and no randomness. Not thread-safe.
 class Agent {
@@ -71,8 +77,12 @@
   /// Sets whether the backend server sheds load at the moment.
   void SetShedding(bool shedding) { m_server_shedding = shedding; }
 
-  /// Takes over flows of the predecessor of a planned restart.
-  void TakeOver(const std::vector<FlowEntry>& owned);
+  /// Returns what a successor needs after a planned restart. The agent must
+  /// get no packet after this.
+  HandoverState MakeHandover() const;
+
+  /// Takes over the state of the predecessor of a planned restart.
+  void TakeOver(TimePoint now, const HandoverState& state);
 
   /// Returns and clears messages to send.
   std::vector<OutgoingGroupMessage> TakeOutgoing();
@@ -92,10 +102,14 @@
   Verdict OnKnown(const Request& request, FlowEntry* entry);
   Verdict OnPointer(const Request& request, FlowEntry* entry);
   Verdict OnMark(const Request& request, FlowEntry* entry);
+  Verdict OnRefused(const Request& request, FlowEntry* entry);
   Verdict OnUnknown(const Request& request);
   Verdict OnHandover(const Request& request);
   Verdict OnConsult(const Request& request);
   Verdict OnSearch(const Request& request);
+  bool MayBeRecoveredHere(const Request& request) const;
+  Verdict ClaimAtEndOfLine(const Request& request);
+  Verdict Refuse(const Request& request);
   Verdict RouteToHome(const Request& request);
   Verdict DecideAsHome(const Request& request, const VersionSplit& split);
   Verdict Ask(const Request& request,
@@ -106,6 +120,8 @@
   Verdict Place(const Request& request, const VersionSplit& split);
   Verdict ConcludeSearch(const Request& request);
   Verdict Admit(const Request& request, Admission how);
+  void RegisterWithBackup(TimePoint now, const FlowEntry& entry);
+  std::optional<MemberId> BackupOf(const FlowEntry& entry) const;
   Verdict Forward(const Request& request, MemberId next, Envelope envelope);
   Verdict Reject(ErrorKind kind);
   Verdict PassAlong(const Request& request, Envelope envelope);
@@ -123,6 +139,14 @@
   double OwnRamp(TimePoint now) const;
   OwnLoad Load(TimePoint now) const;
   void OnRegistration(TimePoint now, const proto::GroupMessage& message);
+  void PointToOwner(TimePoint now, const FlowEntry& registered);
+  void TakeBackFlow(TimePoint now, const FlowEntry& returned);
+  Duration IdleTimeout(Transport transport) const;
+  uint32_t SendRegistrations(
+      MemberId peer,
+      uint32_t sync,
+      bool returned,
+      const std::function<bool(const FlowEntry&)>& wanted);
   void SynchroniseDuePeers(TimePoint now);
   void Synchronise(MemberId peer);
   void BecomeReadyIfSynced(TimePoint now);
@@ -136,6 +160,8 @@
   uint32_t m_open_flows = 0;        ///< Owned and not closing.
   uint32_t m_owned_flows = 0;       ///< Owned, closing ones included.
   uint32_t m_next_sync = 1;         ///< Number of the next synchronisation.
+  TimePoint m_backup_window_end;    ///< End of the second being counted.
+  uint32_t m_backups_in_window = 0;  ///< Registrations in that second.
   bool m_server_shedding = false;   ///< As the backend server says.
   bool m_draining = false;          ///< Takes no new flows.
   TimePoint m_drain_deadline;       ///< Drained at the latest then.
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -16,7 +16,7 @@
   const AdmissionInput input = MakeInput(request, split);
   const std::optional<size_t> choice = m_config.policy(input);
   if (!choice.has_value()) {
-    return Reject(ErrorKind::kOverloaded);
+    return Refuse(request);
   }
   const MemberId chosen = input.candidates[*choice].id;
   if (chosen == m_group.Self().id) {
@@ -26,15 +26,14 @@
   Peer& peer = m_group.PeerAt(*slot);
   ++peer.handed_over;
   ++m_counters.handed_over;
-  const bool is_udp = request.packet.tuple.transport == Transport::kUdp;
   if (!m_config.faulty.forget_pointers) {
     FlowEntry& entry = m_flows.Insert(request.packet.flow);
     entry.class_id = request.envelope.class_id;
     entry.owner = *slot;
     entry.state = FlowState::kPointer;
-    entry.expires =
-        ToFlowDeadline(request.now + (is_udp ? m_config.limits.udp_idle
-                                             : m_config.limits.tcp_idle));
+    entry.transport = request.packet.tuple.transport;
+    entry.initial_sequence = request.packet.sequence;
+    entry.expires = ToFlowDeadline(request.now + IdleTimeout(entry.transport));
   }
   Envelope envelope = request.envelope;
   envelope.purpose = Purpose::kHandover;
@@ -44,6 +43,19 @@
   return Forward(request, chosen, envelope);
 }
 
+Verdict Agent::Refuse(const Request& request) {
+  if (request.envelope.visited.count > 0) {
+    // Those who declined may have room, but disagreed about the view.
+    return Reject(ErrorKind::kMaybeElsewhere);
+  }
+  FlowEntry& entry = m_flows.Insert(request.packet.flow);
+  entry.class_id = request.envelope.class_id;
+  entry.state = FlowState::kRefused;
+  entry.initial_sequence = request.packet.sequence;
+  entry.expires = ToFlowDeadline(request.now + m_config.limits.refusal);
+  return Reject(ErrorKind::kOverloaded);
+}
+
 AdmissionInput Agent::MakeInput(const Request& request,
                                 const VersionSplit& split) const {
   AdmissionInput input;
@@ -90,8 +102,10 @@
   entry.state = FlowState::kOwned;
   entry.initial_sequence = request.packet.sequence;
   CountOwned(entry);
+  entry.transport = request.packet.tuple.transport;
   RefreshOwned(request.now, request.packet, &entry);
   ClaimFor(request);
+  RegisterWithBackup(request.now, entry);
   Verdict verdict;
   verdict.kind = VerdictKind::kDeliver;
   verdict.admission = how;
@@ -150,6 +164,36 @@
   m_outgoing.push_back({m_group.PeerAt(*asker).facts.id, std::move(claim)});
 }
 
+void Agent::RegisterWithBackup(TimePoint now, const FlowEntry& entry) {
+  const std::optional<MemberId> backup = BackupOf(entry);
+  if (!backup.has_value()) {
+    return;
+  }
+  if (now >= m_backup_window_end) {
+    m_backup_window_end = now + Seconds(1);
+    m_backups_in_window = 0;
+  }
+  if (m_backups_in_window >= m_config.limits.backups_per_second) {
+    ++m_counters.backups_skipped;
+    return;
+  }
+  ++m_backups_in_window;
+  proto::GroupMessage message = m_group.NewMessage();
+  detail::AddToRegistration(entry, message.mutable_registration());
+  m_outgoing.push_back({*backup, std::move(message)});
+}
+
+std::optional<MemberId> Agent::BackupOf(const FlowEntry& entry) const {
+  const AgentFacts* home =
+      HomeOf(m_group.View(), entry.class_id, entry.flow);
+  if (home == nullptr || home->id != m_group.Self().id) {
+    return std::nullopt;
+  }
+  const AgentFacts* next =
+      HomeWithout(m_group.View(), entry.class_id, entry.flow, home->id);
+  return next == nullptr ? std::nullopt : std::make_optional(next->id);
+}
+
 Verdict Agent::Forward(const Request& request,
                        MemberId next,
                        Envelope envelope) {
--- a/src/locate/agent_internal.h
+++ b/src/locate/agent_internal.h
@@ -25,6 +25,8 @@
   registration->add_flow_high(entry.flow.high);
   registration->add_flow_low(entry.flow.low);
   registration->add_class_id(entry.class_id.value);
+  registration->add_initial_sequence(entry.initial_sequence);
+  registration->add_udp(entry.transport == Transport::kUdp);
 }
 
 }  // namespace detail
--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -45,6 +45,8 @@
       return OnPointer(request, entry);
     case FlowState::kMark:
       return OnMark(request, entry);
+    case FlowState::kRefused:
+      return OnRefused(request, entry);
   }
   return Reject(ErrorKind::kFlowUnknown);
 }
@@ -72,15 +74,18 @@
   const Peer& owner = m_group.PeerAt(entry->owner);
   const MemberId owner_id = owner.facts.id;
   const bool bounced = request.envelope.visited.Contains(ShortId(owner_id));
-  if (bounced || owner.facts.state == AgentState::kGone) {
+  const bool gone = owner.facts.state == AgentState::kGone;
+  if (gone && request.now < owner.reappear_deadline) {
+    // Its server may have run the flow's work already and may come back.
+    return Reject(ErrorKind::kMaybeElsewhere);
+  }
+  if (bounced || gone) {
     m_flows.Erase(request.packet.flow);
     const Request again{request.now, request.packet, request.envelope, true};
     return OnUnknown(again);
   }
-  const bool is_udp = request.packet.tuple.transport == Transport::kUdp;
-  entry->expires =
-      ToFlowDeadline(request.now + (is_udp ? m_config.limits.udp_idle
-                                           : m_config.limits.tcp_idle));
+  entry->expires = ToFlowDeadline(
+      request.now + IdleTimeout(request.packet.tuple.transport));
   Envelope envelope = request.envelope;
   // Only the deciding home may ask for an admission; anybody else just points.
   const bool decides =
@@ -127,6 +132,17 @@
   return Forward(request, asker_id, envelope);
 }
 
+Verdict Agent::OnRefused(const Request& request, FlowEntry* entry) {
+  const bool is_udp = request.packet.tuple.transport == Transport::kUdp;
+  const bool same_attempt =
+      is_udp || request.packet.sequence == entry->initial_sequence;
+  if (same_attempt) {
+    return Reject(ErrorKind::kOverloaded);
+  }
+  m_flows.Erase(request.packet.flow);
+  return OnUnknown(request);
+}
+
 Verdict Agent::OnUnknown(const Request& request) {
   switch (request.envelope.purpose) {
     case Purpose::kRoute:
@@ -155,13 +171,20 @@
   const VersionSplit* split = FindSplit(view, request.envelope.class_id);
   const bool same_view = request.envelope.view == m_group.CurrentView() ||
                          m_config.faulty.skip_view_check;
+  if (!MayDecide(request.now)) {
+    // A member that was paused may hold a handover that is long out of date.
+    return Reject(ErrorKind::kFenced);
+  }
+  if (IsRecovering(request.now)) {
+    // The flow may have been here before the restart, so it is never declined.
+    return same_view ? Admit(request, Admission::kRecovered)
+                     : Reject(ErrorKind::kMaybeElsewhere);
+  }
   const bool may_admit =
       split != nullptr &&
       (m_config.faulty.admit_while_draining ||
        MayAdmit(view, m_group.Self(), *split, request.packet.flow));
-  // A member that was paused may hold a handover that is long out of date.
-  const bool room =
-      MayDecide(request.now) && m_open_flows < m_config.limits.capacity;
+  const bool room = m_open_flows < m_config.limits.capacity;
   if (same_view && may_admit && room && request.packet.MayOpen()) {
     return Admit(request, Admission::kHandover);
   }
@@ -206,6 +229,9 @@
     // Unknown askers cannot be pointed to; the caller's transport retries.
     return Reject(ErrorKind::kMaybeElsewhere);
   }
+  if (MayBeRecoveredHere(request)) {
+    return ClaimAtEndOfLine(request);
+  }
   LeaveMark(request, *asker);
   return PassAlong(request, request.envelope);
 }
@@ -218,27 +244,35 @@
     }
     return AskNextLeg(request, Purpose::kSearch);
   }
-  if (!IsRecovering(request.now)) {
-    return PassAlong(request, request.envelope);
-  }
-  const bool deferred = request.envelope.visited.Contains(self);
-  const bool last =
-      request.envelope.pending.count <= 1 &&
-      (request.envelope.pending.count == 0 ||
-       request.envelope.pending.ids[0] == self);
-  if (deferred || last) {
-    return Admit(request, Admission::kRecovered);
+  if (MayBeRecoveredHere(request)) {
+    return ClaimAtEndOfLine(request);
   }
-  // Those who know their flows answer first: go to the end of the line.
+  return PassAlong(request, request.envelope);
+}
+
+bool Agent::MayBeRecoveredHere(const Request& request) const {
+  const std::optional<PeerSlot> asker =
+      m_group.FindShort(request.envelope.asker);
+  // A home that lost its table as well is the more likely owner.
+  const bool asker_claims =
+      asker.has_value() && m_group.PeerAt(*asker).recovering;
+  return IsRecovering(request.now) && !asker_claims;
+}
+
+Verdict Agent::ClaimAtEndOfLine(const Request& request) {
+  const uint32_t self = ShortId(m_group.Self().id);
   Envelope envelope = request.envelope;
-  envelope.visited.Add(self);
   RemoveFrom(self, &envelope.pending);
   const std::optional<PeerSlot> next =
-      m_group.FindShort(envelope.pending.ids[0]);
-  envelope.pending.Add(self);
-  if (!next.has_value()) {
+      envelope.pending.count == 0 ? std::nullopt
+                                  : m_group.FindShort(envelope.pending.ids[0]);
+  const bool deferred = envelope.visited.Contains(self);
+  if (deferred || !next.has_value()) {
     return Admit(request, Admission::kRecovered);
   }
+  // Those who know their flows answer first.
+  envelope.visited.Add(self);
+  envelope.pending.Add(self);
   return Forward(request, m_group.PeerAt(*next).facts.id, envelope);
 }
 
@@ -384,12 +418,14 @@
 }
 
 Verdict Agent::ConcludeSearch(const Request& request) {
-  if (IsRecovering(request.now)) {
+  // Until all peers have registered their flows, one of them may own it.
+  const bool somebody_may_know =
+      m_group.MayHaveUnreachableFlows(request.now) ||
+      !MayDecide(request.now) || !m_group.IsIndexComplete();
+  if (IsRecovering(request.now) && MayDecide(request.now) &&
+      m_group.IsIndexComplete()) {
     return Admit(request, Admission::kRecovered);
   }
-  const bool somebody_may_know = m_group.MayHaveUnreachableFlows(request.now) ||
-                                 !MayDecide(request.now) ||
-                                 !m_group.IsIndexComplete();
   return Reject(somebody_may_know ? ErrorKind::kMaybeElsewhere
                                   : ErrorKind::kFlowUnknown);
 }
--- a/src/locate/agent_type.h
+++ b/src/locate/agent_type.h
@@ -22,9 +22,13 @@
   Duration udp_idle = Seconds(60);        ///< UDP flow.
   Duration closing = Seconds(10);         ///< After FIN or RST.
   Duration mark = Seconds(30);            ///< Another agent asked first.
+  Duration refusal = Seconds(5);          ///< A refused packet stays refused.
   Duration join = Milliseconds(1000);     ///< Listening before being ready.
   Duration ramp = Seconds(30);            ///< Cold start of the server.
   Duration recovery = Seconds(75);        ///< Claims unknown flows so long.
+  /// New flows registered with a second agent each second at most, which
+  /// bounds the control bytes: about 60 bytes a flow.
+  uint32_t backups_per_second = 30;
   uint8_t max_hops = 24;                  ///< Agents a packet may pass.
 };
 
@@ -61,6 +65,8 @@
   uint64_t handed_over = 0;      ///< New flows handed to another agent.
   uint64_t consulted = 0;        ///< New flows for which others were asked.
   uint64_t searched = 0;         ///< Established flows that were searched.
+  uint64_t flows_taken_back = 0;  ///< Returned by peers after a restart.
+  uint64_t backups_skipped = 0;  ///< New flows beyond the limit.
   std::array<uint64_t, kErrorKindCount> rejected{};  ///< By error kind.
   /// Invariant violations; each is a defect.
   uint64_t admissions_while_draining = 0;
--- a/src/routing/routing.cc
+++ b/src/routing/routing.cc
@@ -12,10 +12,11 @@
   return split.trial.IsSet() && SliceOf(flow) < split.trial_share;
 }
 
-/// Returns whether any agent of `version` is ready.
-bool HasReady(const ServiceView& view, VersionId version) {
+/// Returns whether any agent of `version` but `excluded` is ready.
+bool HasReady(const ServiceView& view, VersionId version, MemberId excluded) {
   for (const AgentFacts& agent : view.agents) {
-    if (agent.state == AgentState::kReady && agent.version == version) {
+    if (agent.state == AgentState::kReady && agent.version == version &&
+        agent.id != excluded) {
       return true;
     }
   }
@@ -57,23 +58,31 @@
     return false;
   }
   const bool wants_trial =
-      IsTrialFlow(split, flow) && HasReady(view, split.trial);
+      IsTrialFlow(split, flow) && HasReady(view, split.trial, MemberId());
   return ServesSide(split, agent, wants_trial);
 }
 
 const AgentFacts* HomeOf(const ServiceView& view,
                          ClassId class_id,
                          FlowId flow) {
+  return HomeWithout(view, class_id, flow, MemberId());
+}
+
+const AgentFacts* HomeWithout(const ServiceView& view,
+                              ClassId class_id,
+                              FlowId flow,
+                              MemberId excluded) {
   const VersionSplit* split = FindSplit(view, class_id);
   if (split == nullptr) {
     return nullptr;
   }
   const bool wants_trial =
-      IsTrialFlow(*split, flow) && HasReady(view, split->trial);
+      IsTrialFlow(*split, flow) && HasReady(view, split->trial, excluded);
   const AgentFacts* best = nullptr;
   uint64_t best_weight = 0;
   for (const AgentFacts& agent : view.agents) {
     const bool eligible = agent.state == AgentState::kReady &&
+                          agent.id != excluded &&
                           ServesSide(*split, agent, wants_trial);
     if (!eligible) {
       continue;
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -28,6 +28,13 @@
                          ClassId class_id,
                          FlowId flow);
 
+/// Returns the agent that would be the home if `excluded` were not ready, or
+/// null. Thread-safe.
+const AgentFacts* HomeWithout(const ServiceView& view,
+                              ClassId class_id,
+                              FlowId flow,
+                              MemberId excluded);
+
 /// Returns a hash over everything that HomeOf depends on. Thread-safe.
 ViewId HashView(const ServiceView& view);
 
