--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 packages=(g++ clang cmake ninja-build clang-format clang-tidy libclang-rt-14-dev
   libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libgflags-dev
   libgoogle-glog-dev doctest-dev nlohmann-json3-dev libcpp-httplib-dev
-  prometheus-cpp-dev libxxhash-dev liblua5.4-dev librapidcheck-dev libpcg-cpp-dev)
+  prometheus-cpp-dev libxxhash-dev libabsl-dev liblua5.4-dev librapidcheck-dev libpcg-cpp-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
--- /dev/null
+++ b/src/ctl/commands.cc
@@ -0,0 +1,42 @@
+// @file commands.cc The table of commands.
+#include <iostream>
+
+#include "src/core/error.h"
+#include "src/ctl/class_commands.h"
+#include "src/ctl/ctl_type.h"
+#include "src/ctl/fleet_commands.h"
+
+namespace medlargauge {
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command>* const kCommands = new std::vector<Command>{
+      {"class create", 1,
+       "NAME --service=S [--baseline=V] [--evenness=1%] [--wait]",
+       "create a class; its address is taken from the pool", CreateClass},
+      {"class list", 0, "", "list all classes", ListClasses},
+      {"class show", 1, "NAME", "show one class and its target", ShowClass},
+      {"class delete", 1, "NAME [--wait]", "delete a class", DeleteClass},
+      {"target set", 1,
+       "NAME [--trial=V] [--trial_share=5%] [--baseline=V] [--evenness=1%] "
+       "[--wait]",
+       "change the target of a class", SetTarget},
+      {"target show", 1, "NAME", "show the target of a class", ShowClass},
+      {"target history", 1, "NAME", "show who changed what", ShowHistory},
+      {"target outcome", 2, "NAME CHANGE_ID",
+       "tell whether a change took effect", ShowOutcome},
+      {"status", 0, "", "open flows, imbalance and broken flows by service",
+       ShowStatus},
+      {"members", 0, "", "members as one daemon knows them", ShowMembers},
+      {"trace", 2, "TRACE_ID FILE...", "print the hops of a traced flow",
+       ShowTrace},
+  };
+  return *kCommands;
+}
+
+int Report(const Error& error) {
+  const ErrorRow& row = Describe(error.kind);
+  std::cerr << "medlargauge: " << row.text << ": " << error.detail << "\n";
+  return row.exit_code;
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/daemon/daemon_main.cc
@@ -0,0 +1,59 @@
+// @file daemon_main.cc Entry of medlargauged.
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <iostream>
+
+#include "src/core/error.h"
+#include "src/daemon/agent_process.h"
+#include "src/daemon/balancer_process.h"
+#include "src/daemon/process.h"
+#include "src/daemon/settings.h"
+
+DEFINE_string(settings, "", "settings file, JSON with comments");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+DEFINE_bool(print_settings_doc, false, "print docs/SETTINGS.md and exit");
+DEFINE_string(take_over_from,
+              "",
+              "agent: admin address of the running predecessor, IP:PORT");
+
+namespace {
+
+/// Prints an error and returns the exit status of its kind.
+int ExitWith(const medlargauge::Error& error) {
+  const medlargauge::ErrorRow& row = medlargauge::Describe(error.kind);
+  std::cerr << "medlargauged: " << row.text << ": " << error.detail << "\n";
+  return row.exit_code;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "the daemon of medlargauge, a balancer or an agent\n"
+      "  medlargauged --settings=/etc/medlargauge/balancer.json\n"
+      "  medlargauged --settings=FILE --check_settings");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  if (FLAGS_print_settings_doc) {
+    std::cout << medlargauge::DescribeSettings();
+    return 0;
+  }
+  medlargauge::Error error;
+  const std::optional<medlargauge::Settings> settings =
+      medlargauge::LoadSettings(FLAGS_settings, &error);
+  if (!settings.has_value()) {
+    return ExitWith(error);
+  }
+  if (FLAGS_check_settings) {
+    std::cout << FLAGS_settings << ": ok\n";
+    return 0;
+  }
+  medlargauge::BlockStopSignals();
+  const bool done =
+      settings->role == "agent"
+          ? medlargauge::RunAgent(*settings, FLAGS_take_over_from, &error)
+          : medlargauge::RunBalancer(*settings, &error);
+  return done ? 0 : ExitWith(error);
+}
--- /dev/null
+++ b/src/daemon/metrics.h
@@ -0,0 +1,58 @@
+// @file metrics.h Prometheus endpoint.
+#ifndef MEDLARGAUGE_DAEMON_METRICS_H_
+#define MEDLARGAUGE_DAEMON_METRICS_H_
+
+#include <prometheus/exposer.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "src/core/error_type.h"
+
+namespace medlargauge {
+
+/// Every metric of the daemon.
+enum class Metric : uint8_t {
+#define METRIC(name, help) name,
+#include "src/daemon/metrics_table.inc"
+#undef METRIC
+};
+
+constexpr size_t kMetricCount = 0
+#define METRIC(name, help) +1
+#include "src/daemon/metrics_table.inc"
+#undef METRIC
+    ;
+
+/// Serves all metrics, and packets by error kind. Setters are thread-safe.
+class Metrics {
+ public:
+  Metrics();
+
+  /// Serves at "IP:PORT". @return false with a reason on failure
+  bool Serve(const std::string& address, Error* reason);
+
+  /// Sets one metric.
+  void Set(Metric metric, uint64_t value);
+
+  /// Sets the count of packets rejected with one error kind.
+  void SetRejected(ErrorKind kind, uint64_t value);
+
+ private:
+  std::shared_ptr<prometheus::Registry> m_registry;       ///< All metrics.
+  std::array<prometheus::Gauge*, kMetricCount> m_gauges;  ///< By Metric.
+  std::array<prometheus::Gauge*, kErrorKindCount> m_rejected;  ///< By kind.
+  std::unique_ptr<prometheus::Exposer> m_exposer;  ///< HTTP server.
+};
+
+/// Returns the name of a metric. Thread-safe.
+std::string_view NameOf(Metric metric);
+
+}  // namespace medlargauge
+
+#endif  // MEDLARGAUGE_DAEMON_METRICS_H_
--- /dev/null
+++ b/src/daemon/node.cc
@@ -0,0 +1,303 @@
+// @file node.cc Membership and targets over gossip.
+#include "src/daemon/node.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "src/core/event_log.h"
+#include "src/core/hash.h"
+#include "src/daemon/address.h"
+#include "src/target/target_codec.h"
+
+namespace medlargauge {
+namespace {
+
+constexpr std::string_view kMemberPrefix = "member/";
+constexpr Duration kTickInterval = Milliseconds(50);
+constexpr Duration kSeedInterval = Milliseconds(300);
+constexpr Duration kLonelyWait = Seconds(10);
+constexpr unsigned kStateBits = 3;
+constexpr uint64_t kReaderSeed = 0x52454144;
+
+/// A member's version: by incarnation, then by state.
+uint64_t MemberVersion(uint64_t incarnation, AgentState state) {
+  return (incarnation << kStateBits) | static_cast<uint64_t>(state);
+}
+
+}  // namespace
+
+TimePoint SteadyNow() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+Node::Node(const Settings& settings, uint64_t incarnation)
+    : m_settings(settings),
+      m_self(MemberIdOf(settings.name)),
+      m_incarnation(incarnation),
+      m_gossip(m_self,
+               GossipOptions(),
+               [this](const proto::GossipItem& item) { OnItem(item); }),
+      m_lonely_deadline(SteadyNow() + kLonelyWait) {}
+
+bool Node::Bind(Error* reason) {
+  return m_channel.Bind(m_settings.control_address, reason);
+}
+
+AgentFacts Node::StartFacts() const {
+  AgentFacts facts;
+  facts.id = m_self;
+  facts.incarnation = m_incarnation;
+  facts.version = VersionIdOf(m_settings.version);
+  facts.domain = DomainIdOf(m_settings.failure_domain);
+  return facts;
+}
+
+void Node::RunControl(Duration length) {
+  m_channel.Poll(length, [this](const proto::ControlFrame& frame) {
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    OnFrame(frame);
+  });
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  const TimePoint now = SteadyNow();
+  if (now >= m_tick_deadline) {
+    m_tick_deadline = now + kTickInterval;
+    Tick(now);
+  }
+  SendAll();
+}
+
+bool Node::HasDiscoveredPeersLocked(TimePoint now) const {
+  return m_settings.seeds.empty() || m_members.size() > 1 ||
+         now >= m_lonely_deadline;
+}
+
+void Node::AddTargets(const std::vector<ClassTarget>& targets) {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  for (const ClassTarget& target : targets) {
+    if (m_targets.Merge(target)) {
+      m_gossip.Put(TargetToItem(target));
+      m_targets_changed = true;
+    }
+  }
+}
+
+bool Node::IsStoreReader() {
+  const std::lock_guard<std::mutex> lock(m_mutex);
+  std::vector<std::pair<uint64_t, MemberId>> ranked;
+  bool any_balancer = false;
+  for (const auto& [id, member] : m_members) {
+    any_balancer = any_balancer || (IsBalancer(member) &&
+                                    member.facts.state != AgentState::kGone);
+  }
+  for (const auto& [id, member] : m_members) {
+    const bool candidate = member.facts.state != AgentState::kGone &&
+                           (IsBalancer(member) || !any_balancer);
+    if (candidate) {
+      ranked.emplace_back(MixHash(id.value, kReaderSeed), id);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const size_t readers = std::min<size_t>(
+      ranked.size(), static_cast<size_t>(m_settings.store_readers));
+  return std::any_of(ranked.begin(), ranked.begin() + readers,
+                     [this](const auto& entry) {
+                       return entry.second == m_self;
+                     });
+}
+
+const sockaddr_in* Node::DataAddress(MemberId id) const {
+  const auto member = m_members.find(id);
+  return member == m_members.end() ? nullptr : &member->second.data_address;
+}
+
+void Node::OnItem(const proto::GossipItem& item) {
+  if (item.key().rfind(kMemberPrefix, 0) == 0) {
+    OnMemberItem(item);
+    return;
+  }
+  const std::optional<ClassTarget> target = ItemToTarget(item);
+  if (!target.has_value()) {
+    ++m_malformed_items;
+    return;
+  }
+  m_targets_changed = m_targets.Merge(*target) || m_targets_changed;
+}
+
+void Node::OnMemberItem(const proto::GossipItem& item) {
+  Member member;
+  proto::MemberRecord& record = member.record;
+  const bool parsed = record.ParseFromString(item.value());
+  const std::optional<HostPort> data =
+      parsed ? ParseHostPort(record.data_address()) : std::nullopt;
+  const bool valid =
+      data.has_value() && !record.name().empty() &&
+      record.state() <= static_cast<uint32_t>(AgentState::kGone);
+  if (!valid) {
+    ++m_malformed_items;
+    return;
+  }
+  member.facts.id = MemberIdOf(record.name());
+  member.facts.incarnation = record.incarnation();
+  member.facts.state = static_cast<AgentState>(record.state());
+  member.facts.version = VersionIdOf(record.version());
+  member.facts.domain = DomainIdOf(record.domain());
+  member.service = ServiceIdOf(record.service());
+  member.data_address = ToSocketAddress(*data);
+  const bool refuted = member.facts.id == m_self &&
+                       member.facts.state == AgentState::kGone &&
+                       member.facts.incarnation >= m_incarnation;
+  if (refuted) {
+    m_incarnation = member.facts.incarnation + 1;
+  }
+  m_members[member.facts.id] = member;
+  m_members_changed = true;
+  m_hooks.on_member(SteadyNow(), member);
+}
+
+void Node::OnFrame(const proto::ControlFrame& frame) {
+  const MemberId from{frame.from()};
+  if (!frame.from_address().empty()) {
+    m_heard_from[from] = frame.from_address();
+  }
+  if (frame.has_gossip()) {
+    m_gossip.OnMessage(SteadyNow(), from, frame.gossip());
+  } else if (frame.has_group()) {
+    m_hooks.on_group(SteadyNow(), frame.group());
+  }
+}
+
+void Node::Tick(TimePoint now) {
+  PublishSelf();
+  PublishRemoved();
+  if (m_targets_changed) {
+    m_targets_changed = false;
+    m_hooks.on_targets(now);
+  }
+  m_hooks.on_tick(now);
+  RefreshNeighbours();
+  ContactSeeds(now);
+  m_gossip.OnTick(now);
+}
+
+void Node::PublishSelf() {
+  AgentFacts facts = m_hooks.self();
+  facts.incarnation = std::max(facts.incarnation, m_incarnation);
+  const std::string key = std::string(kMemberPrefix) + m_settings.name;
+  const uint64_t version = MemberVersion(facts.incarnation, facts.state);
+  const proto::GossipItem* known = m_gossip.Find(key);
+  if (known != nullptr && known->version() >= version) {
+    return;
+  }
+  proto::MemberRecord record;
+  record.set_name(m_settings.name);
+  record.set_role(m_settings.role);
+  record.set_service(m_settings.service);
+  record.set_version(m_settings.version);
+  record.set_domain(m_settings.failure_domain);
+  record.set_data_address(m_settings.data_address);
+  record.set_control_address(m_settings.control_address);
+  record.set_admin_address(m_settings.admin_address);
+  record.set_incarnation(facts.incarnation);
+  record.set_state(static_cast<uint32_t>(facts.state));
+  proto::GossipItem item;
+  item.set_key(key);
+  item.set_version(version);
+  item.set_value(record.SerializeAsString());
+  m_gossip.Put(item);
+  OnMemberItem(item);
+}
+
+void Node::PublishRemoved() {
+  for (const AgentFacts& facts : m_hooks.removed()) {
+    const auto known = m_members.find(facts.id);
+    const bool news = known != m_members.end() &&
+                      known->second.facts.state != AgentState::kGone &&
+                      known->second.facts.incarnation <= facts.incarnation;
+    if (!news) {
+      continue;
+    }
+    proto::MemberRecord record = known->second.record;
+    record.set_state(static_cast<uint32_t>(AgentState::kGone));
+    record.set_incarnation(facts.incarnation);
+    proto::GossipItem item;
+    item.set_key(std::string(kMemberPrefix) + record.name());
+    item.set_version(MemberVersion(facts.incarnation, AgentState::kGone));
+    item.set_value(record.SerializeAsString());
+    if (m_gossip.Put(item)) {
+      EventLine(Severity::kWarning, "member_removed")
+          .With("member", record.name())
+          .With("incarnation", facts.incarnation);
+      OnMemberItem(item);
+    }
+  }
+}
+
+void Node::ContactSeeds(TimePoint now) {
+  const bool alone = m_members.size() <= 1;
+  if (!alone || now < m_seed_deadline) {
+    return;
+  }
+  m_seed_deadline = now + kSeedInterval;
+  m_gossip.AskForEverything(m_self);
+  for (const OutgoingGossip& question : m_gossip.TakeOutgoing()) {
+    for (const std::string& seed : m_settings.seeds) {
+      if (seed == m_settings.control_address) {
+        continue;
+      }
+      proto::ControlFrame frame;
+      frame.set_from(m_self.value);
+      frame.set_from_address(m_settings.control_address);
+      *frame.mutable_gossip() = question.message;
+      m_channel.Send(seed, frame);
+    }
+  }
+}
+
+void Node::RefreshNeighbours() {
+  if (!m_members_changed) {
+    return;
+  }
+  m_members_changed = false;
+  std::vector<MemberId> alive;
+  for (const auto& [id, member] : m_members) {
+    if (member.facts.state != AgentState::kGone) {
+      alive.push_back(id);
+    }
+  }
+  m_gossip.SetMembers(alive);
+}
+
+void Node::SendAll() {
+  for (OutgoingGossip& outgoing : m_gossip.TakeOutgoing()) {
+    proto::ControlFrame frame;
+    *frame.mutable_gossip() = std::move(outgoing.message);
+    SendFrame(outgoing.to, &frame);
+  }
+  for (OutgoingGroupMessage& outgoing : m_hooks.take_outgoing()) {
+    proto::ControlFrame frame;
+    *frame.mutable_group() = std::move(outgoing.message);
+    SendFrame(outgoing.to, &frame);
+  }
+}
+
+void Node::SendFrame(MemberId to, proto::ControlFrame* frame) {
+  const std::string address = ControlAddress(to);
+  if (address.empty()) {
+    return;
+  }
+  frame->set_from(m_self.value);
+  frame->set_from_address(m_settings.control_address);
+  m_channel.Send(address, *frame);
+}
+
+std::string Node::ControlAddress(MemberId id) const {
+  const auto member = m_members.find(id);
+  if (member != m_members.end()) {
+    return member->second.record.control_address();
+  }
+  const auto heard = m_heard_from.find(id);
+  return heard == m_heard_from.end() ? "" : heard->second;
+}
+
+}  // namespace medlargauge
--- a/src/routing/balancer.cc
+++ b/src/routing/balancer.cc
@@ -73,6 +73,14 @@
   }
 }
 
+void Balancer::SetObserved(std::set<ServiceId> services) {
+  m_observed = std::move(services);
+}
+
+bool Balancer::IsObserved(ServiceId service) const {
+  return !m_observed.has_value() || m_observed->count(service) > 0;
+}
+
 void Balancer::SetTargets(const std::vector<ClassTarget>& targets) {
   m_targets = targets;
   m_routes.clear();
@@ -103,8 +111,10 @@
 
 void Balancer::OnTick(TimePoint now) {
   for (auto& [service, group] : m_groups) {
-    group->Observe(now);
-    group->OnTick(now, OwnLoad());
+    if (IsObserved(service)) {
+      group->Observe(now);
+      group->OnTick(now, OwnLoad());
+    }
   }
 }
 
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "src/group/group.h"
@@ -35,6 +37,10 @@
   /// not set.
   void LearnMember(TimePoint now, ServiceId service, const AgentFacts& facts);
 
+  /// Chooses the services whose groups this balancer observes; by default all.
+  /// The agents of the others become known through membership alone.
+  void SetObserved(std::set<ServiceId> services);
+
   /// Puts targets in force.
   void SetTargets(const std::vector<ClassTarget>& targets);
 
@@ -69,6 +75,7 @@
   };
 
   Group& GroupOf(ServiceId service);
+  bool IsObserved(ServiceId service) const;
   RouteVerdict Reject(ErrorKind kind);
 
   AgentFacts m_self;              ///< Own facts.
@@ -76,6 +83,7 @@
   std::map<ServiceId, std::unique_ptr<Group>> m_groups;  ///< By service.
   std::map<IpAddress, ClassRoute> m_routes;  ///< By the address of a class.
   std::vector<ClassTarget> m_targets;        ///< In force here.
+  std::optional<std::set<ServiceId>> m_observed;  ///< Unset: all services.
   BalancerCounters m_counters;               ///< Only grow.
 };
 
