--- a/scenario/schedule.cc
+++ b/scenario/schedule.cc
@@ -23,9 +23,9 @@
 constexpr Duration kMaxLifetime = Seconds(25);
 
 constexpr std::array<const char*, kFaultKinds> kFaultNames = {
-    "drain_server",     "upgrade_agent", "crash_agent", "pause_agent",
+    "drain_server",     "upgrade_agent",  "crash_agent", "pause_agent",
     "restart_balancer", "crash_balancer", "cut_one_way", "isolate_agent",
-    "change_trial",     "loss_burst",    "shed_load",   "add_server"};
+    "change_trial",     "loss_burst",     "shed_load",   "add_server"};
 
 /// Applies one schedule to one world.
 class ScheduleRun {
@@ -178,9 +178,9 @@
         return;
       case FaultKind::kShedLoad:
         m_world.SetShedding(name, true);
-        m_world.Events().After(
-            LengthOf(fault, Seconds(8)),
-            [this, name] { m_world.SetShedding(name, false); });
+        m_world.Events().After(LengthOf(fault, Seconds(8)), [this, name] {
+          m_world.SetShedding(name, false);
+        });
         return;
       case FaultKind::kAddServer:
         AddServer(host.service, host.version);
@@ -257,9 +257,8 @@
     faults.reorder_delay = Milliseconds(1500);
     faults.control_loss = 0.05;
     m_world.SetFaults(faults);
-    m_world.Events().After(LengthOf(fault, Seconds(10)), [this] {
-      m_world.SetFaults(QuietFaults());
-    });
+    m_world.Events().After(LengthOf(fault, Seconds(10)),
+                           [this] { m_world.SetFaults(QuietFaults()); });
   }
 
   World m_world;          ///< The fakes.
--- a/scenario/schedule_type.h
+++ b/scenario/schedule_type.h
@@ -28,9 +28,9 @@
 /// One entry of a schedule.
 struct ScheduledFault {
   FaultKind kind = FaultKind::kDrainServer;  ///< What happens.
-  uint32_t at_ms = 0;    ///< After the start of the schedule.
-  uint32_t target = 0;   ///< Chooses the member, modulo their number.
-  uint32_t amount = 0;   ///< Chooses length or share, 0 to 999.
+  uint32_t at_ms = 0;   ///< After the start of the schedule.
+  uint32_t target = 0;  ///< Chooses the member, modulo their number.
+  uint32_t amount = 0;  ///< Chooses length or share, 0 to 999.
 };
 
 /// A seed with faults: replays the same run on every machine.
--- a/scenario/world.cc
+++ b/scenario/world.cc
@@ -87,8 +87,7 @@
   m_events.After(kFabricNotice, [this, &host] {
     if (host.balancer != nullptr) {
       host.balancer->Leave(m_events.Now());
-      SendGroupMessages(MemberIdOf(host.name),
-                        host.balancer->TakeOutgoing());
+      SendGroupMessages(MemberIdOf(host.name), host.balancer->TakeOutgoing());
       host.balancer = nullptr;
     }
   });
@@ -156,9 +155,9 @@
   const AgentFacts facts = host.agent->ServiceGroup().Self();
   const ServiceId service = ServiceIdOf(host.service);
   const auto gossip_delay = [this] {
-    return Milliseconds(kMinGossipMs +
-                        static_cast<int64_t>(Uniform() * (kMaxGossipMs -
-                                                          kMinGossipMs)));
+    return Milliseconds(
+        kMinGossipMs +
+        static_cast<int64_t>(Uniform() * (kMaxGossipMs - kMinGossipMs)));
   };
   for (const auto& other : m_agents) {
     if (other.get() == &host || other->service != host.service) {
@@ -300,8 +299,8 @@
   accepted.revision = m_next_revision++;
   m_targets.Merge(accepted);
   const auto delay = [this, spread] {
-    return Duration(static_cast<int64_t>(
-        Uniform() * static_cast<double>(spread.count())));
+    return Duration(
+        static_cast<int64_t>(Uniform() * static_cast<double>(spread.count())));
   };
   for (const auto& agent : m_agents) {
     AgentHost* host = agent.get();
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -34,9 +34,9 @@
     FakeServer server;             ///< Beside the agent.
     TimePoint paused_until;        ///< Processes nothing before this.
     std::vector<std::function<void()>> backlog;  ///< Arrived while paused.
-    bool leave_when_drained = false;  ///< Stop after the drain.
-    TimePoint drain_started;          ///< For the check of new work.
-    uint64_t admitted_here = 0;       ///< Connections ever accepted.
+    bool leave_when_drained = false;             ///< Stop after the drain.
+    TimePoint drain_started;                     ///< For the check of new work.
+    uint64_t admitted_here = 0;                  ///< Connections ever accepted.
   };
   /// A balancer.
   struct BalancerHost {
@@ -196,25 +196,26 @@
   void OnReset(CallerFlow* flow);
   void EndFlow(CallerFlow* flow);
   void Break(CallerFlow* flow, std::string_view why);
-  void Violate(std::string_view what, const CallerFlow& flow,
+  void Violate(std::string_view what,
+               const CallerFlow& flow,
                std::string_view where);
 
-  WorldOptions m_options;     ///< As constructed, faults change.
-  EventQueue m_events;        ///< Simulated time.
-  pcg32 m_random;             ///< All randomness.
+  WorldOptions m_options;  ///< As constructed, faults change.
+  EventQueue m_events;     ///< Simulated time.
+  pcg32 m_random;          ///< All randomness.
   std::vector<std::unique_ptr<AgentHost>> m_agents;        ///< In order.
   std::vector<std::unique_ptr<BalancerHost>> m_balancers;  ///< In order.
   std::map<MemberId, AgentHost*> m_agent_index;            ///< By id.
   std::map<MemberId, BalancerHost*> m_balancer_index;      ///< By id.
-  std::set<std::pair<MemberId, MemberId>> m_cuts;  ///< One-way cuts.
+  std::set<std::pair<MemberId, MemberId>> m_cuts;          ///< One-way cuts.
   TargetBook m_targets;  ///< Accepted by the key-value service.
   std::vector<std::unique_ptr<CallerFlow>> m_flows;  ///< By instance.
   std::map<std::string, FiveTuple> m_last_ended;     ///< By class.
-  uint32_t m_next_port = 0;       ///< Next unused caller port.
-  size_t m_open_flows = 0;        ///< Flows that have not ended.
-  uint64_t m_next_revision = 1;   ///< Of the next target.
-  TimePoint m_change_until;       ///< Hops count as "change" before this.
-  WorldCounts m_counts;           ///< Only grow.
+  uint32_t m_next_port = 0;          ///< Next unused caller port.
+  size_t m_open_flows = 0;           ///< Flows that have not ended.
+  uint64_t m_next_revision = 1;      ///< Of the next target.
+  TimePoint m_change_until;          ///< Hops count as "change" before this.
+  WorldCounts m_counts;              ///< Only grow.
   std::vector<std::string> m_trace;  ///< Violations.
 };
 
--- a/scenario/world_caller.cc
+++ b/scenario/world_caller.cc
@@ -88,10 +88,9 @@
   packet.syn = true;
   packet.sequence = flow.initial_sequence;
   SprayPacket(packet, instance);
-  m_events.After(Backoff(kOpeningTimeout, attempt, Seconds(60)),
-                 [this, instance, attempt] {
-                   SendOpening(instance, attempt + 1);
-                 });
+  m_events.After(
+      Backoff(kOpeningTimeout, attempt, Seconds(60)),
+      [this, instance, attempt] { SendOpening(instance, attempt + 1); });
 }
 
 void World::OnAccepted(CallerFlow* flow) {
@@ -135,9 +134,9 @@
 }
 
 void World::OnAnswered(CallerFlow* flow, uint32_t number) {
-  const bool expected = flow->answered == number &&
-                        (flow->state == CallerState::kOpen ||
-                         flow->state == CallerState::kOpening);
+  const bool expected =
+      flow->answered == number && (flow->state == CallerState::kOpen ||
+                                   flow->state == CallerState::kOpening);
   if (!expected) {
     return;
   }
@@ -180,10 +179,9 @@
   packet.sequence = flow.initial_sequence + 1 + flow.answered;
   packet.acknowledged = flow.answered;
   SprayPacket(packet, instance);
-  m_events.After(Backoff(kRequestTimeout, attempt, kMaxRequestTimeout),
-                 [this, instance, attempt] {
-                   SendClose(instance, attempt + 1);
-                 });
+  m_events.After(
+      Backoff(kRequestTimeout, attempt, kMaxRequestTimeout),
+      [this, instance, attempt] { SendClose(instance, attempt + 1); });
 }
 
 void World::OnReset(CallerFlow* flow) {
@@ -242,9 +240,9 @@
   bool server_lost = !flow->accepted_by.empty();
   for (const AgentHost* host : flow->accepted_by) {
     const auto connection = host->server.connections.find(flow->flow);
-    const bool still_there =
-        host->server.alive && connection != host->server.connections.end() &&
-        connection->second.instance == flow->instance + 1;
+    const bool still_there = host->server.alive &&
+                             connection != host->server.connections.end() &&
+                             connection->second.instance == flow->instance + 1;
     server_lost = server_lost && !still_there;
   }
   if (server_lost) {
--- a/scenario/world_internal.h
+++ b/scenario/world_internal.h
@@ -14,18 +14,18 @@
 
 /// One flow as its caller sees it.
 struct World::CallerFlow {
-  uint64_t instance = 0;        ///< Index of the flow.
-  FlowPlan plan;                ///< How it behaves.
-  FiveTuple tuple;              ///< Addresses and ports.
-  FlowId flow;                  ///< Hash of `tuple`.
-  uint32_t initial_sequence = 0;  ///< Of its SYN.
+  uint64_t instance = 0;                      ///< Index of the flow.
+  FlowPlan plan;                              ///< How it behaves.
+  FiveTuple tuple;                            ///< Addresses and ports.
+  FlowId flow;                                ///< Hash of `tuple`.
+  uint32_t initial_sequence = 0;              ///< Of its SYN.
   CallerState state = CallerState::kOpening;  ///< See CallerState.
-  TimePoint end;                ///< No new request after this.
-  uint32_t answered = 0;        ///< Requests answered so far.
-  uint64_t first_request_id = 0;  ///< Request ids count from here.
-  bool refused = false;         ///< Was told "not run".
-  bool broken = false;          ///< Counted as broken.
-  std::set<const AgentHost*> accepted_by;  ///< Backend servers.
+  TimePoint end;                              ///< No new request after this.
+  uint32_t answered = 0;                      ///< Requests answered so far.
+  uint64_t first_request_id = 0;              ///< Request ids count from here.
+  bool refused = false;                       ///< Was told "not run".
+  bool broken = false;                        ///< Counted as broken.
+  std::set<const AgentHost*> accepted_by;     ///< Backend servers.
 };
 
 }  // namespace medlargauge
--- a/scenario/world_network.cc
+++ b/scenario/world_network.cc
@@ -21,8 +21,8 @@
 
 Duration World::Jittered(Duration delay) {
   const double factor = 0.8 + 0.4 * Uniform();
-  Duration total(static_cast<int64_t>(
-      factor * static_cast<double>(delay.count())));
+  Duration total(
+      static_cast<int64_t>(factor * static_cast<double>(delay.count())));
   if (Chance(m_options.faults.reorder)) {
     total += Duration(static_cast<int64_t>(
         Uniform() *
@@ -183,9 +183,8 @@
     const uint32_t sequence = packet.sequence;
     AnswerCaller(instance, [this, sequence](CallerFlow* flow) {
       // As TCP does, take a reset only if it belongs to this connection.
-      const bool fits =
-          flow->plan.transport == Transport::kUdp ||
-          sequence - flow->initial_sequence < kMaxRequestsPerFlow;
+      const bool fits = flow->plan.transport == Transport::kUdp ||
+                        sequence - flow->initial_sequence < kMaxRequestsPerFlow;
       if (fits) {
         OnReset(flow);
       }
@@ -197,8 +196,7 @@
                               std::vector<OutgoingGroupMessage> messages) {
   for (OutgoingGroupMessage& outgoing : messages) {
     const MemberId to = outgoing.to;
-    const bool lost =
-        IsCut(from, to) || Chance(m_options.faults.control_loss);
+    const bool lost = IsCut(from, to) || Chance(m_options.faults.control_loss);
     if (lost) {
       continue;
     }
--- a/scenario/world_server.cc
+++ b/scenario/world_server.cc
@@ -43,8 +43,8 @@
   }
   const bool fits =
       known != connections.end() &&
-      (is_udp || packet.sequence - known->second.initial_sequence <
-                     kMaxRequestsPerFlow);
+      (is_udp ||
+       packet.sequence - known->second.initial_sequence < kMaxRequestsPerFlow);
   if (!fits) {
     AnswerCaller(instance, [this](CallerFlow* caller) { OnReset(caller); });
     return;
--- a/scenario/world_type.h
+++ b/scenario/world_type.h
@@ -26,11 +26,11 @@
 
 /// Faults of the network between all fakes.
 struct NetworkFaults {
-  double loss = 0;                          ///< Chance to lose a packet.
-  double duplicate = 0;                     ///< Chance to double a packet.
-  double reorder = 0;                       ///< Chance of an extra delay.
+  double loss = 0;                             ///< Chance to lose a packet.
+  double duplicate = 0;                        ///< Chance to double a packet.
+  double reorder = 0;                          ///< Chance of an extra delay.
   Duration reorder_delay = Milliseconds(200);  ///< That delay at most.
-  double control_loss = 0;                  ///< Chance to lose a message.
+  double control_loss = 0;                     ///< Chance to lose a message.
   Duration balancer_lag{0};  ///< A balancer learns changes up to so late.
 };
 
@@ -65,23 +65,23 @@
 
 /// What became of flows and requests.
 struct WorldCounts {
-  uint64_t flows = 0;              ///< Started.
-  uint64_t completed = 0;          ///< Got every answer.
-  uint64_t refused = 0;            ///< Told "not run".
-  uint64_t gave_up = 0;            ///< No answer to the opening packet.
-  uint64_t broken = 0;             ///< Established, then cut or stuck.
-  uint64_t lost_with_server = 0;   ///< Cut because their server crashed.
-  uint64_t requests = 0;           ///< Answered requests.
-  uint64_t double_admissions = 0;  ///< Accepted by two backend servers.
-  uint64_t cross_service = 0;      ///< Delivered to another service.
+  uint64_t flows = 0;                 ///< Started.
+  uint64_t completed = 0;             ///< Got every answer.
+  uint64_t refused = 0;               ///< Told "not run".
+  uint64_t gave_up = 0;               ///< No answer to the opening packet.
+  uint64_t broken = 0;                ///< Established, then cut or stuck.
+  uint64_t lost_with_server = 0;      ///< Cut because their server crashed.
+  uint64_t requests = 0;              ///< Answered requests.
+  uint64_t double_admissions = 0;     ///< Accepted by two backend servers.
+  uint64_t cross_service = 0;         ///< Delivered to another service.
   uint64_t duplicate_executions = 0;  ///< Request ran more than once.
-  uint64_t untrue_refusals = 0;    ///< Refused, yet a server had accepted.
-  uint64_t work_while_draining = 0;  ///< New flow at a draining server.
-  uint64_t reverts = 0;            ///< A member went back to an old target.
-  uint64_t packets_steady = 0;     ///< Delivered, no recent change.
-  uint64_t hops_steady = 0;        ///< Extra hops of those.
-  uint64_t packets_change = 0;     ///< Delivered near a change.
-  uint64_t hops_change = 0;        ///< Extra hops of those.
+  uint64_t untrue_refusals = 0;       ///< Refused, yet a server had accepted.
+  uint64_t work_while_draining = 0;   ///< New flow at a draining server.
+  uint64_t reverts = 0;               ///< A member went back to an old target.
+  uint64_t packets_steady = 0;        ///< Delivered, no recent change.
+  uint64_t hops_steady = 0;           ///< Extra hops of those.
+  uint64_t packets_change = 0;        ///< Delivered near a change.
+  uint64_t hops_change = 0;           ///< Extra hops of those.
 
   /// Returns the number of violated promises.
   uint64_t Violations() const {
@@ -98,11 +98,11 @@
     uint64_t instance = 0;          ///< Flow instance that opened it.
     bool closed = false;            ///< The caller has ended it.
   };
-  std::string service;                      ///< Service it runs.
-  bool alive = true;                        ///< Answers packets.
-  uint32_t open = 0;                        ///< Connections not closed.
+  std::string service;                       ///< Service it runs.
+  bool alive = true;                         ///< Answers packets.
+  uint32_t open = 0;                         ///< Connections not closed.
   std::map<FlowId, Connection> connections;  ///< By flow.
-  std::set<uint64_t> executed;              ///< Requests it has run.
+  std::set<uint64_t> executed;               ///< Requests it has run.
 };
 
 }  // namespace medlargauge
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter over all sources of ours.
+# Usage: scripts/lint.sh [--format_only]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t sources < <(git ls-files '*.cc' '*.h' | grep -v '\.pb\.')
+clang-format --dry-run --Werror "${sources[@]}"
+[ "${1:-}" = --format_only ] && exit 0
+mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cc$' |
+  grep -v '_fuzz\.cc$')
+printf '%s\n' "${units[@]}" |
+  xargs -P "$(nproc)" -n 4 clang-tidy -p build --quiet 2>/dev/null
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh
+scripts/build.sh
+ctest --test-dir build --output-on-failure
--- a/src/admission/admission_type.h
+++ b/src/admission/admission_type.h
@@ -14,19 +14,19 @@
 
 /// One agent that may take a new flow.
 struct AdmissionCandidate {
-  MemberId id;                ///< The agent.
-  DomainId domain;            ///< Its failure domain.
-  uint32_t open_flows = 0;    ///< Own count, plus what was handed to it since.
-  uint32_t capacity = 0;      ///< Refuses beyond this.
-  double ramp = 1.0;          ///< Part of the mean it may carry by now.
-  bool shedding = false;      ///< Takes nothing handed over.
+  MemberId id;              ///< The agent.
+  DomainId domain;          ///< Its failure domain.
+  uint32_t open_flows = 0;  ///< Own count, plus what was handed to it since.
+  uint32_t capacity = 0;    ///< Refuses beyond this.
+  double ramp = 1.0;        ///< Part of the mean it may carry by now.
+  bool shedding = false;    ///< Takes nothing handed over.
 };
 
 /// Everything that an admission policy may look at.
 struct AdmissionInput {
-  FlowId flow;                  ///< The new flow.
-  uint32_t evenness = 100;      ///< Allowed excess, in ten-thousandths.
-  std::optional<size_t> self;   ///< Index of the deciding agent, if it may.
+  FlowId flow;                 ///< The new flow.
+  uint32_t evenness = 100;     ///< Allowed excess, in ten-thousandths.
+  std::optional<size_t> self;  ///< Index of the deciding agent, if it may.
   /// Candidates in a fixed order.
   std::vector<AdmissionCandidate> candidates;
 };
--- a/src/core/hash.h
+++ b/src/core/hash.h
@@ -14,8 +14,8 @@
   // A multiply-fold over 128 bits: cheap enough to run per packet and agent.
   const auto product = static_cast<unsigned __int128>(a ^ 0x9E3779B97F4A7C15U) *
                        (b ^ 0xD6E8FEB86659FD93U);
-  const uint64_t folded = static_cast<uint64_t>(product) ^
-                          static_cast<uint64_t>(product >> 64U);
+  const uint64_t folded =
+      static_cast<uint64_t>(product) ^ static_cast<uint64_t>(product >> 64U);
   return (folded ^ (folded >> 32U)) * 0xD6E8FEB86659FD93U;
 }
 
--- a/src/ctl/class_commands.cc
+++ b/src/ctl/class_commands.cc
@@ -72,8 +72,8 @@
   }
   const ClassTarget& target = stored.target;
   std::cout << target.name << "  address=" << FormatIp(target.address)
-            << " service=" << target.service
-            << " baseline=" << (target.baseline.empty() ? "any" : target.baseline)
+            << " service=" << target.service << " baseline="
+            << (target.baseline.empty() ? "any" : target.baseline)
             << " trial=" << (target.trial.empty() ? "none" : target.trial)
             << " trial_share=" << FormatShare(target.trial_share)
             << " evenness=" << FormatShare(target.evenness)
@@ -124,9 +124,9 @@
   }
   const std::optional<uint32_t> parsed = ParseShare(text);
   if (!parsed.has_value()) {
-    return Fail(reason, ErrorKind::kBadUsage,
-                std::string(flag) + "=" + text +
-                    ": not a share such as 5% or 0.05");
+    return Fail(
+        reason, ErrorKind::kBadUsage,
+        std::string(flag) + "=" + text + ": not a share such as 5% or 0.05");
   }
   *share = *parsed;
   return true;
@@ -184,9 +184,9 @@
   }
   const auto pool = ExpandPool(options.address_pool);
   if (!pool.has_value()) {
-    return Report({ErrorKind::kBadUsage,
-                   "--address_pool=" + options.address_pool +
-                       ": not an IPv4 range from /16 to /30"});
+    return Report(
+        {ErrorKind::kBadUsage, "--address_pool=" + options.address_pool +
+                                   ": not an IPv4 range from /16 to /30"});
   }
   ClassTarget target;
   target.name = words[0];
--- a/src/ctl/class_commands.h
+++ b/src/ctl/class_commands.h
@@ -15,12 +15,10 @@
                 const std::vector<std::string>& words);
 int ListClasses(const CtlOptions& options,
                 const std::vector<std::string>& words);
-int ShowClass(const CtlOptions& options,
-              const std::vector<std::string>& words);
+int ShowClass(const CtlOptions& options, const std::vector<std::string>& words);
 int DeleteClass(const CtlOptions& options,
                 const std::vector<std::string>& words);
-int SetTarget(const CtlOptions& options,
-              const std::vector<std::string>& words);
+int SetTarget(const CtlOptions& options, const std::vector<std::string>& words);
 int ShowHistory(const CtlOptions& options,
                 const std::vector<std::string>& words);
 int ShowOutcome(const CtlOptions& options,
--- a/src/ctl/ctl_main.cc
+++ b/src/ctl/ctl_main.cc
@@ -117,8 +117,8 @@
     }
     const std::vector<std::string> rest(words.begin() + length, words.end());
     const bool variable = command.usage.find("...") != std::string_view::npos;
-    const bool fits = variable ? rest.size() >= command.words
-                               : rest.size() == command.words;
+    const bool fits =
+        variable ? rest.size() >= command.words : rest.size() == command.words;
     if (!fits) {
       return Report({ErrorKind::kBadUsage, "usage: medlargauge " +
                                                std::string(command.name) + " " +
--- a/src/ctl/fleet_commands.cc
+++ b/src/ctl/fleet_commands.cc
@@ -57,8 +57,7 @@
   uint64_t violations = 0;  ///< Broken invariants.
 
   double Imbalance() const {
-    const double mean =
-        servers == 0 ? 0 : static_cast<double>(flows) / servers;
+    const double mean = servers == 0 ? 0 : static_cast<double>(flows) / servers;
     return mean == 0 ? 1 : static_cast<double>(largest) / mean;
   }
 };
@@ -122,10 +121,10 @@
     }
     const std::optional<json> status =
         GetStatus(member.value("admin_address", ""));
-    const uint64_t known =
-        status.has_value() ? status->value("classes", json::object())
-                                 .value(class_name, uint64_t{0})
-                           : 0;
+    const uint64_t known = status.has_value()
+                               ? status->value("classes", json::object())
+                                     .value(class_name, uint64_t{0})
+                               : 0;
     *behind += known >= revision ? 0 : 1;
   }
   return *behind == 0;
@@ -143,7 +142,8 @@
       std::cout << member.dump() << "\n";
       continue;
     }
-    std::cout << member.value("name", "") << "  role=" << member.value("role", "")
+    std::cout << member.value("name", "")
+              << "  role=" << member.value("role", "")
               << " service=" << member.value("service", "")
               << " version=" << member.value("version", "")
               << " failure_domain=" << member.value("failure_domain", "")
@@ -227,9 +227,9 @@
     }
     std::this_thread::sleep_for(kWaitStep);
   } while (std::chrono::steady_clock::now() < deadline);
-  return Report({ErrorKind::kNotInForce,
-                 "accepted, but not yet in force on " +
-                     std::to_string(behind) + " balancers"});
+  return Report({ErrorKind::kNotInForce, "accepted, but not yet in force on " +
+                                             std::to_string(behind) +
+                                             " balancers"});
 }
 
 }  // namespace medlargauge
--- a/src/ctl/fleet_commands.h
+++ b/src/ctl/fleet_commands.h
@@ -21,8 +21,7 @@
 
 /// Prints the hops of one trace from span files. Thread-safe.
 /// @return exit status
-int ShowTrace(const CtlOptions& options,
-              const std::vector<std::string>& words);
+int ShowTrace(const CtlOptions& options, const std::vector<std::string>& words);
 
 /// Waits until a revision is in force on every balancer. Thread-safe.
 /// @return exit status
--- a/src/daemon/admin.cc
+++ b/src/daemon/admin.cc
@@ -27,16 +27,16 @@
 
 bool Admin::Serve(const std::string& address, Error* reason) {
   const std::optional<HostPort> parsed = ParseHostPort(address);
-  m_server->Get("/healthz", [this](const httplib::Request&,
-                                   httplib::Response& response) {
-    const bool healthy = m_hooks.is_healthy();
-    response.status = healthy ? 200 : kUnavailable;
-    response.set_content(healthy ? "ok\n" : "stopping\n", "text/plain");
-  });
-  m_server->Get("/status", [this](const httplib::Request&,
-                                  httplib::Response& response) {
-    response.set_content(m_hooks.status(), "application/json");
-  });
+  m_server->Get(
+      "/healthz", [this](const httplib::Request&, httplib::Response& response) {
+        const bool healthy = m_hooks.is_healthy();
+        response.status = healthy ? 200 : kUnavailable;
+        response.set_content(healthy ? "ok\n" : "stopping\n", "text/plain");
+      });
+  m_server->Get("/status",
+                [this](const httplib::Request&, httplib::Response& response) {
+                  response.set_content(m_hooks.status(), "application/json");
+                });
   m_server->Post("/handover", [this](const httplib::Request&,
                                      httplib::Response& response) {
     if (!m_hooks.hand_over) {
--- a/src/daemon/agent_process.cc
+++ b/src/daemon/agent_process.cc
@@ -127,8 +127,8 @@
     };
     hooks.on_targets = [this](TimePoint now) { ApplyTargets(now); };
     hooks.on_group = [this](TimePoint now, const proto::GroupMessage& message) {
-      const bool ours = message.service() ==
-                        ServiceIdOf(m_process.Config().service).value;
+      const bool ours =
+          message.service() == ServiceIdOf(m_process.Config().service).value;
       if (m_agent != nullptr && ours) {
         m_agent->OnMessage(now, message);
       }
@@ -177,9 +177,9 @@
 
   void ApplyTargets(TimePoint now) {
     if (m_agent != nullptr) {
-      m_agent->SetSplits(
-          now, SplitsOf(m_process.Control().Targets().All(),
-                        ServiceIdOf(m_process.Config().service)));
+      m_agent->SetSplits(now,
+                         SplitsOf(m_process.Control().Targets().All(),
+                                  ServiceIdOf(m_process.Config().service)));
     }
   }
 
@@ -230,8 +230,7 @@
         gue.has_value() ? ParseEnvelope(gue->private_data, &reason)
                         : std::nullopt;
     const std::optional<PacketInfo> packet =
-        envelope.has_value() ? ParsePacket(gue->packet, &reason)
-                             : std::nullopt;
+        envelope.has_value() ? ParsePacket(gue->packet, &reason) : std::nullopt;
     if (!packet.has_value()) {
       ++m_malformed[static_cast<size_t>(reason.kind)];
       return;
@@ -247,8 +246,7 @@
         return;
       }
       case VerdictKind::kForward: {
-        const sockaddr_in* next =
-            m_process.Control().DataAddress(verdict.next);
+        const sockaddr_in* next = m_process.Control().DataAddress(verdict.next);
         if (next != nullptr) {
           const size_t size = WriteEnvelope(verdict.envelope, out);
           m_io.Queue(*next, ByteView(header.data(), size), gue->packet);
@@ -325,8 +323,8 @@
         return;
       }
       m_agent->SetShedding(report.shedding);
-      drains = report.draining && m_agent->ServiceGroup().Self().state ==
-                                      AgentState::kReady;
+      drains = report.draining &&
+               m_agent->ServiceGroup().Self().state == AgentState::kReady;
     }
     if (drains) {
       StartDrain();
@@ -339,8 +337,7 @@
       return;
     }
     const TimePoint now = SteadyNow();
-    m_agent->StartDrain(now,
-                        now + Seconds(m_process.Config().drain_timeout_s));
+    m_agent->StartDrain(now, now + Seconds(m_process.Config().drain_timeout_s));
     EventLine(Severity::kInfo, "drain_started")
         .With("name", m_process.Config().name)
         .With("open_flows", m_agent->OpenFlows());
@@ -432,16 +429,16 @@
     return status.dump();
   }
 
-  Process m_process;             ///< Threads and servers.
-  HandoverState m_handover;      ///< Taken over at the start.
-  StartKind m_kind;              ///< How this process came to be.
-  sockaddr_in m_backend;         ///< Backend server.
-  bool m_has_answers = false;    ///< Resets and refusals can be sent.
-  sockaddr_in m_answers{};       ///< Where they go.
+  Process m_process;               ///< Threads and servers.
+  HandoverState m_handover;        ///< Taken over at the start.
+  StartKind m_kind;                ///< How this process came to be.
+  sockaddr_in m_backend;           ///< Backend server.
+  bool m_has_answers = false;      ///< Resets and refusals can be sent.
+  sockaddr_in m_answers{};         ///< Where they go.
   std::unique_ptr<Agent> m_agent;  ///< Decisions, under the node's mutex.
-  PacketIo m_io;                 ///< Data socket, used by the packet thread.
-  TimePoint m_batch_time;        ///< Time of the current batch.
-  uint64_t m_received = 0;       ///< Datagrams.
+  PacketIo m_io;                   ///< Data socket, used by the packet thread.
+  TimePoint m_batch_time;          ///< Time of the current batch.
+  uint64_t m_received = 0;         ///< Datagrams.
   std::array<uint64_t, kErrorKindCount> m_malformed{};  ///< By error kind.
   std::atomic<bool> m_handed_over{false};  ///< The successor has the flows.
 };
--- a/src/daemon/balancer_process.cc
+++ b/src/daemon/balancer_process.cc
@@ -193,8 +193,7 @@
   }
 
   void Trace(const PacketInfo& packet, RouteVerdict* verdict) {
-    const auto one_in =
-        static_cast<uint64_t>(m_process.Config().trace_one_in);
+    const auto one_in = static_cast<uint64_t>(m_process.Config().trace_one_in);
     if (one_in == 0 || packet.flow.low % one_in != 0) {
       return;
     }
@@ -231,10 +230,10 @@
     return status.dump();
   }
 
-  Process m_process;      ///< Threads and servers.
-  AgentFacts m_facts;     ///< Own facts.
-  Balancer m_balancer;    ///< Decisions, under the node's mutex.
-  PacketIo m_io;          ///< Data socket, used by the packet thread.
+  Process m_process;        ///< Threads and servers.
+  AgentFacts m_facts;       ///< Own facts.
+  Balancer m_balancer;      ///< Decisions, under the node's mutex.
+  PacketIo m_io;            ///< Data socket, used by the packet thread.
   uint64_t m_received = 0;  ///< Datagrams.
   std::array<uint64_t, kErrorKindCount> m_malformed{};  ///< By error kind.
   std::atomic<TimePoint> m_last_packet{TimePoint()};    ///< For the stop.
--- a/src/daemon/control_channel.cc
+++ b/src/daemon/control_channel.cc
@@ -14,7 +14,8 @@
 
 }  // namespace
 
-ControlChannel::ControlChannel() : m_context(1), m_receiver(m_context, ZMQ_PULL) {}
+ControlChannel::ControlChannel()
+    : m_context(1), m_receiver(m_context, ZMQ_PULL) {}
 
 bool ControlChannel::Bind(const std::string& address, Error* reason) {
   try {
@@ -29,7 +30,7 @@
 }
 
 void ControlChannel::Send(const std::string& address,
-                     const proto::ControlFrame& frame) {
+                          const proto::ControlFrame& frame) {
   auto sender = m_senders.find(address);
   if (sender == m_senders.end()) {
     zmq::socket_t socket(m_context, ZMQ_PUSH);
--- a/src/daemon/control_channel.h
+++ b/src/daemon/control_channel.h
@@ -46,10 +46,10 @@
   const ChannelCounters& Counters() const { return m_counters; }
 
  private:
-  zmq::context_t m_context;   ///< Owns the I/O thread.
-  zmq::socket_t m_receiver;   ///< PULL socket.
+  zmq::context_t m_context;                        ///< Owns the I/O thread.
+  zmq::socket_t m_receiver;                        ///< PULL socket.
   std::map<std::string, zmq::socket_t> m_senders;  ///< PUSH by address.
-  ChannelCounters m_counters;                    ///< Only grow.
+  ChannelCounters m_counters;                      ///< Only grow.
 };
 
 }  // namespace medlargauge
--- a/src/daemon/handover_codec.cc
+++ b/src/daemon/handover_codec.cc
@@ -63,8 +63,8 @@
     Peer peer;
     peer.facts.id.value = in.id();
     peer.facts.incarnation = in.incarnation();
-    peer.facts.state = static_cast<AgentState>(
-        std::min<uint32_t>(in.state(), static_cast<uint32_t>(AgentState::kGone)));
+    peer.facts.state = static_cast<AgentState>(std::min<uint32_t>(
+        in.state(), static_cast<uint32_t>(AgentState::kGone)));
     peer.facts.version.value = in.version();
     peer.facts.domain.value = in.domain();
     peer.observer = in.observer();
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -44,10 +44,10 @@
   void SetRejected(ErrorKind kind, uint64_t value);
 
  private:
-  std::shared_ptr<prometheus::Registry> m_registry;       ///< All metrics.
-  std::array<prometheus::Gauge*, kMetricCount> m_gauges;  ///< By Metric.
+  std::shared_ptr<prometheus::Registry> m_registry;            ///< All metrics.
+  std::array<prometheus::Gauge*, kMetricCount> m_gauges;       ///< By Metric.
   std::array<prometheus::Gauge*, kErrorKindCount> m_rejected;  ///< By kind.
-  std::unique_ptr<prometheus::Exposer> m_exposer;  ///< HTTP server.
+  std::unique_ptr<prometheus::Exposer> m_exposer;              ///< HTTP server.
 };
 
 /// Returns the name of a metric. Thread-safe.
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -100,10 +100,9 @@
   std::sort(ranked.begin(), ranked.end());
   const size_t readers = std::min<size_t>(
       ranked.size(), static_cast<size_t>(m_settings.store_readers));
-  return std::any_of(ranked.begin(), ranked.begin() + readers,
-                     [this](const auto& entry) {
-                       return entry.second == m_self;
-                     });
+  return std::any_of(
+      ranked.begin(), ranked.begin() + readers,
+      [this](const auto& entry) { return entry.second == m_self; });
 }
 
 const sockaddr_in* Node::DataAddress(MemberId id) const {
@@ -130,9 +129,8 @@
   const bool parsed = record.ParseFromString(item.value());
   const std::optional<HostPort> data =
       parsed ? ParseHostPort(record.data_address()) : std::nullopt;
-  const bool valid =
-      data.has_value() && !record.name().empty() &&
-      record.state() <= static_cast<uint32_t>(AgentState::kGone);
+  const bool valid = data.has_value() && !record.name().empty() &&
+                     record.state() <= static_cast<uint32_t>(AgentState::kGone);
   if (!valid) {
     ++m_malformed_items;
     return;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -10,9 +10,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/daemon/control_channel.h"
 #include "src/daemon/member_type.h"
 #include "src/daemon/settings_type.h"
-#include "src/daemon/control_channel.h"
 #include "src/gossip/gossip.h"
 #include "src/group/group_type.h"
 #include "src/target/target_book.h"
@@ -102,14 +102,14 @@
   void SendFrame(MemberId to, proto::ControlFrame* frame);
   std::string ControlAddress(MemberId id) const;
 
-  Settings m_settings;     ///< As read.
-  MemberId m_self;         ///< From the name.
-  uint64_t m_incarnation;  ///< Of this start.
-  RoleHooks m_hooks;       ///< What the role adds.
-  std::mutex m_mutex;      ///< Protects all below.
-  ControlChannel m_channel;   ///< Used by the control thread only.
-  Gossip m_gossip;         ///< Members and targets.
-  TargetBook m_targets;    ///< In force here.
+  Settings m_settings;                   ///< As read.
+  MemberId m_self;                       ///< From the name.
+  uint64_t m_incarnation;                ///< Of this start.
+  RoleHooks m_hooks;                     ///< What the role adds.
+  std::mutex m_mutex;                    ///< Protects all below.
+  ControlChannel m_channel;              ///< Used by the control thread only.
+  Gossip m_gossip;                       ///< Members and targets.
+  TargetBook m_targets;                  ///< In force here.
   std::map<MemberId, Member> m_members;  ///< All, gone ones included.
   /// Where a member last sent from, until its record arrives.
   std::unordered_map<MemberId, std::string> m_heard_from;
--- a/src/daemon/packet_io.cc
+++ b/src/daemon/packet_io.cc
@@ -22,8 +22,8 @@
 struct PacketIo::Buffers {
   std::array<std::array<uint8_t, kMaxDatagram>, kPacketBatch> datagrams;
   std::array<std::array<uint8_t, kMaxGueSize>, kPacketBatch> headers;
-  std::array<iovec, kPacketBatch> in_parts;       ///< Receive.
-  std::array<mmsghdr, kPacketBatch> in_messages;  ///< Receive.
+  std::array<iovec, kPacketBatch> in_parts;                  ///< Receive.
+  std::array<mmsghdr, kPacketBatch> in_messages;             ///< Receive.
   std::array<std::array<iovec, 2>, kPacketBatch> out_parts;  ///< Send.
   std::array<sockaddr_in, kPacketBatch> out_addresses;       ///< Send.
   std::array<mmsghdr, kPacketBatch> out_messages;            ///< Send.
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -59,10 +59,10 @@
   SpanLog& Spans() { return m_spans; }
 
  private:
-  Settings m_settings;             ///< As read.
-  Node m_node;                     ///< Control side.
-  Metrics m_metrics;               ///< Prometheus endpoint.
-  SpanLog m_spans;                 ///< Traces.
+  Settings m_settings;                    ///< As read.
+  Node m_node;                            ///< Control side.
+  Metrics m_metrics;                      ///< Prometheus endpoint.
+  SpanLog m_spans;                        ///< Traces.
   std::unique_ptr<StoreReader> m_reader;  ///< Null without a store.
   std::unique_ptr<Admin> m_admin;         ///< HTTP interface.
   std::atomic<bool> m_healthy{true};      ///< As /healthz tells.
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -120,10 +120,10 @@
   bool Failed() const { return m_failed; }
 
  private:
-  const json& m_values;      ///< Parsed file.
-  std::string_view m_file;   ///< For messages.
-  Error* m_reason;           ///< Filled at the first fault.
-  bool m_failed = false;     ///< Something was wrong.
+  const json& m_values;     ///< Parsed file.
+  std::string_view m_file;  ///< For messages.
+  Error* m_reason;          ///< Filled at the first fault.
+  bool m_failed = false;    ///< Something was wrong.
 };
 
 /// Checks what depends on more than one key.
@@ -210,12 +210,11 @@
   text << "| `" #key "` | string | "                                  \
        << ((required) ? "required" : "`\"" fallback "\"`") << " | | " \
        << (help) << " |\n";
-#define LIST_SETTING(key, help)                                   \
-  text << "| `" #key "` | list of strings | `[]` | | " << (help) \
-       << " |\n";
-#define INT_SETTING(key, fallback, lowest, highest, help)             \
-  text << "| `" #key "` | integer | `" << (fallback) << "` | "        \
-       << (lowest) << " to " << (highest) << " | " << (help) << " |\n";
+#define LIST_SETTING(key, help) \
+  text << "| `" #key "` | list of strings | `[]` | | " << (help) << " |\n";
+#define INT_SETTING(key, fallback, lowest, highest, help)                  \
+  text << "| `" #key "` | integer | `" << (fallback) << "` | " << (lowest) \
+       << " to " << (highest) << " | " << (help) << " |\n";
 #include "src/daemon/settings_table.inc"
 #undef STRING_SETTING
 #undef LIST_SETTING
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -10,7 +10,8 @@
 
 /// All settings; settings_table.inc describes each.
 struct Settings {
-#define STRING_SETTING(key, required, fallback, help) std::string key = fallback;
+#define STRING_SETTING(key, required, fallback, help) \
+  std::string key = fallback;
 #define LIST_SETTING(key, help) std::vector<std::string> key;
 #define INT_SETTING(key, fallback, lowest, highest, help) \
   int64_t key = fallback;
--- a/src/daemon/span_log.cc
+++ b/src/daemon/span_log.cc
@@ -50,8 +50,7 @@
       {"kind", 1},
       {"startTimeUnixNano", time},
       {"endTimeUnixNano", time},
-      {"attributes",
-       {{{"key", "next"}, {"value", {{"stringValue", next}}}}}}};
+      {"attributes", {{{"key", "next"}, {"value", {{"stringValue", next}}}}}}};
   if (context.span != 0) {
     record["parentSpanId"] = Hex(context.span);
   }
--- a/src/daemon/store_reader.cc
+++ b/src/daemon/store_reader.cc
@@ -48,7 +48,8 @@
 Duration ReadBackoff(Duration interval, int failures, uint64_t salt) {
   const int doublings = std::min(failures, kMaxDoublings);
   const Duration longest = std::max(kMaxBackoff, interval);
-  const Duration wait = std::min<Duration>(interval * (1 << doublings), longest);
+  const Duration wait =
+      std::min<Duration>(interval * (1 << doublings), longest);
   if (failures == 0) {
     return wait;
   }
@@ -71,8 +72,8 @@
       continue;
     }
     failures = ReadOnce() ? 0 : failures + 1;
-    next = SteadyNow() +
-           ReadBackoff(m_interval, failures, m_node->Self().value);
+    next =
+        SteadyNow() + ReadBackoff(m_interval, failures, m_node->Self().value);
   }
 }
 
--- a/src/daemon/store_reader.h
+++ b/src/daemon/store_reader.h
@@ -36,10 +36,10 @@
  private:
   bool ReadOnce();
 
-  Node* m_node;               ///< Takes in what is read.
-  TargetStore m_store;        ///< The store.
-  Duration m_interval;        ///< Between reads.
-  uint64_t m_next_revision = 0;  ///< Only newer ones are asked for.
+  Node* m_node;                      ///< Takes in what is read.
+  TargetStore m_store;               ///< The store.
+  Duration m_interval;               ///< Between reads.
+  uint64_t m_next_revision = 0;      ///< Only newer ones are asked for.
   std::atomic<uint64_t> m_calls{0};  ///< For metrics.
 };
 
--- a/src/flow/flow_table.cc
+++ b/src/flow/flow_table.cc
@@ -26,8 +26,7 @@
 }
 
 FlowEntry& FlowTable::Insert(FlowId flow) {
-  if ((m_size + 1) * kMaxLoadDenominator >
-      m_slots.size() * kMaxLoadNumerator) {
+  if ((m_size + 1) * kMaxLoadDenominator > m_slots.size() * kMaxLoadNumerator) {
     Grow();
   }
   size_t slot = HomeSlot(flow);
--- a/src/flow/flow_type.h
+++ b/src/flow/flow_type.h
@@ -33,20 +33,20 @@
 /// Returns `when` in ticks, rounded up so that nothing expires early.
 /// Thread-safe.
 inline FlowDeadline ToFlowDeadline(TimePoint when) {
-  const auto ticks = (when.time_since_epoch() + kFlowTick - Duration(1)) /
-                     kFlowTick;
+  const auto ticks =
+      (when.time_since_epoch() + kFlowTick - Duration(1)) / kFlowTick;
   return FlowDeadline{static_cast<uint32_t>(ticks)};
 }
 
 /// One flow: its owner and until when it is remembered.
 struct FlowEntry {
-  FlowId flow;                              ///< All zero in an empty slot.
-  ClassId class_id;                         ///< Class at admission.
-  FlowDeadline expires;                     ///< Forgotten after this.
-  uint32_t initial_sequence = 0;            ///< Of the SYN that opened it.
-  PeerSlot owner;                           ///< Owner if not this agent.
-  FlowState state = FlowState::kOwned;      ///< Kind of entry.
-  Transport transport = Transport::kTcp;    ///< Valid for owned flows.
+  FlowId flow;                            ///< All zero in an empty slot.
+  ClassId class_id;                       ///< Class at admission.
+  FlowDeadline expires;                   ///< Forgotten after this.
+  uint32_t initial_sequence = 0;          ///< Of the SYN that opened it.
+  PeerSlot owner;                         ///< Owner if not this agent.
+  FlowState state = FlowState::kOwned;    ///< Kind of entry.
+  Transport transport = Transport::kTcp;  ///< Valid for owned flows.
 
   /// Returns whether this agent's backend server has the flow.
   bool IsOwned() const {
--- a/src/gossip/gossip.cc
+++ b/src/gossip/gossip.cc
@@ -185,8 +185,7 @@
 }
 
 void Gossip::OnDigest(MemberId from, const proto::GossipMessage& message) {
-  if (message.bucket_hashes_size() !=
-      static_cast<int>(m_options.buckets)) {
+  if (message.bucket_hashes_size() != static_cast<int>(m_options.buckets)) {
     return;
   }
   OutgoingGossip answer;
@@ -268,8 +267,8 @@
     OutgoingGossip outgoing;
     outgoing.to = id;
     auto key = neighbour.pending.begin();
-    for (uint32_t i = 0; i < m_options.max_items_per_flush &&
-                         key != neighbour.pending.end();
+    for (uint32_t i = 0;
+         i < m_options.max_items_per_flush && key != neighbour.pending.end();
          ++i) {
       *outgoing.message.add_items() = m_items[*key];
       key = neighbour.pending.erase(key);
--- a/src/gossip/gossip.h
+++ b/src/gossip/gossip.h
@@ -82,19 +82,19 @@
   uint32_t BucketOf(std::string_view key) const;
   std::vector<uint64_t> BucketHashes() const;
 
-  MemberId m_self;               ///< This member.
-  GossipOptions m_options;       ///< As constructed.
-  ItemHook m_on_item;            ///< Told about newer items.
+  MemberId m_self;          ///< This member.
+  GossipOptions m_options;  ///< As constructed.
+  ItemHook m_on_item;       ///< Told about newer items.
   std::map<std::string, proto::GossipItem, std::less<>> m_items;  ///< State.
   /// Hash of each bucket, kept up to date with every change.
   std::vector<uint64_t> m_bucket_hashes;
   std::vector<std::set<std::string>> m_bucket_keys;  ///< Keys of each bucket.
   std::map<MemberId, Neighbour> m_neighbours;        ///< Fixed order.
-  TimePoint m_flush_deadline;    ///< Next flush.
-  TimePoint m_repair_deadline;   ///< Next digest.
-  MemberId m_last_repaired;      ///< Neighbour that got the last digest.
+  TimePoint m_flush_deadline;                        ///< Next flush.
+  TimePoint m_repair_deadline;                       ///< Next digest.
+  MemberId m_last_repaired;  ///< Neighbour that got the last digest.
   std::vector<OutgoingGossip> m_outgoing;  ///< To be sent.
-  GossipCounters m_counters;     ///< Only grow.
+  GossipCounters m_counters;               ///< Only grow.
 };
 
 /// Chooses the neighbours of `self` among `members`: the next one on a ring of
--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -248,8 +248,7 @@
 std::vector<MemberId> Group::PeersToSync(TimePoint now) {
   std::vector<MemberId> due;
   for (Peer& peer : m_peers) {
-    const bool agent =
-        !peer.observer && peer.facts.state != AgentState::kGone;
+    const bool agent = !peer.observer && peer.facts.state != AgentState::kGone;
     const bool missing = peer.indexed_view != m_view_id || peer.returns_due;
     if (agent && missing && now >= peer.resend_deadline) {
       peer.resend_deadline = now + m_timeouts.resend;
@@ -355,10 +354,9 @@
       continue;
     }
     ++others;
-    const bool recent =
-        witness.removal_deadline - m_timeouts.removal +
-            m_timeouts.heartbeat * 2 >=
-        now;
+    const bool recent = witness.removal_deadline - m_timeouts.removal +
+                            m_timeouts.heartbeat * 2 >=
+                        now;
     const bool agrees =
         recent && std::find(witness.silent.begin(), witness.silent.end(),
                             peer.facts.id.value) != witness.silent.end();
@@ -404,8 +402,8 @@
 void Group::SendHeartbeats(TimePoint now, const OwnLoad& load) {
   for (const Peer& peer : m_peers) {
     // Observers need not hear one another: only agents decide about flows.
-    const bool skipped = peer.facts.state == AgentState::kGone ||
-                         (m_observer && peer.observer);
+    const bool skipped =
+        peer.facts.state == AgentState::kGone || (m_observer && peer.observer);
     if (skipped) {
       continue;
     }
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -120,22 +120,22 @@
   void RemoveSilentPeers(TimePoint now);
   void NoteCompleteness();
 
-  ServiceId m_service;            ///< Service of the group.
-  AgentFacts m_self;              ///< Own facts.
-  bool m_observer;                ///< This member is a balancer.
-  GroupTimeouts m_timeouts;       ///< Intervals.
-  std::vector<Peer> m_peers;      ///< Pool of peers; slots never move.
-  std::vector<VersionSplit> m_splits;       ///< Targets in force here.
-  ServiceView m_view;             ///< Current view.
-  ViewId m_view_id;               ///< Its hash.
-  bool m_view_changed = true;     ///< Not yet taken by the owner.
-  bool m_listened = false;        ///< Had time to discover its peers.
-  bool m_fenced = false;          ///< Must not decide now.
+  ServiceId m_service;                 ///< Service of the group.
+  AgentFacts m_self;                   ///< Own facts.
+  bool m_observer;                     ///< This member is a balancer.
+  GroupTimeouts m_timeouts;            ///< Intervals.
+  std::vector<Peer> m_peers;           ///< Pool of peers; slots never move.
+  std::vector<VersionSplit> m_splits;  ///< Targets in force here.
+  ServiceView m_view;                  ///< Current view.
+  ViewId m_view_id;                    ///< Its hash.
+  bool m_view_changed = true;          ///< Not yet taken by the owner.
+  bool m_listened = false;             ///< Had time to discover its peers.
+  bool m_fenced = false;               ///< Must not decide now.
   /// Views since the index was last complete, the complete one first; empty
   /// when it never was or since a fence.
   std::vector<ServiceView> m_views_since_complete;
-  TimePoint m_rejoin_deadline;  ///< While fenced: next new incarnation.
-  TimePoint m_heartbeat_deadline;           ///< Next heartbeat.
+  TimePoint m_rejoin_deadline;     ///< While fenced: next new incarnation.
+  TimePoint m_heartbeat_deadline;  ///< Next heartbeat.
   std::vector<OutgoingGroupMessage> m_outgoing;  ///< To be sent.
 };
 
--- a/src/group/group_type.h
+++ b/src/group/group_type.h
@@ -21,7 +21,7 @@
   /// After a removal by silence the member may still come back with its flows,
   /// so unknown flows are not reset for this long.
   Duration reappear = Seconds(60);
-  Duration resend = Milliseconds(1500);   ///< Before a synchronisation repeats.
+  Duration resend = Milliseconds(1500);  ///< Before a synchronisation repeats.
 };
 
 /// One other member as this member knows it.
--- a/src/locate/agent.cc
+++ b/src/locate/agent.cc
@@ -19,9 +19,8 @@
 /// Returns the own facts at the start.
 AgentFacts InitialFacts(const AgentConfig& config) {
   AgentFacts facts = config.self;
-  facts.state =
-      config.start == StartKind::kFresh ? AgentState::kJoining
-                                        : AgentState::kReady;
+  facts.state = config.start == StartKind::kFresh ? AgentState::kJoining
+                                                  : AgentState::kReady;
   return facts;
 }
 
@@ -71,9 +70,8 @@
 
 void Agent::OnTick(TimePoint now) {
   m_group.Observe(now);
-  m_flows.Sweep(ToFlowDeadline(now), kSweepBudget, [this](const FlowEntry& e) {
-    ForgetOwned(e);
-  });
+  m_flows.Sweep(ToFlowDeadline(now), kSweepBudget,
+                [this](const FlowEntry& e) { ForgetOwned(e); });
   if (now >= m_join_deadline) {
     m_group.FinishListening();
   }
@@ -141,7 +139,8 @@
 }
 
 double Agent::OwnRamp(TimePoint now) const {
-  const bool warm = m_config.start != StartKind::kFresh || m_config.limits.ramp.count() == 0;
+  const bool warm =
+      m_config.start != StartKind::kFresh || m_config.limits.ramp.count() == 0;
   if (warm) {
     return 1.0;
   }
@@ -183,10 +182,8 @@
     entry.flow = FlowId{registration.flow_high(i), registration.flow_low(i)};
     entry.class_id.value = registration.class_id(i);
     entry.initial_sequence = registration.initial_sequence(i);
-    entry.transport =
-        registration.udp(i) ? Transport::kUdp : Transport::kTcp;
-    const bool usable =
-        !(entry.flow == FlowId{}) && entry.class_id.value != 0;
+    entry.transport = registration.udp(i) ? Transport::kUdp : Transport::kTcp;
+    const bool usable = !(entry.flow == FlowId{}) && entry.class_id.value != 0;
     if (usable && registration.returned()) {
       TakeBackFlow(now, entry);
     } else if (usable) {
@@ -234,15 +231,16 @@
 
 void Agent::Synchronise(MemberId peer) {
   const uint32_t sync = m_next_sync++;
-  uint32_t count = SendRegistrations(peer, sync, false, [&](const FlowEntry& entry) {
-    if (!entry.IsOwned()) {
-      return false;
-    }
-    const AgentFacts* home =
-        HomeOf(m_group.View(), entry.class_id, entry.flow);
-    const bool homed_there = home != nullptr && home->id == peer;
-    return homed_there || BackupOf(entry) == peer;
-  });
+  uint32_t count =
+      SendRegistrations(peer, sync, false, [&](const FlowEntry& entry) {
+        if (!entry.IsOwned()) {
+          return false;
+        }
+        const AgentFacts* home =
+            HomeOf(m_group.View(), entry.class_id, entry.flow);
+        const bool homed_there = home != nullptr && home->id == peer;
+        return homed_there || BackupOf(entry) == peer;
+      });
   const std::optional<PeerSlot> slot = m_group.FindSlot(peer);
   if (m_group.PeerAt(*slot).recovering) {
     count += SendRegistrations(peer, sync, true, [&](const FlowEntry& entry) {
--- a/src/locate/agent.h
+++ b/src/locate/agent.h
@@ -23,13 +23,13 @@
 /// What an agent is made from. Beside a running backend server it announces
 /// itself as ready at once, so that the home of its flows does not move.
 struct AgentConfig {
-  ServiceId service;          ///< Service of the backend server.
-  AgentFacts self;            ///< Own facts, in state kJoining.
-  AgentLimits limits;         ///< Timeouts and capacity.
-  GroupTimeouts timeouts;     ///< Intervals of the group protocol.
-  AdmissionPolicy policy;     ///< Places new flows.
+  ServiceId service;                    ///< Service of the backend server.
+  AgentFacts self;                      ///< Own facts, in state kJoining.
+  AgentLimits limits;                   ///< Timeouts and capacity.
+  GroupTimeouts timeouts;               ///< Intervals of the group protocol.
+  AdmissionPolicy policy;               ///< Places new flows.
   StartKind start = StartKind::kFresh;  ///< How the process came to be.
-  FaultyRules faulty;         ///< Test only.
+  FaultyRules faulty;                   ///< Test only.
 };
 
 /// What an agent hands to its successor at a planned restart.
@@ -153,21 +153,21 @@
   void CountOwned(const FlowEntry& entry);
   void ForgetOwned(const FlowEntry& entry);
 
-  AgentConfig m_config;             ///< As constructed.
-  Group m_group;                    ///< Peers of the service.
-  FlowTable m_flows;                ///< Owned flows, pointers and marks.
-  AgentCounters m_counters;         ///< Only grow.
-  uint32_t m_open_flows = 0;        ///< Owned and not closing.
-  uint32_t m_owned_flows = 0;       ///< Owned, closing ones included.
-  uint32_t m_next_sync = 1;         ///< Number of the next synchronisation.
-  TimePoint m_backup_window_end;    ///< End of the second being counted.
+  AgentConfig m_config;              ///< As constructed.
+  Group m_group;                     ///< Peers of the service.
+  FlowTable m_flows;                 ///< Owned flows, pointers and marks.
+  AgentCounters m_counters;          ///< Only grow.
+  uint32_t m_open_flows = 0;         ///< Owned and not closing.
+  uint32_t m_owned_flows = 0;        ///< Owned, closing ones included.
+  uint32_t m_next_sync = 1;          ///< Number of the next synchronisation.
+  TimePoint m_backup_window_end;     ///< End of the second being counted.
   uint32_t m_backups_in_window = 0;  ///< Registrations in that second.
-  bool m_server_shedding = false;   ///< As the backend server says.
-  bool m_draining = false;          ///< Takes no new flows.
-  TimePoint m_drain_deadline;       ///< Drained at the latest then.
-  TimePoint m_join_deadline;        ///< Ready at the earliest then.
-  TimePoint m_ramp_start;           ///< When new flows were first taken.
-  TimePoint m_recovery_deadline;    ///< Claims unknown flows until then.
+  bool m_server_shedding = false;    ///< As the backend server says.
+  bool m_draining = false;           ///< Takes no new flows.
+  TimePoint m_drain_deadline;        ///< Drained at the latest then.
+  TimePoint m_join_deadline;         ///< Ready at the earliest then.
+  TimePoint m_ramp_start;            ///< When new flows were first taken.
+  TimePoint m_recovery_deadline;     ///< Claims unknown flows until then.
   std::vector<OutgoingGroupMessage> m_outgoing;  ///< To be sent.
 };
 
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -93,8 +93,8 @@
 Verdict Agent::Admit(const Request& request, Admission how) {
   const bool new_work = how != Admission::kRecovered;
   m_counters.admissions_while_draining += m_draining && new_work ? 1 : 0;
-  const bool ours = FindSplit(m_group.View(), request.envelope.class_id) !=
-                    nullptr;
+  const bool ours =
+      FindSplit(m_group.View(), request.envelope.class_id) != nullptr;
   m_counters.admissions_of_other_service += ours ? 0 : 1;
   FlowEntry& entry = m_flows.Insert(request.packet.flow);
   ForgetOwned(entry);
@@ -184,8 +184,7 @@
 }
 
 std::optional<MemberId> Agent::BackupOf(const FlowEntry& entry) const {
-  const AgentFacts* home =
-      HomeOf(m_group.View(), entry.class_id, entry.flow);
+  const AgentFacts* home = HomeOf(m_group.View(), entry.class_id, entry.flow);
   if (home == nullptr || home->id != m_group.Self().id) {
     return std::nullopt;
   }
--- a/src/locate/agent_internal.h
+++ b/src/locate/agent_internal.h
@@ -10,9 +10,9 @@
 
 /// One packet on its way through the decisions.
 struct Agent::Request {
-  TimePoint now;              ///< Time of the event.
-  const PacketInfo& packet;   ///< The packet.
-  const Envelope& envelope;   ///< The envelope it came with.
+  TimePoint now;             ///< Time of the event.
+  const PacketInfo& packet;  ///< The packet.
+  const Envelope& envelope;  ///< The envelope it came with.
   /// A pointer proved wrong: ask everybody before a new decision.
   bool must_ask = false;
 };
--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -84,8 +84,8 @@
     const Request again{request.now, request.packet, request.envelope, true};
     return OnUnknown(again);
   }
-  entry->expires = ToFlowDeadline(
-      request.now + IdleTimeout(request.packet.tuple.transport));
+  entry->expires =
+      ToFlowDeadline(request.now + IdleTimeout(request.packet.tuple.transport));
   Envelope envelope = request.envelope;
   // Only the deciding home may ask for an admission; anybody else just points.
   const bool decides =
@@ -284,9 +284,8 @@
   }
   const AgentFacts* home =
       HomeOf(view, request.envelope.class_id, request.packet.flow);
-  const bool elsewhere =
-      home != nullptr && home->id != m_group.Self().id &&
-      !request.envelope.visited.Contains(ShortId(home->id));
+  const bool elsewhere = home != nullptr && home->id != m_group.Self().id &&
+                         !request.envelope.visited.Contains(ShortId(home->id));
   if (!elsewhere) {
     return DecideAsHome(request, *split);
   }
@@ -381,8 +380,8 @@
       continue;  // This agent itself.
     }
     const Peer& peer = m_group.PeerAt(*slot);
-    const bool synced = skip_synced && agreed && one_leg &&
-                        m_group.IsSynced(peer);
+    const bool synced =
+        skip_synced && agreed && one_leg && m_group.IsSynced(peer);
     const uint32_t short_id = ShortId(ranked[i].id);
     if (!synced && !request.envelope.visited.Contains(short_id)) {
       pending.Add(short_id);
@@ -396,9 +395,8 @@
   for (uint8_t i = 0; i < envelope.pending.count; ++i) {
     const std::optional<PeerSlot> next =
         m_group.FindShort(envelope.pending.ids[i]);
-    const bool alive =
-        next.has_value() &&
-        m_group.PeerAt(*next).facts.state != AgentState::kGone;
+    const bool alive = next.has_value() &&
+                       m_group.PeerAt(*next).facts.state != AgentState::kGone;
     if (alive) {
       const MemberId next_id = m_group.PeerAt(*next).facts.id;
       return Forward(request, next_id, envelope);
@@ -419,9 +417,9 @@
 
 Verdict Agent::ConcludeSearch(const Request& request) {
   // Until all peers have registered their flows, one of them may own it.
-  const bool somebody_may_know =
-      m_group.MayHaveUnreachableFlows(request.now) ||
-      !MayDecide(request.now) || !m_group.IsIndexComplete();
+  const bool somebody_may_know = m_group.MayHaveUnreachableFlows(request.now) ||
+                                 !MayDecide(request.now) ||
+                                 !m_group.IsIndexComplete();
   if (IsRecovering(request.now) && MayDecide(request.now) &&
       m_group.IsIndexComplete()) {
     return Admit(request, Admission::kRecovered);
--- a/src/locate/agent_type.h
+++ b/src/locate/agent_type.h
@@ -16,20 +16,20 @@
 
 /// How long entries live and what an agent may carry.
 struct AgentLimits {
-  uint32_t capacity = 2000;               ///< Open flows of the server.
-  Duration opening = Seconds(75);         ///< SYN seen, nothing since.
-  Duration tcp_idle = Seconds(900);       ///< Established TCP flow.
-  Duration udp_idle = Seconds(60);        ///< UDP flow.
-  Duration closing = Seconds(10);         ///< After FIN or RST.
-  Duration mark = Seconds(30);            ///< Another agent asked first.
-  Duration refusal = Seconds(5);          ///< A refused packet stays refused.
-  Duration join = Milliseconds(1000);     ///< Listening before being ready.
-  Duration ramp = Seconds(30);            ///< Cold start of the server.
-  Duration recovery = Seconds(75);        ///< Claims unknown flows so long.
+  uint32_t capacity = 2000;            ///< Open flows of the server.
+  Duration opening = Seconds(75);      ///< SYN seen, nothing since.
+  Duration tcp_idle = Seconds(900);    ///< Established TCP flow.
+  Duration udp_idle = Seconds(60);     ///< UDP flow.
+  Duration closing = Seconds(10);      ///< After FIN or RST.
+  Duration mark = Seconds(30);         ///< Another agent asked first.
+  Duration refusal = Seconds(5);       ///< A refused packet stays refused.
+  Duration join = Milliseconds(1000);  ///< Listening before being ready.
+  Duration ramp = Seconds(30);         ///< Cold start of the server.
+  Duration recovery = Seconds(75);     ///< Claims unknown flows so long.
   /// New flows registered with a second agent each second at most, which
   /// bounds the control bytes: about 60 bytes a flow.
   uint32_t backups_per_second = 30;
-  uint8_t max_hops = 24;                  ///< Agents a packet may pass.
+  uint8_t max_hops = 24;  ///< Agents a packet may pass.
 };
 
 /// What to do with one packet. Exactly one verdict per packet.
@@ -41,10 +41,10 @@
 
 /// How a flow came to be delivered here, for counters.
 enum class Admission : uint8_t {
-  kKnown,       ///< The flow was known.
-  kHome,        ///< Admitted by its home for itself.
-  kHandover,    ///< Admitted on behalf of its home.
-  kRecovered,   ///< Claimed after an unplanned restart.
+  kKnown,      ///< The flow was known.
+  kHome,       ///< Admitted by its home for itself.
+  kHandover,   ///< Admitted on behalf of its home.
+  kRecovered,  ///< Claimed after an unplanned restart.
 };
 
 constexpr size_t kAdmissionKinds = 4;
@@ -61,12 +61,12 @@
 /// Counters that only grow.
 struct AgentCounters {
   std::array<uint64_t, kAdmissionKinds> delivered{};  ///< By Admission.
-  uint64_t forwarded = 0;        ///< Packets passed to another agent.
-  uint64_t handed_over = 0;      ///< New flows handed to another agent.
-  uint64_t consulted = 0;        ///< New flows for which others were asked.
-  uint64_t searched = 0;         ///< Established flows that were searched.
+  uint64_t forwarded = 0;         ///< Packets passed to another agent.
+  uint64_t handed_over = 0;       ///< New flows handed to another agent.
+  uint64_t consulted = 0;         ///< New flows for which others were asked.
+  uint64_t searched = 0;          ///< Established flows that were searched.
   uint64_t flows_taken_back = 0;  ///< Returned by peers after a restart.
-  uint64_t backups_skipped = 0;  ///< New flows beyond the limit.
+  uint64_t backups_skipped = 0;   ///< New flows beyond the limit.
   std::array<uint64_t, kErrorKindCount> rejected{};  ///< By error kind.
   /// Invariant violations; each is a defect.
   uint64_t admissions_while_draining = 0;
@@ -77,12 +77,12 @@
 /// Test-only switches that break one central rule each, to show that the
 /// checks notice. All off in the daemon.
 struct FaultyRules {
-  bool skip_consult = false;        ///< A home decides without asking.
-  bool skip_marks = false;          ///< An asked agent leaves no mark.
-  bool skip_view_check = false;     ///< Handovers of other views are taken.
-  bool skip_fence = false;          ///< A member that is cut off decides.
+  bool skip_consult = false;          ///< A home decides without asking.
+  bool skip_marks = false;            ///< An asked agent leaves no mark.
+  bool skip_view_check = false;       ///< Handovers of other views are taken.
+  bool skip_fence = false;            ///< A member that is cut off decides.
   bool admit_while_draining = false;  ///< A draining agent admits.
-  bool forget_pointers = false;     ///< A home keeps no pointers.
+  bool forget_pointers = false;       ///< A home keeps no pointers.
 };
 
 }  // namespace medlargauge
--- a/src/packet/envelope.cc
+++ b/src/packet/envelope.cc
@@ -109,10 +109,9 @@
       kFixedSize + (traced ? kTraceSize : 0) +
       (static_cast<size_t>(envelope.visited.count) + envelope.pending.count) *
           4;
-  const bool valid = bare_purpose < kPurposeCount &&
-                     envelope.visited.count <= kMaxVisited &&
-                     envelope.pending.count <= kMaxPending &&
-                     private_data.size() == expected;
+  const bool valid =
+      bare_purpose < kPurposeCount && envelope.visited.count <= kMaxVisited &&
+      envelope.pending.count <= kMaxPending && private_data.size() == expected;
   if (!valid) {
     Fail(reason, ErrorKind::kBadEnvelope, "purpose, counts or size");
     return std::nullopt;
--- a/src/packet/packet.cc
+++ b/src/packet/packet.cc
@@ -63,7 +63,9 @@
 }
 
 /// Fills the TCP part of `info`; returns false with a reason.
-bool ParseTcp(const iphdr& ip, ByteView segment, PacketInfo* info,
+bool ParseTcp(const iphdr& ip,
+              ByteView segment,
+              PacketInfo* info,
               Error* reason) {
   tcphdr tcp{};
   if (segment.size() < sizeof(tcp)) {
@@ -95,7 +97,9 @@
 }
 
 /// Fills the UDP part of `info`; returns false with a reason.
-bool ParseUdp(const iphdr& ip, ByteView datagram, PacketInfo* info,
+bool ParseUdp(const iphdr& ip,
+              ByteView datagram,
+              PacketInfo* info,
               Error* reason) {
   udphdr udp{};
   if (datagram.size() < sizeof(udp)) {
@@ -119,8 +123,11 @@
 }
 
 /// Writes an IPv4 header in front of a payload of `length` bytes.
-void WriteIpHeader(const IpAddress& source, const IpAddress& destination,
-                   uint8_t protocol, size_t length, uint8_t* out) {
+void WriteIpHeader(const IpAddress& source,
+                   const IpAddress& destination,
+                   uint8_t protocol,
+                   size_t length,
+                   uint8_t* out) {
   iphdr ip{};
   ip.version = 4;
   ip.ihl = sizeof(ip) / 4;
@@ -129,7 +136,8 @@
   ip.protocol = protocol;
   ip.saddr = htonl(Ipv4Value(source));
   ip.daddr = htonl(Ipv4Value(destination));
-  ip.check = FoldSum(SumWords({reinterpret_cast<uint8_t*>(&ip), sizeof(ip)}, 0));
+  ip.check =
+      FoldSum(SumWords({reinterpret_cast<uint8_t*>(&ip), sizeof(ip)}, 0));
   std::memcpy(out, &ip, sizeof(ip));
 }
 
@@ -138,7 +146,8 @@
   iphdr ip{};
   std::memcpy(&ip, packet->data(), sizeof(ip));
   const ByteView part(packet->data() + sizeof(ip), packet->size() - sizeof(ip));
-  const uint16_t sum = FoldSum(SumWords(part, SumPseudoHeader(ip, part.size())));
+  const uint16_t sum =
+      FoldSum(SumWords(part, SumPseudoHeader(ip, part.size())));
   std::memcpy(packet->data() + sizeof(ip) + offset, &sum, sizeof(sum));
 }
 
--- /dev/null
+++ b/src/packet/packet_fuzz.cc
@@ -0,0 +1,27 @@
+// @file packet_fuzz.cc libFuzzer target of the packet and envelope parsers.
+#include <cstdlib>
+
+#include "src/packet/envelope.h"
+#include "src/packet/packet.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  using namespace medlargauge;
+  Error reason;
+  ParsePacket({data, size}, &reason);
+  const auto gue = ParseGue({data, size}, &reason);
+  if (!gue.has_value()) {
+    return 0;
+  }
+  ParsePacket(gue->packet, &reason);
+  const auto envelope = ParseEnvelope(gue->private_data, &reason);
+  if (envelope.has_value()) {
+    // What was read must be written back to the same size.
+    std::array<uint8_t, kMaxGueSize> out;
+    const size_t written = WriteEnvelope(*envelope, {out.data(), out.size()});
+    if (written != kPlainGueSize + gue->private_data.size() &&
+        envelope->trace.IsSampled()) {
+      std::abort();
+    }
+  }
+  return 0;
+}
--- a/src/packet/packet_type.h
+++ b/src/packet/packet_type.h
@@ -35,10 +35,10 @@
 
 /// Addresses and ports of one flow.
 struct FiveTuple {
-  IpAddress source;           ///< Caller.
-  IpAddress destination;      ///< Address of the class.
-  uint16_t source_port = 0;   ///< Host byte order.
-  uint16_t target_port = 0;   ///< Host byte order.
+  IpAddress source;                       ///< Caller.
+  IpAddress destination;                  ///< Address of the class.
+  uint16_t source_port = 0;               ///< Host byte order.
+  uint16_t target_port = 0;               ///< Host byte order.
   Transport transport = Transport::kTcp;  ///< TCP or UDP.
 };
 
@@ -57,15 +57,15 @@
 
 /// What the decisions need to know of one packet.
 struct PacketInfo {
-  FiveTuple tuple;          ///< Who talks to whom.
-  FlowId flow;              ///< Hash of `tuple`.
-  bool syn = false;         ///< TCP SYN without ACK.
-  bool ack = false;         ///< TCP ACK.
-  bool fin = false;         ///< TCP FIN.
-  bool rst = false;         ///< TCP RST.
-  uint32_t sequence = 0;    ///< TCP sequence number.
+  FiveTuple tuple;            ///< Who talks to whom.
+  FlowId flow;                ///< Hash of `tuple`.
+  bool syn = false;           ///< TCP SYN without ACK.
+  bool ack = false;           ///< TCP ACK.
+  bool fin = false;           ///< TCP FIN.
+  bool rst = false;           ///< TCP RST.
+  uint32_t sequence = 0;      ///< TCP sequence number.
   uint32_t acknowledged = 0;  ///< TCP acknowledgement number.
-  ByteView payload;         ///< Bytes after the transport header.
+  ByteView payload;           ///< Bytes after the transport header.
 
   /// Returns whether this packet may open a flow. Any UDP datagram may: only
   /// an agent that knows the flow can tell. Thread-safe.
--- a/src/routing/balancer.cc
+++ b/src/routing/balancer.cc
@@ -43,14 +43,13 @@
     return Reject(ErrorKind::kUnknownAddress);
   }
   const ServiceView& view = route->second.group->View();
-  const AgentFacts* home =
-      HomeOf(view, route->second.class_id, packet.flow);
+  const AgentFacts* home = HomeOf(view, route->second.class_id, packet.flow);
   if (home == nullptr) {
     // Without a ready agent, any live one knows better whether to refuse.
     for (const AgentFacts& agent : view.agents) {
-      const bool better = home == nullptr || RankWeight(packet.flow, agent.id) >
-                                                 RankWeight(packet.flow,
-                                                            home->id);
+      const bool better =
+          home == nullptr ||
+          RankWeight(packet.flow, agent.id) > RankWeight(packet.flow, home->id);
       home = better ? &agent : home;
     }
   }
--- a/src/routing/balancer.h
+++ b/src/routing/balancer.h
@@ -78,13 +78,13 @@
   bool IsObserved(ServiceId service) const;
   RouteVerdict Reject(ErrorKind kind);
 
-  AgentFacts m_self;              ///< Own facts.
-  GroupTimeouts m_timeouts;       ///< Intervals.
+  AgentFacts m_self;                                     ///< Own facts.
+  GroupTimeouts m_timeouts;                              ///< Intervals.
   std::map<ServiceId, std::unique_ptr<Group>> m_groups;  ///< By service.
   std::map<IpAddress, ClassRoute> m_routes;  ///< By the address of a class.
   std::vector<ClassTarget> m_targets;        ///< In force here.
   std::optional<std::set<ServiceId>> m_observed;  ///< Unset: all services.
-  BalancerCounters m_counters;               ///< Only grow.
+  BalancerCounters m_counters;                    ///< Only grow.
 };
 
 }  // namespace medlargauge
--- a/src/routing/routing.cc
+++ b/src/routing/routing.cc
@@ -24,7 +24,8 @@
 }
 
 /// Returns whether `agent` serves the side of the split that is wanted.
-bool ServesSide(const VersionSplit& split, const AgentFacts& agent,
+bool ServesSide(const VersionSplit& split,
+                const AgentFacts& agent,
                 bool wants_trial) {
   if (wants_trial) {
     return agent.version == split.trial;
--- a/src/target/target_codec.cc
+++ b/src/target/target_codec.cc
@@ -77,10 +77,9 @@
     }
     target.address = *address;
     for (const json& change : parsed.value("history", json::array())) {
-      stored.history.push_back({change.value("change_id", ""),
-                                change.value("changed_by", ""),
-                                change.value("changed_at", ""),
-                                change.value("summary", "")});
+      stored.history.push_back(
+          {change.value("change_id", ""), change.value("changed_by", ""),
+           change.value("changed_at", ""), change.value("summary", "")});
     }
     return stored;
   } catch (const json::exception& error) {
--- a/src/target/target_codec.h
+++ b/src/target/target_codec.h
@@ -18,10 +18,10 @@
 
 /// One past change, as kept with the target.
 struct TargetChange {
-  std::string change_id;    ///< Identifies the change.
-  std::string changed_by;   ///< Operator.
-  std::string changed_at;   ///< UTC, ISO 8601.
-  std::string summary;      ///< What was changed.
+  std::string change_id;   ///< Identifies the change.
+  std::string changed_by;  ///< Operator.
+  std::string changed_at;  ///< UTC, ISO 8601.
+  std::string summary;     ///< What was changed.
 };
 
 /// A target with its past, as the store holds it.
--- a/src/target/target_store.cc
+++ b/src/target/target_store.cc
@@ -78,9 +78,9 @@
 void AddHistory(const ChangeAuthor& author, StoredTarget* stored) {
   stored->target.change_id = author.change_id;
   stored->target.changed_by = author.changed_by;
-  stored->history.insert(stored->history.begin(),
-                         {author.change_id, author.changed_by,
-                          author.changed_at, author.summary});
+  stored->history.insert(
+      stored->history.begin(),
+      {author.change_id, author.changed_by, author.changed_at, author.summary});
   if (stored->history.size() > kMaxHistory) {
     stored->history.resize(kMaxHistory);
   }
@@ -281,11 +281,11 @@
     return SwapOutcome::kBad;
   }
   const std::string key = Encode(KeyOf(next.target.name));
-  json compare = json::array({{{"key", key},
-                               {"target", "MOD"},
-                               {"result", "EQUAL"},
-                               {"mod_revision",
-                                std::to_string(expected_revision)}}});
+  json compare =
+      json::array({{{"key", key},
+                    {"target", "MOD"},
+                    {"result", "EQUAL"},
+                    {"mod_revision", std::to_string(expected_revision)}}});
   json success = json::array(
       {{{"request_put", {{"key", key}, {"value", Encode(value)}}}}});
   if (claim_address) {
@@ -295,9 +295,9 @@
                        {"target", "MOD"},
                        {"result", "EQUAL"},
                        {"mod_revision", "0"}});
-    success.push_back({{"request_put",
-                        {{"key", address_key},
-                         {"value", Encode(next.target.name)}}}});
+    success.push_back(
+        {{"request_put",
+          {{"key", address_key}, {"value", Encode(next.target.name)}}}});
   }
   const json request = {{"compare", compare}, {"success", success}};
   const std::optional<json> reply =
--- a/src/target/target_store.h
+++ b/src/target/target_store.h
@@ -25,22 +25,22 @@
 
 /// Sends one JSON request to a path of the store; may block. Must be
 /// thread-safe if the store is used from several threads.
-using StoreCall = std::function<StoreReply(std::string_view path,
-                                           const std::string& body)>;
+using StoreCall =
+    std::function<StoreReply(std::string_view path, const std::string& body)>;
 
 /// Result of a read.
 struct TargetsRead {
-  std::vector<StoredTarget> targets;  ///< Well-formed ones.
+  std::vector<StoredTarget> targets;   ///< Well-formed ones.
   std::vector<std::string> malformed;  ///< Keys whose values were refused.
-  uint64_t store_revision = 0;        ///< Of the whole store.
+  uint64_t store_revision = 0;         ///< Of the whole store.
 };
 
 /// How a change ended.
 enum class ChangeOutcome : uint8_t {
-  kAccepted,    ///< In force, or was until a later change.
-  kConflict,    ///< Another change came first; this one has no effect.
-  kRefused,     ///< Not a valid change; no effect.
-  kUnknown,     ///< No answer from the store within the attempts.
+  kAccepted,  ///< In force, or was until a later change.
+  kConflict,  ///< Another change came first; this one has no effect.
+  kRefused,   ///< Not a valid change; no effect.
+  kUnknown,   ///< No answer from the store within the attempts.
 };
 
 /// Result of a change.
--- a/standin/backend.cc
+++ b/standin/backend.cc
@@ -55,7 +55,8 @@
     httplib::Server http;
     ServeLoad(&http);
     const std::optional<HostPort> load = ParseHostPort(m_options.load_listen);
-    if (!load.has_value() || !http.bind_to_port(load->host.c_str(), load->port)) {
+    if (!load.has_value() ||
+        !http.bind_to_port(load->host.c_str(), load->port)) {
       std::cerr << "backend: cannot bind load address\n";
       return 1;
     }
@@ -94,25 +95,25 @@
   }
 
   void ServeLoad(httplib::Server* http) {
-    http->Get("/load", [this](const httplib::Request&,
-                              httplib::Response& response) {
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      const nlohmann::json body = {{"open", m_counts.open},
-                                   {"shedding", m_shedding},
-                                   {"draining", m_draining}};
-      response.set_content(body.dump(), "application/json");
-    });
-    http->Get("/stats", [this](const httplib::Request&,
-                               httplib::Response& response) {
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      response.set_content(Stats().dump(), "application/json");
-    });
-    http->Post("/set", [this](const httplib::Request& request,
-                              httplib::Response&) {
-      const std::lock_guard<std::mutex> lock(m_mutex);
-      m_shedding = request.get_param_value("shedding") == "1";
-      m_draining = request.get_param_value("draining") == "1";
-    });
+    http->Get("/load",
+              [this](const httplib::Request&, httplib::Response& response) {
+                const std::lock_guard<std::mutex> lock(m_mutex);
+                const nlohmann::json body = {{"open", m_counts.open},
+                                             {"shedding", m_shedding},
+                                             {"draining", m_draining}};
+                response.set_content(body.dump(), "application/json");
+              });
+    http->Get("/stats",
+              [this](const httplib::Request&, httplib::Response& response) {
+                const std::lock_guard<std::mutex> lock(m_mutex);
+                response.set_content(Stats().dump(), "application/json");
+              });
+    http->Post("/set",
+               [this](const httplib::Request& request, httplib::Response&) {
+                 const std::lock_guard<std::mutex> lock(m_mutex);
+                 m_shedding = request.get_param_value("shedding") == "1";
+                 m_draining = request.get_param_value("draining") == "1";
+               });
   }
 
   void OnDatagram(ByteView datagram) {
@@ -235,15 +236,15 @@
 
   static constexpr uint32_t kWindow = 1U << 20U;
 
-  BackendOptions m_options;      ///< As given.
-  DatagramSocket m_socket;       ///< Packets in, answers out.
-  sockaddr_in m_caller{};        ///< Where answers go.
-  std::mutex m_mutex;            ///< Protects all below.
+  BackendOptions m_options;  ///< As given.
+  DatagramSocket m_socket;   ///< Packets in, answers out.
+  sockaddr_in m_caller{};    ///< Where answers go.
+  std::mutex m_mutex;        ///< Protects all below.
   std::map<FlowId, BackendConnection> m_connections;  ///< By flow.
-  std::set<uint64_t> m_executed;  ///< Requests run.
-  BackendCounts m_counts;         ///< For /load and /stats.
-  bool m_shedding = false;        ///< As set through /set.
-  bool m_draining = false;        ///< As set through /set.
+  std::set<uint64_t> m_executed;                      ///< Requests run.
+  BackendCounts m_counts;                             ///< For /load and /stats.
+  bool m_shedding = false;                            ///< As set through /set.
+  bool m_draining = false;                            ///< As set through /set.
 };
 
 }  // namespace
--- a/standin/caller.cc
+++ b/standin/caller.cc
@@ -37,17 +37,17 @@
 
 /// One flow of one caller.
 struct CallerConnection {
-  uint64_t number = 0;          ///< Unique.
-  PacketInfo packet;            ///< Addresses; reused for each segment.
+  uint64_t number = 0;            ///< Unique.
+  PacketInfo packet;              ///< Addresses; reused for each segment.
   uint32_t initial_sequence = 0;  ///< Of the SYN.
-  uint32_t service = 0;         ///< Service it must reach.
+  uint32_t service = 0;           ///< Service it must reach.
   FlowPhase phase = FlowPhase::kOpening;  ///< See FlowPhase.
-  TimePoint end;                ///< Last request starts before this.
-  uint32_t requests = 0;        ///< Requests sent so far.
-  uint64_t request_id = 0;      ///< Of the current request.
-  std::vector<bool> parts;      ///< Received parts of the answer.
-  int attempt = 0;              ///< Of the current packet.
-  uint64_t timer = 0;           ///< Only the newest timer counts.
+  TimePoint end;                          ///< Last request starts before this.
+  uint32_t requests = 0;                  ///< Requests sent so far.
+  uint64_t request_id = 0;                ///< Of the current request.
+  std::vector<bool> parts;                ///< Received parts of the answer.
+  int attempt = 0;                        ///< Of the current packet.
+  uint64_t timer = 0;                     ///< Only the newest timer counts.
 };
 
 /// A class that callers use.
@@ -58,13 +58,13 @@
 
 /// What the callers count.
 struct CallerCounts {
-  uint64_t flows = 0;            ///< Started.
-  uint64_t completed = 0;        ///< Ended with every answer whole.
-  uint64_t broken_flows = 0;     ///< Cut or stuck after being established.
-  uint64_t gave_up = 0;          ///< Never established.
-  uint64_t refused = 0;          ///< Told "not run".
-  uint64_t requests = 0;         ///< Answered whole.
-  uint64_t wrong_answers = 0;    ///< Bytes differed, or of another request.
+  uint64_t flows = 0;          ///< Started.
+  uint64_t completed = 0;      ///< Ended with every answer whole.
+  uint64_t broken_flows = 0;   ///< Cut or stuck after being established.
+  uint64_t gave_up = 0;        ///< Never established.
+  uint64_t refused = 0;        ///< Told "not run".
+  uint64_t requests = 0;       ///< Answered whole.
+  uint64_t wrong_answers = 0;  ///< Bytes differed, or of another request.
 };
 
 /// All callers.
@@ -104,9 +104,9 @@
 
  private:
   struct Timer {
-    TimePoint when;      ///< Due.
-    uint64_t number;     ///< Flow.
-    uint64_t timer;      ///< Must match the flow's.
+    TimePoint when;   ///< Due.
+    uint64_t number;  ///< Flow.
+    uint64_t timer;   ///< Must match the flow's.
     bool operator>(const Timer& other) const { return when > other.when; }
   };
 
@@ -131,19 +131,19 @@
     const CalledClass& called = m_classes[m_random(m_classes.size())];
     flow->number = ++m_next_number;
     FiveTuple& tuple = flow->packet.tuple;
-    tuple.source = Ipv4Address(
-        kCallerNetwork + static_cast<uint32_t>(flow->number / kPortsPerAddress));
+    tuple.source =
+        Ipv4Address(kCallerNetwork +
+                    static_cast<uint32_t>(flow->number / kPortsPerAddress));
     tuple.source_port =
         static_cast<uint16_t>(kFirstPort + flow->number % kPortsPerAddress);
     tuple.destination = called.address;
     tuple.target_port = kServicePort;
-    tuple.transport = Uniform() < m_options.udp_share ? Transport::kUdp
-                                                      : Transport::kTcp;
+    tuple.transport =
+        Uniform() < m_options.udp_share ? Transport::kUdp : Transport::kTcp;
     flow->service = called.service;
     flow->initial_sequence = m_random() | 1U;
-    const double life =
-        std::min(-std::log(1 - Uniform()), kMaxLifetimes) *
-        m_options.lifetime_ms;
+    const double life = std::min(-std::log(1 - Uniform()), kMaxLifetimes) *
+                        m_options.lifetime_ms;
     flow->end = m_now + Milliseconds(static_cast<int64_t>(life));
     ++m_counts.flows;
     CallerConnection* started = flow.get();
@@ -360,25 +360,24 @@
   }
 
   void Print() const {
-    const nlohmann::json result = {
-        {"flows", m_counts.flows},
-        {"completed", m_counts.completed},
-        {"broken_flows", m_counts.broken_flows},
-        {"gave_up", m_counts.gave_up},
-        {"refused", m_counts.refused},
-        {"requests", m_counts.requests},
-        {"requests_sent", m_next_request},
-        {"wrong_answers", m_counts.wrong_answers}};
+    const nlohmann::json result = {{"flows", m_counts.flows},
+                                   {"completed", m_counts.completed},
+                                   {"broken_flows", m_counts.broken_flows},
+                                   {"gave_up", m_counts.gave_up},
+                                   {"refused", m_counts.refused},
+                                   {"requests", m_counts.requests},
+                                   {"requests_sent", m_next_request},
+                                   {"wrong_answers", m_counts.wrong_answers}};
     std::cout << result.dump() << std::endl;
   }
 
   static constexpr uint32_t kPart = 1000;
 
-  CallerOptions m_options;   ///< As given.
-  pcg32 m_random;            ///< All randomness.
-  DatagramSocket m_socket;   ///< Packets out, answers in.
-  sockaddr_in m_fabric{};    ///< Where packets go.
-  TimePoint m_now;           ///< Of the current turn.
+  CallerOptions m_options;             ///< As given.
+  pcg32 m_random;                      ///< All randomness.
+  DatagramSocket m_socket;             ///< Packets out, answers in.
+  sockaddr_in m_fabric{};              ///< Where packets go.
+  TimePoint m_now;                     ///< Of the current turn.
   std::vector<CalledClass> m_classes;  ///< To choose from.
   std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>> m_flows;
   std::unordered_map<uint64_t, uint64_t> m_by_flow;  ///< Hash to number.
--- a/standin/standin_main.cc
+++ b/standin/standin_main.cc
@@ -49,9 +49,9 @@
                                    FLAGS_loss, FLAGS_duplicate, FLAGS_seed});
   }
   if (FLAGS_kind == "backend") {
-    return medlargauge::RunBackend(
-        {FLAGS_listen, FLAGS_load_listen, FLAGS_caller, FLAGS_service,
-         FLAGS_executed_file});
+    return medlargauge::RunBackend({FLAGS_listen, FLAGS_load_listen,
+                                    FLAGS_caller, FLAGS_service,
+                                    FLAGS_executed_file});
   }
   if (FLAGS_kind == "caller") {
     medlargauge::CallerOptions options;
--- a/standin/store.cc
+++ b/standin/store.cc
@@ -46,9 +46,8 @@
   json Range(const json& request) {
     const std::string key = Unescape(request, "key");
     const std::string end = Unescape(request, "range_end");
-    const uint64_t min_revision =
-        std::strtoull(request.value("min_mod_revision", "0").c_str(), nullptr,
-                      10);
+    const uint64_t min_revision = std::strtoull(
+        request.value("min_mod_revision", "0").c_str(), nullptr, 10);
     json pairs = json::array();
     for (auto it = m_values.lower_bound(key); it != m_values.end(); ++it) {
       const bool inside = end.empty() ? it->first == key : it->first < end;
@@ -92,10 +91,10 @@
     return {{"header", Header()}, {"succeeded", true}};
   }
 
-  std::mutex mutex;                     ///< Protects keys and faults.
-  std::atomic<uint64_t> calls{0};       ///< Calls of any kind.
-  std::atomic<int64_t> delay_ms{0};     ///< Before each answer.
-  std::atomic<bool> down{false};        ///< Answers 503.
+  std::mutex mutex;                      ///< Protects keys and faults.
+  std::atomic<uint64_t> calls{0};        ///< Calls of any kind.
+  std::atomic<int64_t> delay_ms{0};      ///< Before each answer.
+  std::atomic<bool> down{false};         ///< Answers 503.
   std::atomic<int64_t> lose_answers{0};  ///< Writes whose answer is lost.
 
  private:
@@ -151,19 +150,19 @@
     Answer(&store, request, &response, true,
            [&store](const json& body) { return store.Transaction(body); });
   });
-  http.Post("/faults", [&store](const httplib::Request& request,
-                                httplib::Response&) {
-    const json body = json::parse(request.body, nullptr, false);
-    if (body.is_object()) {
-      store.delay_ms = body.value("delay_ms", 0);
-      store.down = body.value("down", false);
-      store.lose_answers = body.value("lose_answers", 0);
-    }
-  });
-  http.Get("/calls", [&store](const httplib::Request&,
-                              httplib::Response& response) {
-    response.set_content(std::to_string(store.calls), "text/plain");
-  });
+  http.Post("/faults",
+            [&store](const httplib::Request& request, httplib::Response&) {
+              const json body = json::parse(request.body, nullptr, false);
+              if (body.is_object()) {
+                store.delay_ms = body.value("delay_ms", 0);
+                store.down = body.value("down", false);
+                store.lose_answers = body.value("lose_answers", 0);
+              }
+            });
+  http.Get("/calls",
+           [&store](const httplib::Request&, httplib::Response& response) {
+             response.set_content(std::to_string(store.calls), "text/plain");
+           });
   const std::optional<HostPort> address = ParseHostPort(options.listen);
   if (!address.has_value() ||
       !http.bind_to_port(address->host.c_str(), address->port)) {
--- a/standin/work_message.h
+++ b/standin/work_message.h
@@ -20,9 +20,9 @@
 
 /// One part of an answer.
 struct WorkAnswer {
-  uint64_t id = 0;            ///< Of the request.
-  uint32_t offset = 0;        ///< Of this part.
-  uint32_t total = 0;         ///< Size of the whole answer.
+  uint64_t id = 0;      ///< Of the request.
+  uint32_t offset = 0;  ///< Of this part.
+  uint32_t total = 0;   ///< Size of the whole answer.
 };
 
 /// Copies a plain struct into bytes. Both ends run on one host.
