Fix: A recovering agent offers itself, the home decides

Change: it only names itself in the question; the home, which sees all copies, hands the flow to it. Conclusion: decisions stay with the home; several crashes at once remain.

--- a/src/locate/agent.h
+++ b/src/locate/agent.h
@@ -107,8 +107,8 @@
   Verdict OnHandover(const Request& request);
   Verdict OnConsult(const Request& request);
   Verdict OnSearch(const Request& request);
-  bool MayBeRecoveredHere(const Request& request) const;
-  Verdict ClaimAtEndOfLine(const Request& request);
+  Envelope WithClaim(const Request& request) const;
+  Verdict HandOver(const Request& request, PeerSlot slot);
   Verdict Refuse(const Request& request);
   Verdict RouteToHome(const Request& request);
   Verdict DecideAsHome(const Request& request, const VersionSplit& split);
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -13,6 +13,13 @@
     // The flow may have been admitted here before the restart.
     return Admit(request, Admission::kRecovered);
   }
+  const std::optional<PeerSlot> claimant =
+      request.envelope.purpose == Purpose::kConsult
+          ? m_group.FindShort(request.envelope.claimant)
+          : std::nullopt;
+  if (claimant.has_value()) {
+    return HandOver(request, *claimant);
+  }
   const AdmissionInput input = MakeInput(request, split);
   const std::optional<size_t> choice = m_config.policy(input);
   if (!choice.has_value()) {
@@ -22,14 +29,17 @@
   if (chosen == m_group.Self().id) {
     return Admit(request, Admission::kHome);
   }
-  const std::optional<PeerSlot> slot = m_group.FindSlot(chosen);
-  Peer& peer = m_group.PeerAt(*slot);
+  return HandOver(request, *m_group.FindSlot(chosen));
+}
+
+Verdict Agent::HandOver(const Request& request, PeerSlot slot) {
+  Peer& peer = m_group.PeerAt(slot);
   ++peer.handed_over;
   ++m_counters.handed_over;
   if (!m_config.faulty.forget_pointers) {
     FlowEntry& entry = m_flows.Insert(request.packet.flow);
     entry.class_id = request.envelope.class_id;
-    entry.owner = *slot;
+    entry.owner = slot;
     entry.state = FlowState::kPointer;
     entry.transport = request.packet.tuple.transport;
     entry.initial_sequence = request.packet.sequence;
@@ -40,7 +50,7 @@
   envelope.view = m_group.CurrentView();
   envelope.asker = ShortId(m_group.Self().id);
   envelope.pending = {};
-  return Forward(request, chosen, envelope);
+  return Forward(request, peer.facts.id, envelope);
 }
 
 Verdict Agent::Refuse(const Request& request) {
--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -229,51 +229,28 @@
     // Unknown askers cannot be pointed to; the caller's transport retries.
     return Reject(ErrorKind::kMaybeElsewhere);
   }
-  if (MayBeRecoveredHere(request)) {
-    return ClaimAtEndOfLine(request);
-  }
   LeaveMark(request, *asker);
-  return PassAlong(request, request.envelope);
+  return PassAlong(request, WithClaim(request));
 }
 
 Verdict Agent::OnSearch(const Request& request) {
   const uint32_t self = ShortId(m_group.Self().id);
-  if (request.envelope.asker == self) {
-    if (request.envelope.pending.count > 0) {
-      return PassAlong(request, request.envelope);
-    }
-    return AskNextLeg(request, Purpose::kSearch);
+  if (request.envelope.asker != self) {
+    return PassAlong(request, WithClaim(request));
   }
-  if (MayBeRecoveredHere(request)) {
-    return ClaimAtEndOfLine(request);
+  if (request.envelope.pending.count > 0) {
+    return PassAlong(request, request.envelope);
   }
-  return PassAlong(request, request.envelope);
-}
-
-bool Agent::MayBeRecoveredHere(const Request& request) const {
-  const std::optional<PeerSlot> asker =
-      m_group.FindShort(request.envelope.asker);
-  // A home that lost its table as well is the more likely owner.
-  const bool asker_claims =
-      asker.has_value() && m_group.PeerAt(*asker).recovering;
-  return IsRecovering(request.now) && !asker_claims;
+  return AskNextLeg(request, Purpose::kSearch);
 }
 
-Verdict Agent::ClaimAtEndOfLine(const Request& request) {
-  const uint32_t self = ShortId(m_group.Self().id);
+Envelope Agent::WithClaim(const Request& request) const {
   Envelope envelope = request.envelope;
-  RemoveFrom(self, &envelope.pending);
-  const std::optional<PeerSlot> next =
-      envelope.pending.count == 0 ? std::nullopt
-                                  : m_group.FindShort(envelope.pending.ids[0]);
-  const bool deferred = envelope.visited.Contains(self);
-  if (deferred || !next.has_value()) {
-    return Admit(request, Admission::kRecovered);
+  if (IsRecovering(request.now) && envelope.claimant == 0) {
+    // The asker decides: it serialises all copies of the packet.
+    envelope.claimant = ShortId(m_group.Self().id);
   }
-  // Those who know their flows answer first.
-  envelope.visited.Add(self);
-  envelope.pending.Add(self);
-  return Forward(request, m_group.PeerAt(*next).facts.id, envelope);
+  return envelope;
 }
 
 Verdict Agent::RouteToHome(const Request& request) {
@@ -330,6 +307,7 @@
   envelope.asker = ShortId(m_group.Self().id);
   envelope.view = m_group.CurrentView();
   envelope.leg = leg;
+  envelope.claimant = leg == 0 ? 0 : envelope.claimant;
   envelope.pending = RankedPending(request, skip_synced, leg);
   if (envelope.pending.count == 0) {
     const Request again{request.now, request.packet, envelope, false};
@@ -417,13 +395,22 @@
 
 Verdict Agent::ConcludeSearch(const Request& request) {
   // Until all peers have registered their flows, one of them may own it.
-  const bool somebody_may_know = m_group.MayHaveUnreachableFlows(request.now) ||
-                                 !MayDecide(request.now) ||
-                                 !m_group.IsIndexComplete();
-  if (IsRecovering(request.now) && MayDecide(request.now) &&
-      m_group.IsIndexComplete()) {
-    return Admit(request, Admission::kRecovered);
+  const bool complete =
+      MayDecide(request.now) && m_group.IsIndexComplete();
+  if (IsRecovering(request.now)) {
+    return complete ? Admit(request, Admission::kRecovered)
+                    : Reject(ErrorKind::kMaybeElsewhere);
+  }
+  const std::optional<PeerSlot> claimant =
+      m_group.FindShort(request.envelope.claimant);
+  if (claimant.has_value()) {
+    // Its backend server judges whether it has the flow.
+    Envelope envelope = request.envelope;
+    envelope.purpose = Purpose::kFollow;
+    return Forward(request, m_group.PeerAt(*claimant).facts.id, envelope);
   }
+  const bool somebody_may_know =
+      !complete || m_group.MayHaveUnreachableFlows(request.now);
   return Reject(somebody_may_know ? ErrorKind::kMaybeElsewhere
                                   : ErrorKind::kFlowUnknown);
 }
--- a/src/packet/envelope.cc
+++ b/src/packet/envelope.cc
@@ -14,7 +14,7 @@
 constexpr uint8_t kIpv4InGue = 4;
 constexpr uint8_t kVersionAndControlBits = 0xE0;
 constexpr uint8_t kLengthBits = 0x1F;
-constexpr size_t kFixedSize = 28;
+constexpr size_t kFixedSize = 32;
 constexpr size_t kTraceSize = 24;
 constexpr uint8_t kTraceFlag = 0x80;
 
@@ -122,6 +122,7 @@
   envelope.view.value = reader.Word();
   envelope.asker = reader.Word();
   envelope.leg = reader.Word();
+  envelope.claimant = reader.Word();
   if (traced) {
     envelope.trace.trace_high = reader.Long();
     envelope.trace.trace_low = reader.Long();
@@ -150,6 +151,7 @@
   writer.Word(envelope.view.value);
   writer.Word(envelope.asker);
   writer.Word(envelope.leg);
+  writer.Word(envelope.claimant);
   if (traced) {
     writer.Long(envelope.trace.trace_high);
     writer.Long(envelope.trace.trace_low);
--- a/src/packet/envelope_type.h
+++ b/src/packet/envelope_type.h
@@ -54,7 +54,7 @@
   bool IsSampled() const { return trace_low != 0; }
 };
 
-constexpr size_t kMaxVisited = 5;
+constexpr size_t kMaxVisited = 4;
 constexpr size_t kMaxPending = 13;
 
 /// Envelope between balancers and agents.
@@ -65,6 +65,8 @@
   uint64_t revision = 0;              ///< Target revision at the sender.
   ViewId view;                        ///< View of the deciding home.
   uint32_t asker = 0;                 ///< Short id of the deciding home.
+  /// Asked agent that lost its table and may have had the flow; 0 for none.
+  uint32_t claimant = 0;
   uint32_t leg = 0;                   ///< Part of a large group being asked.
   MemberList<kMaxVisited> visited;    ///< Agents that do not own the flow.
   MemberList<kMaxPending> pending;    ///< Agents still to be asked.
--- a/src/packet/packet_test.cc
+++ b/src/packet/packet_test.cc
@@ -100,6 +100,7 @@
   envelope.view.value = 5;
   envelope.asker = 6;
   envelope.leg = 2;
+  envelope.claimant = 8;
   envelope.trace = {1, 2, 3};
   for (uint32_t i = 0; i < kMaxVisited; ++i) {
     envelope.visited.Add(100 + i);
@@ -117,6 +118,7 @@
   CHECK(parsed->purpose == Purpose::kConsult);
   CHECK(parsed->revision == envelope.revision);
   CHECK(parsed->leg == 2);
+  CHECK(parsed->claimant == 8);
   CHECK(parsed->trace.span == 3);
   CHECK(parsed->visited.ids == envelope.visited.ids);
   CHECK(parsed->pending.ids == envelope.pending.ids);
