Fix: Homes that moved across a removal ask before they decide

Change: views before a removal are kept until the member may no longer return; offers carry the claimant; returned flows replace marks; a draining agent neither offers itself nor takes a SYN by a pointer.

--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -86,7 +86,7 @@
   const bool left = facts.state == AgentState::kGone;
   if (left && peer.facts.state != AgentState::kGone) {
     // News of a removal by others; a member that leaves says so by itself.
-    peer.reappear_deadline = now + m_timeouts.reappear;
+    NoteRemoval(now, &peer);
   }
   peer.facts = facts;
   peer.observer = observer;
@@ -142,7 +142,14 @@
   LearnMember(now, facts, heartbeat.observer());
   const std::optional<PeerSlot> slot = FindSlot(facts.id);
   if (slot.has_value() && facts.state == AgentState::kGone) {
+    // It says by itself that it leaves, so it will not come back.
     PeerAt(*slot).reappear_deadline = TimePoint();
+    m_removal_views.erase(
+        std::remove_if(m_removal_views.begin(), m_removal_views.end(),
+                       [&facts](const RemovalView& removal) {
+                         return removal.removed == facts.id;
+                       }),
+        m_removal_views.end());
   }
   if (!slot.has_value()) {
     return;
@@ -280,6 +287,45 @@
                      m_views_since_complete.end(), is_home);
 }
 
+bool Group::HasMovedAcrossRemoval(TimePoint now,
+                                  ClassId class_id,
+                                  FlowId flow) const {
+  for (const RemovalView& removal : m_removal_views) {
+    if (now >= removal.deadline) {
+      continue;
+    }
+    const auto was_elsewhere = [&](const ServiceView& view) {
+      const AgentFacts* before = HomeOf(view, class_id, flow);
+      if (before != nullptr && before->id == removal.removed) {
+        before = HomeWithout(view, class_id, flow, removal.removed);
+      }
+      return before == nullptr || before->id != m_self.id;
+    };
+    const bool moved = removal.before.empty() ||
+                       std::any_of(removal.before.begin(), removal.before.end(),
+                                   was_elsewhere);
+    if (moved) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Group::NoteRemoval(TimePoint now, Peer* peer) {
+  peer->reappear_deadline = now + m_timeouts.reappear;
+  if (peer->observer) {
+    return;
+  }
+  m_removal_views.erase(
+      std::remove_if(m_removal_views.begin(), m_removal_views.end(),
+                     [now](const RemovalView& removal) {
+                       return now >= removal.deadline;
+                     }),
+      m_removal_views.end());
+  m_removal_views.push_back(
+      {peer->facts.id, peer->reappear_deadline, m_views_since_complete});
+}
+
 bool Group::IsSynced(const Peer& peer) const {
   return peer.done_view == m_view_id;
 }
@@ -450,8 +496,8 @@
     const bool silent =
         peer.facts.state != AgentState::kGone && MayRemove(now, peer);
     if (silent) {
+      NoteRemoval(now, &peer);
       peer.facts.state = AgentState::kGone;
-      peer.reappear_deadline = now + m_timeouts.reappear;
       removed = true;
     }
   }
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -82,6 +82,13 @@
   /// Returns whether this member may decide about a flow without asking.
   bool IsCleanHome(ClassId class_id, FlowId flow) const;
 
+  /// Returns whether a member was removed for silence a short while ago and
+  /// this one was neither the flow's home before nor next in line for it: then
+  /// another member may remember the flow, though all are synchronised.
+  bool HasMovedAcrossRemoval(TimePoint now,
+                             ClassId class_id,
+                             FlowId flow) const;
+
   /// Returns whether a peer's registrations are complete for the own view.
   bool IsSynced(const Peer& peer) const;
 
@@ -118,6 +125,7 @@
  private:
   void RefuteRemoval(const AgentFacts& facts);
   void Rejoin(uint64_t incarnation);
+  void NoteRemoval(TimePoint now, Peer* peer);
   bool HasMajorityOfEchoes(TimePoint now) const;
   bool MayRemove(TimePoint now, const Peer& peer) const;
   void RebuildView();
@@ -139,6 +147,15 @@
   /// Views since the index was last complete, the complete one first; empty
   /// when it never was or since a fence.
   std::vector<ServiceView> m_views_since_complete;
+  /// Views just before removals for silence, until the members may no longer
+  /// come back.
+  struct RemovalView {
+    MemberId removed;    ///< The removed member.
+    TimePoint deadline;  ///< It may come back until then.
+    /// Views since the index was last complete; empty if it never was.
+    std::vector<ServiceView> before;
+  };
+  std::vector<RemovalView> m_removal_views;
   TimePoint m_rejoin_deadline;     ///< While fenced: next new incarnation.
   TimePoint m_heartbeat_deadline;  ///< Next heartbeat.
   std::vector<OutgoingGroupMessage> m_outgoing;  ///< To be sent.
--- a/src/locate/agent.cc
+++ b/src/locate/agent.cc
@@ -208,7 +208,9 @@
 }
 
 void Agent::TakeBackFlow(TimePoint now, const FlowEntry& returned) {
-  if (!IsRecovering(now) || m_flows.Find(returned.flow) != nullptr) {
+  const FlowEntry* known = m_flows.Find(returned.flow);
+  const bool replaceable = known == nullptr || known->state == FlowState::kMark;
+  if (!IsRecovering(now) || !replaceable) {
     return;
   }
   FlowEntry& entry = m_flows.Insert(returned.flow);
--- a/src/locate/agent.h
+++ b/src/locate/agent.h
@@ -108,7 +108,7 @@
   Verdict OnConsult(const Request& request);
   Verdict OnSearch(const Request& request);
   Envelope WithClaim(const Request& request) const;
-  Verdict HandOver(const Request& request, PeerSlot slot);
+  Verdict HandOver(const Request& request, PeerSlot slot, uint32_t claimant);
   Verdict Refuse(const Request& request);
   Verdict RouteToHome(const Request& request);
   Verdict DecideAsHome(const Request& request, const VersionSplit& split);
@@ -162,7 +162,7 @@
   uint32_t m_next_sync = 1;          ///< Number of the next synchronisation.
   TimePoint m_backup_window_end;     ///< End of the second being counted.
   uint32_t m_backups_in_window = 0;  ///< Registrations in that second.
-  bool m_recovered = false;         ///< Peers have returned the flows.
+  bool m_recovered = false;          ///< Peers have returned the flows.
   bool m_server_shedding = false;    ///< As the backend server says.
   bool m_draining = false;           ///< Takes no new flows.
   TimePoint m_drain_deadline;        ///< Drained at the latest then.
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -7,18 +7,18 @@
 
 Verdict Agent::Place(const Request& request, const VersionSplit& split) {
   const bool own_choice =
-      IsRecovering(request.now) && !m_draining &&
+      IsRecovering(request.now) && !m_draining && !request.envelope.vouched &&
       MayAdmit(m_group.View(), m_group.Self(), split, request.packet.flow);
   if (own_choice) {
     // The flow may have been admitted here before the restart.
     return Admit(request, Admission::kRecovered);
   }
   const std::optional<PeerSlot> claimant =
-      request.envelope.purpose == Purpose::kConsult
+      request.envelope.purpose == Purpose::kConsult || request.envelope.vouched
           ? m_group.FindShort(request.envelope.claimant)
           : std::nullopt;
   if (claimant.has_value()) {
-    return HandOver(request, *claimant);
+    return HandOver(request, *claimant, request.envelope.claimant);
   }
   const AdmissionInput input = MakeInput(request, split);
   const std::optional<size_t> choice = m_config.policy(input);
@@ -29,10 +29,12 @@
   if (chosen == m_group.Self().id) {
     return Admit(request, Admission::kHome);
   }
-  return HandOver(request, *m_group.FindSlot(chosen));
+  return HandOver(request, *m_group.FindSlot(chosen), 0);
 }
 
-Verdict Agent::HandOver(const Request& request, PeerSlot slot) {
+Verdict Agent::HandOver(const Request& request,
+                        PeerSlot slot,
+                        uint32_t claimant) {
   Peer& peer = m_group.PeerAt(slot);
   ++peer.handed_over;
   ++m_counters.handed_over;
@@ -47,6 +49,7 @@
   }
   Envelope envelope = request.envelope;
   envelope.purpose = Purpose::kHandover;
+  envelope.claimant = claimant;
   envelope.view = m_group.CurrentView();
   envelope.asker = ShortId(m_group.Self().id);
   envelope.pending = {};
--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -84,8 +84,8 @@
     const Request again{request.now, request.packet, request.envelope, true};
     return OnUnknown(again);
   }
-  const FlowDeadline idle = ToFlowDeadline(
-      request.now + IdleTimeout(request.packet.tuple.transport));
+  const FlowDeadline idle =
+      ToFlowDeadline(request.now + IdleTimeout(request.packet.tuple.transport));
   entry->expires = std::max(entry->expires, idle);
   Envelope envelope = request.envelope;
   // Only the deciding home may ask for an admission; anybody else just points.
@@ -94,6 +94,7 @@
       m_group.IsCleanHome(request.envelope.class_id, request.packet.flow);
   if (decides) {
     envelope.purpose = Purpose::kHandover;
+    envelope.claimant = 0;
     envelope.view = m_group.CurrentView();
     envelope.asker = ShortId(m_group.Self().id);
   } else {
@@ -111,6 +112,24 @@
   if (same_question) {
     return OnConsult(request);
   }
+  const bool claimed = request.envelope.purpose == Purpose::kHandover &&
+                       request.envelope.claimant == ShortId(m_group.Self().id);
+  if (claimed) {
+    return OnHandover(request);
+  }
+  const bool vouched =
+      request.envelope.purpose == Purpose::kFollow && IsRecovering(request.now);
+  if (vouched) {
+    // A peer remembers that the flow was here before the restart, but the
+    // asker decides: it serialises all copies of the packet.
+    Envelope envelope = request.envelope;
+    envelope.purpose = Purpose::kConsult;
+    envelope.asker = asker_short;
+    envelope.pending = {};
+    envelope.claimant = ShortId(m_group.Self().id);
+    envelope.vouched = true;
+    return Forward(request, asker_id, envelope);
+  }
   // A clean home serialises all decisions, so older marks are void.
   const bool clean =
       m_group.IsCleanHome(request.envelope.class_id, request.packet.flow);
@@ -158,7 +177,8 @@
       break;
   }
   // Somebody pointed here in vain.
-  if (IsRecovering(request.now)) {
+  const bool new_work = m_draining && request.packet.syn;
+  if (IsRecovering(request.now) && !new_work) {
     return Admit(request, Admission::kRecovered);
   }
   Envelope bounced = request.envelope;
@@ -176,7 +196,8 @@
     // A member that was paused may hold a handover that is long out of date.
     return Reject(ErrorKind::kFenced);
   }
-  if (IsRecovering(request.now)) {
+  const bool drains = m_draining && !request.envelope.vouched;
+  if (IsRecovering(request.now) && !drains) {
     // The flow may have been here before the restart, so it is never declined.
     return same_view ? Admit(request, Admission::kRecovered)
                      : Reject(ErrorKind::kMaybeElsewhere);
@@ -247,7 +268,7 @@
 
 Envelope Agent::WithClaim(const Request& request) const {
   Envelope envelope = request.envelope;
-  if (IsRecovering(request.now) && envelope.claimant == 0) {
+  if (IsRecovering(request.now) && !m_draining && envelope.claimant == 0) {
     // The asker decides: it serialises all copies of the packet.
     envelope.claimant = ShortId(m_group.Self().id);
   }
@@ -291,11 +312,13 @@
   const bool bounced = request.must_ask || request.envelope.visited.count > 0;
   const bool clean =
       m_group.IsCleanHome(request.envelope.class_id, request.packet.flow);
-  if (clean && !bounced) {
+  const bool moved = m_group.HasMovedAcrossRemoval(
+      request.now, request.envelope.class_id, request.packet.flow);
+  if (clean && !bounced && !moved) {
     return Place(request, split);
   }
   ++m_counters.consulted;
-  return Ask(request, Purpose::kConsult, !bounced, 0);
+  return Ask(request, Purpose::kConsult, !bounced && !moved, 0);
 }
 
 Verdict Agent::Ask(const Request& request,
@@ -308,7 +331,9 @@
   envelope.asker = ShortId(m_group.Self().id);
   envelope.view = m_group.CurrentView();
   envelope.leg = leg;
-  envelope.claimant = leg == 0 ? 0 : envelope.claimant;
+  if (leg == 0 && !envelope.vouched) {
+    envelope.claimant = 0;
+  }
   envelope.pending = RankedPending(request, skip_synced, leg);
   if (envelope.pending.count == 0) {
     const Request again{request.now, request.packet, envelope, false};
@@ -396,8 +421,7 @@
 
 Verdict Agent::ConcludeSearch(const Request& request) {
   // Until all peers have registered their flows, one of them may own it.
-  const bool complete =
-      MayDecide(request.now) && m_group.IsIndexComplete();
+  const bool complete = MayDecide(request.now) && m_group.IsIndexComplete();
   if (IsRecovering(request.now)) {
     return complete ? Admit(request, Admission::kRecovered)
                     : Reject(ErrorKind::kMaybeElsewhere);
--- a/src/packet/envelope.cc
+++ b/src/packet/envelope.cc
@@ -17,6 +17,7 @@
 constexpr size_t kFixedSize = 32;
 constexpr size_t kTraceSize = 24;
 constexpr uint8_t kTraceFlag = 0x80;
+constexpr uint8_t kVouchedFlag = 0x40;
 
 /// Appends values in network byte order.
 class Writer {
@@ -104,7 +105,9 @@
   envelope.visited.count = reader.Byte();
   envelope.pending.count = reader.Byte();
   const bool traced = (purpose & kTraceFlag) != 0;
-  const uint8_t bare_purpose = purpose & static_cast<uint8_t>(~kTraceFlag);
+  const uint8_t bare_purpose =
+      purpose & static_cast<uint8_t>(~(kTraceFlag | kVouchedFlag));
+  envelope.vouched = (purpose & kVouchedFlag) != 0;
   const size_t expected =
       kFixedSize + (traced ? kTraceSize : 0) +
       (static_cast<size_t>(envelope.visited.count) + envelope.pending.count) *
@@ -142,7 +145,8 @@
   Writer writer(out.data + kPlainGueSize);
   const bool traced = envelope.trace.IsSampled();
   writer.Byte(static_cast<uint8_t>(envelope.purpose) |
-              (traced ? kTraceFlag : 0));
+              (traced ? kTraceFlag : 0) |
+              (envelope.vouched ? kVouchedFlag : 0));
   writer.Byte(envelope.hops);
   writer.Byte(envelope.visited.count);
   writer.Byte(envelope.pending.count);
--- a/src/packet/packet_test.cc
+++ b/src/packet/packet_test.cc
@@ -101,6 +101,7 @@
   envelope.asker = 6;
   envelope.leg = 2;
   envelope.claimant = 8;
+  envelope.vouched = true;
   envelope.trace = {1, 2, 3};
   for (uint32_t i = 0; i < kMaxVisited; ++i) {
     envelope.visited.Add(100 + i);
@@ -119,6 +120,7 @@
   CHECK(parsed->revision == envelope.revision);
   CHECK(parsed->leg == 2);
   CHECK(parsed->claimant == 8);
+  CHECK(parsed->vouched);
   CHECK(parsed->trace.span == 3);
   CHECK(parsed->visited.ids == envelope.visited.ids);
   CHECK(parsed->pending.ids == envelope.pending.ids);
