Feature: Measurements of forwarding, gossip, groups, trials and spread

Cause: figures decide between ways, and the capacity page needs slopes. Change: medlargauge_bench with forwarding, soak, churn, imbalance, trial, gossip, detect and group; the packet path of both roles is one file that the daemon and the measurement share; heartbeats slow down with the size of a group.

--- /dev/null
+++ b/bench/bench_main.cc
@@ -0,0 +1,53 @@
+// @file bench_main.cc Entry of medlargauge_bench.
+#include <gflags/gflags.h>
+
+#include <functional>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "bench/bench.h"
+
+DEFINE_uint64(seed, 1, "seed of all randomness");
+DEFINE_uint32(seconds, 60, "soak: run so long");
+
+namespace medlargauge {
+
+std::vector<BenchDeployment> ExampleDeployments() {
+  return {{"tijolo",
+           {"recife", "olinda", "caruaru", "joao-pessoa"},
+           {{"stock", 7}, {"photos", 4}},
+           500,
+           3000},
+          {"sundarban",
+           {"kol-a", "kol-b", "kol-c"},
+           {{"booking", 7}, {"media", 3}},
+           1000,
+           1000}};
+}
+
+}  // namespace medlargauge
+
+int main(int argc, char** argv) {
+  using namespace medlargauge;
+  gflags::SetUsageMessage("medlargauge_bench NAME [--seed=N] [--seconds=S]");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::map<std::string,
+                 std::function<nlohmann::json(const BenchOptions&)>>
+      benches = {{"forwarding", RunForwarding}, {"soak", RunSoak},
+                 {"churn", RunChurn},           {"imbalance", RunImbalance},
+                 {"trial", RunTrial},           {"gossip", RunGossip},
+                 {"detect", RunDetect},         {"group", RunGroupCost}};
+  const auto bench = argc == 2 ? benches.find(argv[1]) : benches.end();
+  if (bench == benches.end()) {
+    std::cerr << "usage: medlargauge_bench NAME; one of:";
+    for (const auto& [name, run] : benches) {
+      std::cerr << " " << name;
+    }
+    std::cerr << "\n";
+    return 2;
+  }
+  const nlohmann::json result = bench->second({FLAGS_seed, FLAGS_seconds});
+  std::cout << result.dump() << std::endl;
+  return 0;
+}
--- /dev/null
+++ b/bench/group_cost.cc
@@ -0,0 +1,192 @@
+// @file group_cost.cc Control bytes and processor time of one agent in a
+// service group, over group size and rate of new flows.
+#include <ctime>
+
+#include <iomanip>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <pcg_random.hpp>
+#include <vector>
+
+#include "bench/bench.h"
+#include "src/admission/admission.h"
+#include "src/core/hash.h"
+#include "src/locate/agent.h"
+#include "src/packet/packet.h"
+
+namespace medlargauge {
+namespace {
+
+constexpr size_t kFrameBytes = 9 + 20 + 20 + 32;
+constexpr Duration kStep = Milliseconds(50);
+constexpr int kWarmUpSteps = 200;
+constexpr int kMeasuredSteps = 400;
+constexpr int kObservers = 3;
+
+double ThreadSeconds() {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_nsec) / 1e9;
+}
+
+/// One service group with its observers, in lock step.
+class CostGroup {
+ public:
+  CostGroup(size_t size, uint64_t seed) : m_random(seed) {
+    for (size_t i = 0; i < size; ++i) {
+      AgentConfig config;
+      config.service = ServiceIdOf("stock");
+      config.self.id = MemberIdOf("stock-" + std::to_string(i));
+      config.self.incarnation = 1;
+      config.policy = PlaceWithinBound;
+      config.limits.ramp = Duration(0);
+      m_agents.push_back(std::make_unique<Agent>(m_now, config));
+      VersionSplit split;
+      split.class_id = ClassIdOf("stock");
+      m_agents.back()->SetSplits(m_now, {split});
+    }
+    for (int i = 0; i < kObservers; ++i) {
+      AgentFacts facts;
+      facts.id = MemberIdOf("balancer-" + std::to_string(i));
+      facts.incarnation = 1;
+      facts.state = AgentState::kReady;
+      m_observers.push_back(std::make_unique<Group>(ServiceIdOf("stock"), facts,
+                                                    true, GroupTimeouts()));
+    }
+    for (const auto& one : m_agents) {
+      for (const auto& other : m_agents) {
+        one->LearnMember(m_now, other->ServiceGroup().Self(), false);
+      }
+      for (const auto& observer : m_observers) {
+        one->LearnMember(m_now, observer->Self(), true);
+        observer->LearnMember(m_now, one->ServiceGroup().Self(), false);
+      }
+    }
+  }
+
+  nlohmann::json Run(double flows_per_agent) {
+    for (int step = 0; step < kWarmUpSteps; ++step) {
+      Step(0);
+    }
+    m_agent_bytes = 0;
+    m_observer_bytes = 0;
+    const double start = ThreadSeconds();
+    for (int step = 0; step < kMeasuredSteps; ++step) {
+      Step(flows_per_agent * static_cast<double>(m_agents.size()) *
+           static_cast<double>(kStep.count()) / 1e9);
+    }
+    const double cpu = ThreadSeconds() - start;
+    const double seconds =
+        kMeasuredSteps * static_cast<double>(kStep.count()) / 1e9;
+    const auto agents = static_cast<double>(m_agents.size());
+    return {{"bytes_per_s_agent", m_agent_bytes / agents / seconds},
+            {"bytes_per_s_observer", m_observer_bytes / kObservers / seconds},
+            {"cpu_percent_agent", cpu / (agents + kObservers) / seconds * 100}};
+  }
+
+ private:
+  void Step(double flows) {
+    m_now += kStep;
+    std::vector<OutgoingGroupMessage> arriving;
+    arriving.swap(m_in_flight);
+    for (const OutgoingGroupMessage& message : arriving) {
+      Deliver(message);
+    }
+    for (m_due += flows; m_due >= 1; m_due -= 1) {
+      OpenFlow();
+    }
+    for (const auto& agent : m_agents) {
+      agent->OnTick(m_now);
+      for (OutgoingGroupMessage& message : agent->TakeOutgoing()) {
+        m_agent_bytes +=
+            static_cast<double>(message.message.ByteSizeLong() + kFrameBytes);
+        m_in_flight.push_back(std::move(message));
+      }
+    }
+    for (const auto& observer : m_observers) {
+      observer->Observe(m_now);
+      observer->OnTick(m_now, OwnLoad());
+      for (OutgoingGroupMessage& message : observer->TakeOutgoing()) {
+        m_observer_bytes +=
+            static_cast<double>(message.message.ByteSizeLong() + kFrameBytes);
+        m_in_flight.push_back(std::move(message));
+      }
+    }
+  }
+
+  void Deliver(const OutgoingGroupMessage& message) {
+    for (const auto& agent : m_agents) {
+      if (agent->ServiceGroup().Self().id == message.to) {
+        agent->OnMessage(m_now, message.message);
+        return;
+      }
+    }
+    for (const auto& observer : m_observers) {
+      if (observer->Self().id == message.to &&
+          message.message.has_heartbeat()) {
+        observer->Observe(m_now);
+        observer->OnHeartbeat(m_now, message.message);
+      }
+    }
+  }
+
+  void OpenFlow() {
+    PacketInfo packet;
+    packet.tuple.source = Ipv4Address(m_random());
+    packet.tuple.source_port = static_cast<uint16_t>(m_random());
+    packet.syn = true;
+    packet.flow = HashFlow(packet.tuple);
+    Envelope envelope;
+    envelope.class_id = ClassIdOf("stock");
+    Agent* agent =
+        m_agents[m_random(static_cast<uint32_t>(m_agents.size()))].get();
+    for (int hop = 0; hop < 8; ++hop) {
+      const Verdict verdict = agent->OnPacket(m_now, packet, envelope);
+      if (verdict.kind != VerdictKind::kForward) {
+        return;
+      }
+      envelope = verdict.envelope;
+      for (const auto& other : m_agents) {
+        if (other->ServiceGroup().Self().id == verdict.next) {
+          agent = other.get();
+        }
+      }
+    }
+  }
+
+  pcg32 m_random;                                   ///< All randomness.
+  TimePoint m_now{Seconds(100)};                    ///< Simulated time.
+  std::vector<std::unique_ptr<Agent>> m_agents;     ///< The group.
+  std::vector<std::unique_ptr<Group>> m_observers;  ///< Balancers.
+  std::vector<OutgoingGroupMessage> m_in_flight;    ///< Until next step.
+  double m_due = 0;                                 ///< Flows to open.
+  double m_agent_bytes = 0;                         ///< Sent by agents.
+  double m_observer_bytes = 0;                      ///< Sent by observers.
+};
+
+}  // namespace
+
+nlohmann::json RunGroupCost(const BenchOptions& options) {
+  nlohmann::json rows = nlohmann::json::array();
+  std::cout << "agents  flows/s  agent_bytes/s  observer_bytes/s  cpu%\n";
+  for (const size_t size : {4U, 7U, 14U, 28U}) {
+    for (const double flows : {0.0, 10.7, 100.0}) {
+      CostGroup group(size, options.seed);
+      nlohmann::json row = group.Run(flows);
+      row["agents"] = size;
+      row["new_flows_per_s"] = flows;
+      std::cout << std::setw(6) << size << std::fixed << std::setprecision(1)
+                << std::setw(9) << flows << std::setw(15)
+                << row["bytes_per_s_agent"].get<double>() << std::setw(18)
+                << row["bytes_per_s_observer"].get<double>()
+                << std::setprecision(4) << std::setw(9)
+                << row["cpu_percent_agent"].get<double>() << "\n";
+      rows.push_back(row);
+    }
+  }
+  return {{"rows", rows}};
+}
+
+}  // namespace medlargauge
--- a/scenario/world.cc
+++ b/scenario/world.cc
@@ -211,8 +211,11 @@
 }
 
 void World::FinishDrains(AgentHost* host) {
-  const bool done =
-      host->leave_when_drained && host->agent->IsDrained(m_events.Now());
+  // Baselines have no flow table at the agent, so they wait for the server.
+  const bool drained = m_options.path == PathKind::kHome
+                           ? host->agent->IsDrained(m_events.Now())
+                           : host->server.open == 0;
+  const bool done = host->leave_when_drained && drained;
   if (!done) {
     return;
   }
@@ -294,6 +297,10 @@
   }
 }
 
+void World::SetReportsNoLoad(std::string_view name, bool lies) {
+  FindAgent(name).reports_no_load = lies;
+}
+
 void World::SetTarget(const ClassTarget& target, Duration spread) {
   ClassTarget accepted = target;
   accepted.revision = m_next_revision++;
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -36,7 +36,8 @@
     std::vector<std::function<void()>> backlog;  ///< Arrived while paused.
     bool leave_when_drained = false;             ///< Stop after the drain.
     TimePoint drain_started;                     ///< For the check of new work.
-    uint64_t admitted_here = 0;                  ///< Connections ever accepted.
+    bool reports_no_load = false;  ///< Its reports to peers say 0.
+    uint64_t admitted_here = 0;    ///< Connections ever accepted.
   };
   /// A balancer.
   struct BalancerHost {
@@ -92,6 +93,9 @@
   /// Sets whether a backend server sheds load.
   void SetShedding(std::string_view name, bool shedding);
 
+  /// Makes an agent report no open flows to its peers, or the truth again.
+  void SetReportsNoLoad(std::string_view name, bool lies);
+
   /// Puts a target in force: every member learns it within `spread`.
   void SetTarget(const ClassTarget& target, Duration spread);
 
@@ -178,6 +182,7 @@
                        const PacketInfo& packet,
                        uint64_t instance,
                        const Envelope& envelope);
+  void NoteConnection(uint64_t instance, const AgentHost& host, bool open);
   void AcceptConnection(AgentHost* host,
                         const PacketInfo& packet,
                         uint64_t instance);
--- a/scenario/world_caller.cc
+++ b/scenario/world_caller.cc
@@ -230,6 +230,7 @@
     if (open) {
       connection->second.closed = true;
       --host->server.open;
+      NoteConnection(flow->instance, *host, false);
     }
   }
 }
--- a/scenario/world_network.cc
+++ b/scenario/world_network.cc
@@ -194,8 +194,13 @@
 
 void World::SendGroupMessages(MemberId from,
                               std::vector<OutgoingGroupMessage> messages) {
+  const AgentHost* sender = AgentById(from);
+  const bool lies = sender != nullptr && sender->reports_no_load;
   for (OutgoingGroupMessage& outgoing : messages) {
     const MemberId to = outgoing.to;
+    if (lies && outgoing.message.has_heartbeat()) {
+      outgoing.message.mutable_heartbeat()->set_open_flows(0);
+    }
     const bool lost = IsCut(from, to) || Chance(m_options.faults.control_loss);
     if (lost) {
       continue;
--- a/scenario/world_server.cc
+++ b/scenario/world_server.cc
@@ -53,6 +53,7 @@
     if (!known->second.closed) {
       known->second.closed = true;
       --host->server.open;
+      NoteConnection(known->second.instance - 1, *host, false);
     }
     AnswerCaller(instance, [this](CallerFlow* caller) { EndFlow(caller); });
     return;
@@ -60,6 +61,14 @@
   ExecuteRequest(host, packet, instance);
 }
 
+void World::NoteConnection(uint64_t instance,
+                           const AgentHost& host,
+                           bool open) {
+  if (m_options.on_connection) {
+    m_options.on_connection(instance, host.name, open);
+  }
+}
+
 void World::AcceptConnection(AgentHost* host,
                              const PacketInfo& packet,
                              uint64_t instance) {
@@ -69,6 +78,10 @@
   if (!repeated) {
     const bool was_open = connection.instance != 0 && !connection.closed;
     host->server.open += was_open ? 0 : 1;
+    if (was_open) {
+      NoteConnection(connection.instance - 1, *host, false);
+    }
+    NoteConnection(instance, *host, true);
     connection = FakeServer::Connection{packet.sequence, instance + 1, false};
     ++host->admitted_here;
     CallerFlow& flow = *m_flows[instance];
--- a/scenario/world_type.h
+++ b/scenario/world_type.h
@@ -41,6 +41,10 @@
                                        const Envelope& envelope,
                                        const Verdict& verdict)>;
 
+/// Called when a backend server opens or closes a connection.
+using ConnectionHook =
+    std::function<void(uint64_t instance, std::string_view server, bool open)>;
+
 /// Settings of a world.
 struct WorldOptions {
   uint64_t seed = 1;                        ///< Of all randomness.
@@ -52,6 +56,7 @@
   GroupTimeouts timeouts;                   ///< Of every member.
   AdmissionPolicy policy;                   ///< Of every agent.
   VerdictHook on_verdict;                   ///< May be empty.
+  ConnectionHook on_connection;             ///< May be empty.
   FaultyRules faulty;                       ///< Test only.
 };
 
--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -95,6 +95,17 @@
   return chosen.has_value() ? chosen : LeastLoaded(input);
 }
 
+bool IsBelowBound(const AdmissionInput& input) {
+  if (!input.self.has_value()) {
+    return true;
+  }
+  const AdmissionCandidate& self = input.candidates[*input.self];
+  const double share = static_cast<double>(input.evenness) / kWholeShare;
+  const double bound =
+      TargetMean(input.candidates) * self.ramp * (1 + 2 * share) + 1;
+  return self.open_flows < bound;
+}
+
 std::optional<size_t> PlaceAtHome(const AdmissionInput& input) {
   const bool keeps =
       input.self.has_value() && HasRoom(input.candidates[*input.self]);
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -12,6 +12,10 @@
 /// Thread-safe.
 std::optional<size_t> PlaceWithinBound(const AdmissionInput& input);
 
+/// Returns whether the deciding agent's own count is within twice the allowed
+/// excess over the mean. Precondition: `self` is set. Thread-safe.
+bool IsBelowBound(const AdmissionInput& input);
+
 /// The home keeps every flow until it is full. Thread-safe.
 std::optional<size_t> PlaceAtHome(const AdmissionInput& input);
 
--- a/src/daemon/agent_process.cc
+++ b/src/daemon/agent_process.cc
@@ -14,6 +14,7 @@
 #include "src/daemon/address.h"
 #include "src/daemon/handover_codec.h"
 #include "src/daemon/load_probe.h"
+#include "src/daemon/packet_path.h"
 #include "src/daemon/process.h"
 #include "src/locate/agent.h"
 #include "src/packet/packet.h"
@@ -45,6 +46,18 @@
       m_answers = ToSocketAddress(*answers);
     }
     m_process.Control().SetHooks(MakeHooks());
+    m_path.io = &m_io;
+    m_path.backend = m_backend;
+    m_path.address = [this](MemberId id) {
+      return m_process.Control().DataAddress(id);
+    };
+    m_path.trace = [this](const Envelope& envelope, Verdict* verdict) {
+      Trace(envelope, verdict);
+    };
+    m_path.reject = [this](const PacketInfo& packet, ByteView raw,
+                           ErrorKind error) {
+      AnswerCaller(packet, raw, error);
+    };
   }
 
   bool Start(Error* reason) {
@@ -224,39 +237,9 @@
     if (m_agent == nullptr) {
       return;
     }
-    Error reason;
-    const std::optional<GueDatagram> gue = ParseGue(datagram, &reason);
-    const std::optional<Envelope> envelope =
-        gue.has_value() ? ParseEnvelope(gue->private_data, &reason)
-                        : std::nullopt;
-    const std::optional<PacketInfo> packet =
-        envelope.has_value() ? ParsePacket(gue->packet, &reason) : std::nullopt;
-    if (!packet.has_value()) {
-      ++m_malformed[static_cast<size_t>(reason.kind)];
-      return;
-    }
-    Verdict verdict = m_agent->OnPacket(m_batch_time, *packet, *envelope);
-    Trace(*envelope, &verdict);
-    std::array<uint8_t, kMaxGueSize> header;
-    const ByteSpan out{header.data(), header.size()};
-    switch (verdict.kind) {
-      case VerdictKind::kDeliver: {
-        const size_t size = WritePlainGue(out);
-        m_io.Queue(m_backend, ByteView(header.data(), size), gue->packet);
-        return;
-      }
-      case VerdictKind::kForward: {
-        const sockaddr_in* next = m_process.Control().DataAddress(verdict.next);
-        if (next != nullptr) {
-          const size_t size = WriteEnvelope(verdict.envelope, out);
-          m_io.Queue(*next, ByteView(header.data(), size), gue->packet);
-        }
-        return;
-      }
-      case VerdictKind::kReject:
-        AnswerCaller(*packet, gue->packet, verdict.error);
-        return;
-    }
+    m_path.agent = m_agent.get();
+    const ErrorKind kind = PassThroughAgent(m_path, m_batch_time, datagram);
+    m_malformed[static_cast<size_t>(kind)] += kind == ErrorKind::kNone ? 0 : 1;
   }
 
   void AnswerCaller(const PacketInfo& packet, ByteView raw, ErrorKind error) {
@@ -437,6 +420,7 @@
   sockaddr_in m_answers{};         ///< Where they go.
   std::unique_ptr<Agent> m_agent;  ///< Decisions, under the node's mutex.
   PacketIo m_io;                   ///< Data socket, used by the packet thread.
+  AgentPath m_path;                ///< Ties the parts above together.
   TimePoint m_batch_time;          ///< Time of the current batch.
   uint64_t m_received = 0;         ///< Datagrams.
   std::array<uint64_t, kErrorKindCount> m_malformed{};  ///< By error kind.
--- a/src/daemon/balancer_process.cc
+++ b/src/daemon/balancer_process.cc
@@ -6,8 +6,8 @@
 #include "src/core/error.h"
 #include "src/core/event_log.h"
 #include "src/core/hash.h"
+#include "src/daemon/packet_path.h"
 #include "src/daemon/process.h"
-#include "src/packet/packet.h"
 #include "src/routing/balancer.h"
 
 namespace medlargauge {
@@ -30,6 +30,14 @@
         m_facts(ReadyFacts()),
         m_balancer(m_facts, TimeoutsOf(settings)) {
     m_process.Control().SetHooks(MakeHooks());
+    m_path.balancer = &m_balancer;
+    m_path.io = &m_io;
+    m_path.address = [this](MemberId id) {
+      return m_process.Control().DataAddress(id);
+    };
+    m_path.trace = [this](const PacketInfo& packet, RouteVerdict* verdict) {
+      Trace(packet, verdict);
+    };
   }
 
   bool Start(Error* reason) {
@@ -151,7 +159,9 @@
             if (!lock.owns_lock()) {
               lock.lock();
             }
-            OnDatagram(datagram);
+            const ErrorKind kind = PassThroughBalancer(m_path, datagram);
+            m_malformed[static_cast<size_t>(kind)] +=
+                kind == ErrorKind::kNone ? 0 : 1;
           });
       if (lock.owns_lock()) {
         lock.unlock();
@@ -168,30 +178,6 @@
     }
   }
 
-  void OnDatagram(ByteView datagram) {
-    Error reason;
-    const std::optional<GueDatagram> gue = ParseGue(datagram, &reason);
-    if (!gue.has_value()) {
-      ++m_malformed[static_cast<size_t>(reason.kind)];
-      return;
-    }
-    const std::optional<PacketInfo> packet = ParsePacket(gue->packet, &reason);
-    if (!packet.has_value()) {
-      ++m_malformed[static_cast<size_t>(reason.kind)];
-      return;
-    }
-    RouteVerdict verdict = m_balancer.OnPacket(*packet);
-    const sockaddr_in* next = m_process.Control().DataAddress(verdict.next);
-    if (next == nullptr) {
-      return;
-    }
-    Trace(*packet, &verdict);
-    std::array<uint8_t, kMaxGueSize> header;
-    const size_t size =
-        WriteEnvelope(verdict.envelope, {header.data(), header.size()});
-    m_io.Queue(*next, ByteView(header.data(), size), gue->packet);
-  }
-
   void Trace(const PacketInfo& packet, RouteVerdict* verdict) {
     const auto one_in = static_cast<uint64_t>(m_process.Config().trace_one_in);
     if (one_in == 0 || packet.flow.low % one_in != 0) {
@@ -234,6 +220,7 @@
   AgentFacts m_facts;       ///< Own facts.
   Balancer m_balancer;      ///< Decisions, under the node's mutex.
   PacketIo m_io;            ///< Data socket, used by the packet thread.
+  BalancerPath m_path;      ///< Ties the parts above together.
   uint64_t m_received = 0;  ///< Datagrams.
   std::array<uint64_t, kErrorKindCount> m_malformed{};  ///< By error kind.
   std::atomic<TimePoint> m_last_packet{TimePoint()};    ///< For the stop.
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -7,6 +7,7 @@
 #include "src/core/event_log.h"
 #include "src/core/hash.h"
 #include "src/daemon/address.h"
+#include "src/target/reader_choice.h"
 #include "src/target/target_codec.h"
 
 namespace medlargauge {
@@ -17,7 +18,6 @@
 constexpr Duration kSeedInterval = Milliseconds(300);
 constexpr Duration kLonelyWait = Seconds(10);
 constexpr unsigned kStateBits = 3;
-constexpr uint64_t kReaderSeed = 0x52454144;
 
 /// A member's version: by incarnation, then by state.
 uint64_t MemberVersion(uint64_t incarnation, AgentState state) {
@@ -84,25 +84,21 @@
 
 bool Node::IsStoreReader() {
   const std::lock_guard<std::mutex> lock(m_mutex);
-  std::vector<std::pair<uint64_t, MemberId>> ranked;
-  bool any_balancer = false;
-  for (const auto& [id, member] : m_members) {
-    any_balancer = any_balancer || (IsBalancer(member) &&
-                                    member.facts.state != AgentState::kGone);
-  }
+  std::vector<MemberId> balancers;
+  std::vector<MemberId> alive;
   for (const auto& [id, member] : m_members) {
-    const bool candidate = member.facts.state != AgentState::kGone &&
-                           (IsBalancer(member) || !any_balancer);
-    if (candidate) {
-      ranked.emplace_back(MixHash(id.value, kReaderSeed), id);
+    if (member.facts.state == AgentState::kGone) {
+      continue;
+    }
+    alive.push_back(id);
+    if (IsBalancer(member)) {
+      balancers.push_back(id);
     }
   }
-  std::sort(ranked.begin(), ranked.end());
-  const size_t readers = std::min<size_t>(
-      ranked.size(), static_cast<size_t>(m_settings.store_readers));
-  return std::any_of(
-      ranked.begin(), ranked.begin() + readers,
-      [this](const auto& entry) { return entry.second == m_self; });
+  const std::vector<MemberId> readers =
+      ChooseReaders(balancers.empty() ? alive : balancers,
+                    static_cast<size_t>(m_settings.store_readers));
+  return std::find(readers.begin(), readers.end(), m_self) != readers.end();
 }
 
 const sockaddr_in* Node::DataAddress(MemberId id) const {
--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -11,6 +11,8 @@
 
 /// Beyond this many views the home asks until the index is complete again.
 constexpr size_t kMaxRememberedViews = 8;
+/// Groups with more peers send heartbeats less often.
+constexpr int64_t kPeersAtFullRate = 8;
 /// Ramps travel in thousandths.
 constexpr double kWholeRamp = 1000.0;
 /// A member that was never heard is removed after this many removal timeouts,
@@ -240,10 +242,23 @@
   NoteCompleteness();
   if (now >= m_heartbeat_deadline) {
     SendHeartbeats(now, load);
-    m_heartbeat_deadline = now + m_timeouts.heartbeat;
+    m_heartbeat_deadline = now + HeartbeatInterval();
   }
 }
 
+Duration Group::HeartbeatInterval() const {
+  const auto peers = static_cast<int64_t>(
+      std::count_if(m_peers.begin(), m_peers.end(), [](const Peer& peer) {
+        return peer.facts.state != AgentState::kGone;
+      }));
+  // Larger groups beat more slowly, which bounds the bytes of each member, but
+  // never so slowly that a few lost heartbeats look like a dead member.
+  const Duration stretched =
+      m_timeouts.heartbeat * std::max(peers, kPeersAtFullRate) /
+      kPeersAtFullRate;
+  return std::clamp(stretched, m_timeouts.heartbeat, m_timeouts.removal / 4);
+}
+
 void Group::FinishListening() {
   m_listened = true;
 }
@@ -410,7 +425,7 @@
     }
     ++others;
     const bool recent = witness.removal_deadline - m_timeouts.removal +
-                            m_timeouts.heartbeat * 2 >=
+                            HeartbeatInterval() * 2 >=
                         now;
     const bool agrees =
         recent && std::find(witness.silent.begin(), witness.silent.end(),
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -125,6 +125,7 @@
  private:
   void RefuteRemoval(const AgentFacts& facts);
   void Rejoin(uint64_t incarnation);
+  Duration HeartbeatInterval() const;
   void NoteRemoval(TimePoint now, Peer* peer);
   bool HasMajorityOfEchoes(TimePoint now) const;
   bool MayRemove(TimePoint now, const Peer& peer) const;
--- a/src/locate/agent.h
+++ b/src/locate/agent.h
@@ -93,6 +93,8 @@
   const FlowTable& Flows() const { return m_flows; }
   /// Returns the counters.
   const AgentCounters& Counters() const { return m_counters; }
+  /// Returns the part of the mean that the server may carry by now.
+  double Ramp(TimePoint now) const { return OwnRamp(now); }
   /// Returns the number of owned flows that are not closing.
   uint32_t OpenFlows() const { return m_open_flows; }
 
@@ -128,6 +130,8 @@
   MemberList<kMaxPending> RankedPending(const Request& request,
                                         bool skip_synced,
                                         uint32_t leg) const;
+  bool IsWithinOwnBound(const Request& request,
+                        const VersionSplit& split) const;
   AdmissionInput MakeInput(const Request& request,
                            const VersionSplit& split) const;
   void LeaveMark(const Request& request, PeerSlot asker);
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -1,4 +1,5 @@
 // @file agent_admit.cc Placing and admitting new flows.
+#include "src/admission/admission.h"
 #include "src/locate/agent.h"
 #include "src/locate/agent_internal.h"
 #include "src/routing/routing.h"
@@ -50,6 +51,7 @@
   Envelope envelope = request.envelope;
   envelope.purpose = Purpose::kHandover;
   envelope.claimant = claimant;
+  envelope.fresh = true;
   envelope.view = m_group.CurrentView();
   envelope.asker = ShortId(m_group.Self().id);
   envelope.pending = {};
@@ -69,6 +71,16 @@
   return Reject(ErrorKind::kOverloaded);
 }
 
+bool Agent::IsWithinOwnBound(const Request& request,
+                             const VersionSplit& split) const {
+  // Only the own count is exact, so it has the last word over what the home
+  // believes. One who declined already must not be asked in vain.
+  if (request.envelope.visited.count >= kMaxVisited - 1) {
+    return true;
+  }
+  return IsBelowBound(MakeInput(request, split));
+}
+
 AdmissionInput Agent::MakeInput(const Request& request,
                                 const VersionSplit& split) const {
   AdmissionInput input;
--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -81,7 +81,8 @@
   }
   if (bounced || gone) {
     m_flows.Erase(request.packet.flow);
-    const Request again{request.now, request.packet, request.envelope, true};
+    const Request again{request.now, request.packet, request.envelope,
+                        !request.envelope.fresh};
     return OnUnknown(again);
   }
   const FlowDeadline idle =
@@ -95,6 +96,7 @@
   if (decides) {
     envelope.purpose = Purpose::kHandover;
     envelope.claimant = 0;
+    envelope.fresh = false;
     envelope.view = m_group.CurrentView();
     envelope.asker = ShortId(m_group.Self().id);
   } else {
@@ -207,7 +209,9 @@
       (m_config.faulty.admit_while_draining ||
        MayAdmit(view, m_group.Self(), *split, request.packet.flow));
   const bool room = m_open_flows < m_config.limits.capacity;
-  if (same_view && may_admit && room && request.packet.MayOpen()) {
+  const bool even = !request.envelope.fresh || split == nullptr ||
+                    IsWithinOwnBound(request, *split);
+  if (same_view && may_admit && room && even && request.packet.MayOpen()) {
     return Admit(request, Admission::kHandover);
   }
   const std::optional<PeerSlot> asker =
@@ -217,6 +221,7 @@
   }
   Envelope bounced = request.envelope;
   bounced.purpose = Purpose::kRoute;
+  bounced.fresh = request.envelope.fresh && same_view;
   bounced.visited.Add(ShortId(m_group.Self().id));
   const Request again{request.now, request.packet, bounced, true};
   if (asker.has_value()) {
@@ -309,7 +314,10 @@
   if (m_config.faulty.skip_consult) {
     return Place(request, split);
   }
-  const bool bounced = request.must_ask || request.envelope.visited.count > 0;
+  // A decline of what was placed a moment ago tells nothing about others.
+  const bool bounced =
+      request.must_ask ||
+      (request.envelope.visited.count > 0 && !request.envelope.fresh);
   const bool clean =
       m_group.IsCleanHome(request.envelope.class_id, request.packet.flow);
   const bool moved = m_group.HasMovedAcrossRemoval(
--- a/src/packet/envelope.cc
+++ b/src/packet/envelope.cc
@@ -18,6 +18,8 @@
 constexpr size_t kTraceSize = 24;
 constexpr uint8_t kTraceFlag = 0x80;
 constexpr uint8_t kVouchedFlag = 0x40;
+constexpr uint8_t kFreshFlag = 0x20;
+constexpr uint8_t kPurposeBits = 0x1F;
 
 /// Appends values in network byte order.
 class Writer {
@@ -105,8 +107,8 @@
   envelope.visited.count = reader.Byte();
   envelope.pending.count = reader.Byte();
   const bool traced = (purpose & kTraceFlag) != 0;
-  const uint8_t bare_purpose =
-      purpose & static_cast<uint8_t>(~(kTraceFlag | kVouchedFlag));
+  const uint8_t bare_purpose = purpose & kPurposeBits;
+  envelope.fresh = (purpose & kFreshFlag) != 0;
   envelope.vouched = (purpose & kVouchedFlag) != 0;
   const size_t expected =
       kFixedSize + (traced ? kTraceSize : 0) +
@@ -146,7 +148,8 @@
   const bool traced = envelope.trace.IsSampled();
   writer.Byte(static_cast<uint8_t>(envelope.purpose) |
               (traced ? kTraceFlag : 0) |
-              (envelope.vouched ? kVouchedFlag : 0));
+              (envelope.vouched ? kVouchedFlag : 0) |
+              (envelope.fresh ? kFreshFlag : 0));
   writer.Byte(envelope.hops);
   writer.Byte(envelope.visited.count);
   writer.Byte(envelope.pending.count);
--- a/src/packet/envelope_type.h
+++ b/src/packet/envelope_type.h
@@ -67,6 +67,7 @@
   uint32_t asker = 0;                 ///< Short id of the deciding home.
   /// Asked agent that lost its table and may have had the flow; 0 for none.
   uint32_t claimant = 0;
+  bool fresh = false;    ///< The home has just placed the flow.
   bool vouched = false;  ///< A peer remembers the flow at the claimant.
   uint32_t leg = 0;      ///< Part of a large group being asked.
   MemberList<kMaxVisited> visited;  ///< Agents that do not own the flow.
