--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -492,8 +492,10 @@
     heartbeat->set_recovering(load.recovering);
     heartbeat->set_observer(m_observer);
     for (const Peer& other : m_peers) {
-      const bool silent = other.facts.state != AgentState::kGone &&
-                          now > other.removal_deadline;
+      // Removed ones stay listed, so that everybody gathers the same votes.
+      const bool silent = other.facts.state == AgentState::kGone
+                              ? now < other.reappear_deadline
+                              : now > other.removal_deadline;
       if (silent) {
         heartbeat->add_silent(other.facts.id.value);
       }
