--- a/scenario/script.cc
+++ b/scenario/script.cc
@@ -186,8 +186,8 @@
     plan.class_name = Field("class", "");
     plan.lifetime = ToDuration(Field("lifetime", 10.0));
     plan.pause = ToDuration(Field("pause", 1.0));
-    plan.transport = Field("transport", "tcp") == "udp" ? Transport::kUdp
-                                                        : Transport::kTcp;
+    plan.transport =
+        Field("transport", "tcp") == "udp" ? Transport::kUdp : Transport::kTcp;
     NextFlow(plan, ToDuration(1.0 / Field("rate", 10.0)), m_traffic_epoch);
   }
 
@@ -266,9 +266,9 @@
     double sum = 0;
     double count = 0;
     for (const auto& host : Fakes().Agents()) {
-      const bool ready = host->service == service && host->agent != nullptr &&
-                         host->agent->ServiceGroup().Self().state ==
-                             AgentState::kReady;
+      const bool ready =
+          host->service == service && host->agent != nullptr &&
+          host->agent->ServiceGroup().Self().state == AgentState::kReady;
       if (ready) {
         largest = std::max<double>(largest, host->server.open);
         sum += host->server.open;
@@ -278,7 +278,8 @@
     return sum > 0 ? largest * count / sum : 1;
   }
 
-  void Expect(const std::string& what, const std::string& relation,
+  void Expect(const std::string& what,
+              const std::string& relation,
               double wanted) {
     const double value = Measure(what);
     const std::map<std::string, bool> relations = {{"==", value == wanted},
@@ -301,9 +302,9 @@
   WorldOptions m_options;                ///< Before the world starts.
   std::unique_ptr<World> m_world;        ///< Null until first needed.
   std::map<std::string, uint32_t> m_addresses;  ///< By class.
-  int m_traffic_epoch = 0;               ///< Traffic of others has stopped.
-  WorldCounts m_marked;                  ///< Expectations count from here.
-  std::ostringstream m_output;           ///< Lines so far.
+  int m_traffic_epoch = 0;      ///< Traffic of others has stopped.
+  WorldCounts m_marked;         ///< Expectations count from here.
+  std::ostringstream m_output;  ///< Lines so far.
 };
 
 }  // namespace
--- a/scenario/world.h
+++ b/scenario/world.h
@@ -35,7 +35,7 @@
     TimePoint paused_until;        ///< Processes nothing before this.
     std::vector<std::function<void()>> backlog;  ///< Arrived while paused.
     bool leave_when_drained = false;             ///< Stop after the drain.
-    TimePoint drain_deadline;         ///< Stops then at the latest.
+    TimePoint drain_deadline;                    ///< Stops then at the latest.
     TimePoint drain_started;                     ///< For the check of new work.
     bool reports_no_load = false;  ///< Its reports to peers say 0.
     uint64_t admitted_here = 0;    ///< Connections ever accepted.
--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -247,15 +247,14 @@
 }
 
 Duration Group::HeartbeatInterval() const {
-  const auto peers = static_cast<int64_t>(
-      std::count_if(m_peers.begin(), m_peers.end(), [](const Peer& peer) {
-        return peer.facts.state != AgentState::kGone;
-      }));
+  const auto peers = static_cast<int64_t>(std::count_if(
+      m_peers.begin(), m_peers.end(),
+      [](const Peer& peer) { return peer.facts.state != AgentState::kGone; }));
   // Larger groups beat more slowly, which bounds the bytes of each member, but
   // never so slowly that a few lost heartbeats look like a dead member.
-  const Duration stretched =
-      m_timeouts.heartbeat * std::max(peers, kPeersAtFullRate) /
-      kPeersAtFullRate;
+  const Duration stretched = m_timeouts.heartbeat *
+                             std::max(peers, kPeersAtFullRate) /
+                             kPeersAtFullRate;
   return std::clamp(stretched, m_timeouts.heartbeat, m_timeouts.removal / 4);
 }
 
--- a/src/locate/agent.cc
+++ b/src/locate/agent.cc
@@ -13,6 +13,9 @@
 constexpr int kRegistrationBatch = 256;
 /// Slots examined for expiry on each tick.
 constexpr size_t kSweepBudget = 4096;
+/// Ended flows are told to their pointers in batches, so that what peers return
+/// after a restart is not full of them.
+constexpr Duration kEndedInterval = Seconds(5);
 /// A starting server carries at least this part of the mean.
 constexpr double kMinRamp = 0.1;
 
@@ -51,6 +54,9 @@
       m_group.OnDone(MemberId{message.from()}, message.done(),
                      IsRecovering(now));
       break;
+    case proto::GroupMessage::kEnded:
+      OnEnded(message);
+      break;
     case proto::GroupMessage::BODY_NOT_SET:
       break;
   }
@@ -72,7 +78,11 @@
 void Agent::OnTick(TimePoint now) {
   m_group.Observe(now);
   m_flows.Sweep(ToFlowDeadline(now), kSweepBudget,
-                [this](const FlowEntry& e) { ForgetOwned(e); });
+                [this](const FlowEntry& entry) {
+                  ForgetOwned(entry);
+                  NoteEnded(entry);
+                });
+  SendEnded(now);
   if (now >= m_join_deadline) {
     m_group.FinishListening();
   }
@@ -216,7 +226,7 @@
   FlowEntry& entry = m_flows.Insert(returned.flow);
   entry = returned;
   entry.owner = PeerSlot();
-  entry.state = FlowState::kOwned;
+  entry.state = FlowState::kReturned;
   entry.expires = ToFlowDeadline(now + IdleTimeout(entry.transport));
   CountOwned(entry);
   ++m_counters.flows_taken_back;
@@ -310,6 +320,70 @@
   }
 }
 
+void Agent::NoteEnded(const FlowEntry& entry) {
+  if (!entry.IsOwned()) {
+    return;
+  }
+  const AgentFacts* home = HomeOf(m_group.View(), entry.class_id, entry.flow);
+  if (home != nullptr && home->id != m_group.Self().id) {
+    m_ended[home->id].push_back(entry);
+  }
+  const std::optional<MemberId> backup = BackupOf(entry);
+  if (backup.has_value()) {
+    m_ended[*backup].push_back(entry);
+  }
+}
+
+void Agent::SendEnded(TimePoint now) {
+  if (now < m_ended_deadline) {
+    return;
+  }
+  m_ended_deadline = now + kEndedInterval;
+  for (const auto& [peer, ended] : m_ended) {
+    proto::GroupMessage message = m_group.NewMessage();
+    for (const FlowEntry& entry : ended) {
+      const FlowEntry* present = m_flows.Find(entry.flow);
+      if (present != nullptr && present->IsOwned()) {
+        continue;  // The caller has opened it again.
+      }
+      message.mutable_ended()->add_flow_high(entry.flow.high);
+      message.mutable_ended()->add_flow_low(entry.flow.low);
+      message.mutable_ended()->add_initial_sequence(entry.initial_sequence);
+    }
+    m_outgoing.push_back({peer, std::move(message)});
+  }
+  m_ended.clear();
+}
+
+void Agent::OnEnded(const proto::GroupMessage& message) {
+  const proto::Ended& ended = message.ended();
+  const std::optional<PeerSlot> slot =
+      m_group.FindSlot(MemberId{message.from()});
+  const int count = ended.flow_low_size();
+  const bool valid = slot.has_value() && ended.flow_high_size() == count &&
+                     ended.initial_sequence_size() == count;
+  if (!valid) {
+    return;
+  }
+  for (int i = 0; i < count; ++i) {
+    const FlowId flow{ended.flow_high(i), ended.flow_low(i)};
+    const FlowEntry* entry = m_flows.Find(flow);
+    const bool points = entry != nullptr && entry->owner == *slot &&
+                        entry->state == FlowState::kPointer &&
+                        entry->initial_sequence == ended.initial_sequence(i);
+    if (!points) {
+      continue;
+    }
+    const AgentFacts* home = HomeOf(m_group.View(), entry->class_id, flow);
+    const bool decides = home != nullptr && home->id == m_group.Self().id;
+    // The home may just have sent another datagram there, and UDP has no
+    // sequence number to tell; its pointer expires by itself.
+    if (!decides || entry->transport == Transport::kTcp) {
+      m_flows.Erase(flow);
+    }
+  }
+}
+
 void Agent::CountOwned(const FlowEntry& entry) {
   m_owned_flows += entry.IsOwned() ? 1 : 0;
   m_open_flows += entry.state == FlowState::kOwned ? 1 : 0;
--- a/src/locate/agent.h
+++ b/src/locate/agent.h
@@ -5,6 +5,7 @@
 #ifndef MEDLARGAUGE_LOCATE_AGENT_H_
 #define MEDLARGAUGE_LOCATE_AGENT_H_
 
+#include <map>
 #include <vector>
 
 #include "src/flow/flow_table.h"
@@ -154,6 +155,9 @@
   void SynchroniseDuePeers(TimePoint now);
   void Synchronise(MemberId peer);
   void BecomeReadyIfSynced(TimePoint now);
+  void NoteEnded(const FlowEntry& entry);
+  void SendEnded(TimePoint now);
+  void OnEnded(const proto::GroupMessage& message);
   void CountOwned(const FlowEntry& entry);
   void ForgetOwned(const FlowEntry& entry);
 
@@ -173,7 +177,9 @@
   TimePoint m_join_deadline;         ///< Ready at the earliest then.
   TimePoint m_ramp_start;            ///< When new flows were first taken.
   TimePoint m_recovery_deadline;     ///< Claims unknown flows until then.
-  std::vector<OutgoingGroupMessage> m_outgoing;  ///< To be sent.
+  std::map<MemberId, std::vector<FlowEntry>> m_ended;  ///< To be told.
+  TimePoint m_ended_deadline;                          ///< When to tell.
+  std::vector<OutgoingGroupMessage> m_outgoing;        ///< To be sent.
 };
 
 }  // namespace medlargauge
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -142,6 +142,11 @@
                          const PacketInfo& packet,
                          FlowEntry* entry) {
   const AgentLimits& limits = m_config.limits;
+  if (entry->state == FlowState::kReturned) {
+    ForgetOwned(*entry);
+    entry->state = FlowState::kOwned;
+    CountOwned(*entry);
+  }
   if (packet.tuple.transport == Transport::kUdp) {
     entry->expires = ToFlowDeadline(now + limits.udp_idle);
     return;
--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -40,6 +40,7 @@
   switch (entry->state) {
     case FlowState::kOwned:
     case FlowState::kClosing:
+    case FlowState::kReturned:
       return OnKnown(request, entry);
     case FlowState::kPointer:
       return OnPointer(request, entry);
@@ -55,6 +56,7 @@
   const bool new_work = IsNewConnection(request.packet, *entry);
   if (new_work && m_draining) {
     ForgetOwned(*entry);
+    NoteEnded(*entry);
     m_flows.Erase(request.packet.flow);
     Envelope bounced = request.envelope;
     bounced.visited.Add(ShortId(m_group.Self().id));
