--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -77,6 +77,10 @@
   const MemberId owner_id = owner.facts.id;
   const bool bounced = request.envelope.visited.Contains(ShortId(owner_id));
   const bool gone = owner.facts.state == AgentState::kGone;
+  // The caller that repeats its packet must find the same answer for as long.
+  const FlowDeadline idle =
+      ToFlowDeadline(request.now + IdleTimeout(request.packet.tuple.transport));
+  entry->expires = std::max(entry->expires, idle);
   if (gone && request.now < owner.reappear_deadline) {
     // Its server may have run the flow's work already and may come back.
     return Reject(ErrorKind::kMaybeElsewhere);
@@ -87,9 +91,6 @@
                         !request.envelope.fresh};
     return OnUnknown(again);
   }
-  const FlowDeadline idle =
-      ToFlowDeadline(request.now + IdleTimeout(request.packet.tuple.transport));
-  entry->expires = std::max(entry->expires, idle);
   Envelope envelope = request.envelope;
   // Only the deciding home may ask for an admission; anybody else just points.
   const bool decides =
