--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -176,6 +176,12 @@
     peer.fence_deadline =
         std::max(peer.fence_deadline, sent + m_timeouts.fence);
   }
+  const double since_report =
+      std::chrono::duration<double>(now - peer.reported_at).count();
+  const double grown = static_cast<double>(heartbeat.open_flows()) -
+                       static_cast<double>(peer.open_flows);
+  peer.growth_per_s = since_report > 0 ? grown / since_report : 0;
+  peer.reported_at = now;
   peer.open_flows = heartbeat.open_flows();
   peer.handed_over = 0;
   peer.capacity = heartbeat.capacity();
--- a/src/locate/agent.h
+++ b/src/locate/agent.h
@@ -133,6 +133,8 @@
                                         uint32_t leg) const;
   bool IsWithinOwnBound(const Request& request,
                         const VersionSplit& split) const;
+  double MeanGrowth() const;
+  uint32_t EstimatedFlows(TimePoint now, const Peer& peer, double growth) const;
   AdmissionInput MakeInput(const Request& request,
                            const VersionSplit& split) const;
   void LeaveMark(const Request& request, PeerSlot asker);
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -1,4 +1,6 @@
 // @file agent_admit.cc Placing and admitting new flows.
+#include <algorithm>
+
 #include "src/admission/admission.h"
 #include "src/locate/agent.h"
 #include "src/locate/agent_internal.h"
@@ -59,8 +61,9 @@
 }
 
 Verdict Agent::Refuse(const Request& request) {
-  if (request.envelope.visited.count > 0) {
-    // Those who declined may have room, but disagreed about the view.
+  if (request.envelope.visited.count > 0 && !request.envelope.fresh) {
+    // Those who declined may have room, but disagreed about the view. A fresh
+    // decline in the same view left a mark, so nothing can be admitted late.
     return Reject(ErrorKind::kMaybeElsewhere);
   }
   FlowEntry& entry = m_flows.Insert(request.packet.flow);
@@ -81,14 +84,40 @@
   return IsBelowBound(MakeInput(request, split));
 }
 
+double Agent::MeanGrowth() const {
+  double sum = 0;
+  int count = 0;
+  for (const Peer& peer : m_group.Peers()) {
+    const bool counts =
+        !peer.observer && peer.facts.state == AgentState::kReady;
+    sum += counts ? peer.growth_per_s : 0;
+    count += counts ? 1 : 0;
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
+uint32_t Agent::EstimatedFlows(TimePoint now,
+                               const Peer& peer,
+                               double growth) const {
+  // Reports are up to a heartbeat old, while all servers grow together.
+  const double since =
+      std::chrono::duration<double>(now - peer.reported_at).count();
+  const double estimate = peer.open_flows + growth * since;
+  return static_cast<uint32_t>(std::max(estimate, 0.0));
+}
+
 AdmissionInput Agent::MakeInput(const Request& request,
                                 const VersionSplit& split) const {
+  const double growth = MeanGrowth();
   AdmissionInput input;
   input.flow = request.packet.flow;
   input.evenness = split.evenness;
   for (const AgentFacts& facts : m_group.View().agents) {
+    const bool tried_enough =
+        request.envelope.visited.count >= kMaxVisited - 1 &&
+        facts.id != m_group.Self().id;
     const bool excluded =
-        request.envelope.visited.Contains(ShortId(facts.id)) ||
+        tried_enough || request.envelope.visited.Contains(ShortId(facts.id)) ||
         !MayAdmit(m_group.View(), facts, split, request.packet.flow);
     if (excluded) {
       continue;
@@ -105,7 +134,7 @@
       input.self = input.candidates.size();
     } else {
       const Peer& peer = m_group.PeerAt(*m_group.FindSlot(facts.id));
-      candidate.open_flows = peer.open_flows + peer.handed_over;
+      candidate.open_flows = EstimatedFlows(request.now, peer, growth);
       candidate.capacity = peer.capacity;
       candidate.ramp = peer.ramp;
       candidate.shedding = peer.shedding;
--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -73,7 +73,7 @@
 }
 
 Verdict Agent::OnPointer(const Request& request, FlowEntry* entry) {
-  const Peer& owner = m_group.PeerAt(entry->owner);
+  Peer& owner = m_group.PeerAt(entry->owner);
   const MemberId owner_id = owner.facts.id;
   const bool bounced = request.envelope.visited.Contains(ShortId(owner_id));
   const bool gone = owner.facts.state == AgentState::kGone;
@@ -85,6 +85,10 @@
     // Its server may have run the flow's work already and may come back.
     return Reject(ErrorKind::kMaybeElsewhere);
   }
+  if (bounced && request.envelope.fresh) {
+    // It knows its own load better; ask it again after its next report.
+    owner.shedding = true;
+  }
   if (bounced || gone) {
     m_flows.Erase(request.packet.flow);
     const Request again{request.now, request.packet, request.envelope,
