Fix: A decline does not hide a server's load, low reports are doubted

Cause: a server that declined was left out of the mean like one that sheds, so after some declines the mean was that of the deciding server alone, and a server whose report said 0 took every new flow for a second (trace: 1,254 to 2,149 flows while six others stood still). Change: a decline excludes from handovers only; a report below half of the median counts as that half, starting servers excepted.

--- a/scenario/script.cc
+++ b/scenario/script.cc
@@ -82,7 +82,7 @@
 
   std::string Field(const char* name, const char* fallback) {
     lua_getfield(m_lua, 1, name);
-    const std::string value =
+    std::string value =
         lua_isnil(m_lua, -1) ? fallback : luaL_checkstring(m_lua, -1);
     lua_pop(m_lua, 1);
     return value;
--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -10,6 +10,8 @@
 namespace medlargauge {
 namespace {
 
+/// With fewer counts than this, a low one may well be right.
+constexpr size_t kFewestForMedian = 3;
 constexpr uint64_t kDeficitSeed = 0x5EED0001;
 constexpr uint64_t kTwoChoiceSeed = 0x5EED0002;
 
@@ -18,6 +20,11 @@
   return candidate.open_flows < candidate.capacity;
 }
 
+/// Returns whether a flow may be handed to the candidate now.
+bool TakesHandovers(const AdmissionCandidate& candidate) {
+  return !candidate.shedding && !candidate.declined;
+}
+
 /// Returns the mean that each candidate at full ramp should carry.
 double TargetMean(const std::vector<AdmissionCandidate>& candidates) {
   double flows = 0;
@@ -38,7 +45,8 @@
   double best_load = 0;
   for (size_t i = 0; i < input.candidates.size(); ++i) {
     const AdmissionCandidate& candidate = input.candidates[i];
-    if (!HasRoom(candidate) || (candidate.shedding && input.self != i)) {
+    if (!HasRoom(candidate) ||
+        (!TakesHandovers(candidate) && input.self != i)) {
       continue;
     }
     const double load = candidate.open_flows / std::max(candidate.ramp, 0.01);
@@ -57,7 +65,7 @@
   double total = 0;
   for (size_t i = 0; i < input.candidates.size(); ++i) {
     const AdmissionCandidate& candidate = input.candidates[i];
-    const bool usable = HasRoom(candidate) && !candidate.shedding;
+    const bool usable = HasRoom(candidate) && TakesHandovers(candidate);
     if (usable) {
       const double deficit = mean * candidate.ramp - candidate.open_flows;
       deficits[i] = std::max(deficit, 0.0);
@@ -95,6 +103,29 @@
   return chosen.has_value() ? chosen : LeastLoaded(input);
 }
 
+void DistrustLowReports(AdmissionInput* input) {
+  std::vector<uint32_t> counts;
+  for (const AdmissionCandidate& candidate : input->candidates) {
+    if (candidate.ramp >= 1 && !candidate.shedding) {
+      counts.push_back(candidate.open_flows);
+    }
+  }
+  if (counts.size() < kFewestForMedian) {
+    return;
+  }
+  const auto middle =
+      counts.begin() + static_cast<std::ptrdiff_t>(counts.size() / 2);
+  std::nth_element(counts.begin(), middle, counts.end());
+  const uint32_t lowest = *middle / 2;
+  for (size_t i = 0; i < input->candidates.size(); ++i) {
+    AdmissionCandidate& candidate = input->candidates[i];
+    const bool doubted = candidate.ramp >= 1 && input->self != i;
+    if (doubted) {
+      candidate.open_flows = std::max(candidate.open_flows, lowest);
+    }
+  }
+}
+
 bool IsBelowBound(const AdmissionInput& input) {
   if (!input.self.has_value()) {
     return true;
@@ -116,7 +147,7 @@
   std::vector<size_t> usable;
   for (size_t i = 0; i < input.candidates.size(); ++i) {
     const AdmissionCandidate& candidate = input.candidates[i];
-    if (HasRoom(candidate) && !candidate.shedding) {
+    if (HasRoom(candidate) && TakesHandovers(candidate)) {
       usable.push_back(i);
     }
   }
--- a/src/admission/admission_type.h
+++ b/src/admission/admission_type.h
@@ -19,7 +19,8 @@
   uint32_t open_flows = 0;  ///< Own count, plus what was handed to it since.
   uint32_t capacity = 0;    ///< Refuses beyond this.
   double ramp = 1.0;        ///< Part of the mean it may carry by now.
-  bool shedding = false;    ///< Takes nothing handed over.
+  bool shedding = false;    ///< Takes nothing handed over, count is unsure.
+  bool declined = false;    ///< Declined a flow since its last report.
 };
 
 /// Everything that an admission policy may look at.
--- a/src/ctl/ctl_main.cc
+++ b/src/ctl/ctl_main.cc
@@ -69,8 +69,9 @@
                           : key == "address_pool" ? &options->address_pool
                                                   : nullptr;
     if (option == nullptr || !value.is_string()) {
-      return Fail(reason, ErrorKind::kBadSettings,
-                  FLAGS_config + ": " + key + ": is not a setting");
+      std::string detail = FLAGS_config;
+      detail.append(": ").append(key).append(": is not a setting");
+      return Fail(reason, ErrorKind::kBadSettings, detail);
     }
     if (option->empty()) {
       *option = value.get<std::string>();
--- a/src/gossip/gossip_test.cc
+++ b/src/gossip/gossip_test.cc
@@ -89,6 +89,7 @@
 TEST_CASE("the overlay is connected at every size") {
   for (const int size : {2, 3, 10, 100, 500}) {
     std::vector<MemberId> members;
+    members.reserve(size);
     for (int i = 0; i < size; ++i) {
       members.push_back(MemberIdOf("m" + std::to_string(i)));
     }
--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -184,6 +184,7 @@
   peer.reported_at = now;
   peer.open_flows = heartbeat.open_flows();
   peer.handed_over = 0;
+  peer.declined = false;
   peer.capacity = heartbeat.capacity();
   peer.ramp = heartbeat.ramp() / kWholeRamp;
   peer.shedding = heartbeat.shedding();
--- a/src/group/group_type.h
+++ b/src/group/group_type.h
@@ -40,6 +40,7 @@
   uint32_t capacity = 0;         ///< Limit that it reported.
   double ramp = 1.0;             ///< Part of the mean it may carry by now.
   bool shedding = false;         ///< Takes no handed-over flows.
+  bool declined = false;         ///< Declined a flow since that report.
   bool recovering = false;       ///< Lost its flow table a short while ago.
   bool returns_due = false;      ///< Its flows must be returned to it.
   ViewId done_view;              ///< View its registrations are complete for.
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -138,9 +138,11 @@
       candidate.capacity = peer.capacity;
       candidate.ramp = peer.ramp;
       candidate.shedding = peer.shedding;
+      candidate.declined = peer.declined;
     }
     input.candidates.push_back(candidate);
   }
+  DistrustLowReports(&input);
   return input;
 }
 
--- a/src/locate/agent_packet.cc
+++ b/src/locate/agent_packet.cc
@@ -87,7 +87,7 @@
   }
   if (bounced && request.envelope.fresh) {
     // It knows its own load better; ask it again after its next report.
-    owner.shedding = true;
+    owner.declined = true;
   }
   if (bounced || gone) {
     m_flows.Erase(request.packet.flow);
