--- a/bench/churn.cc
+++ b/bench/churn.cc
@@ -26,9 +26,7 @@
 class RollingChange {
  public:
   RollingChange(const BenchDeployment& deployment, PathKind path, uint64_t seed)
-      : m_deployment(deployment),
-        m_path(path),
-        m_world(deployment, Options(path, seed)) {
+      : m_deployment(deployment), m_world(deployment, Options(path, seed)) {
     for (const BenchService& service : deployment.services) {
       BenchTraffic traffic;
       const double life = static_cast<double>(kMeanLife.count()) / 1e9;
@@ -112,7 +110,6 @@
   }
 
   BenchDeployment m_deployment;  ///< As given.
-  PathKind m_path;               ///< Decisions under test.
   DeploymentWorld m_world;       ///< The fakes.
 };
 
--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -1,4 +1,4 @@
-// @file group.cc Heartbeats, fencing, removal and views.
+// @file group.cc Messages, views and completeness of a service group.
 #include "src/group/group.h"
 
 #include <algorithm>
@@ -11,8 +11,6 @@
 
 /// Beyond this many views the home asks until the index is complete again.
 constexpr size_t kMaxRememberedViews = 8;
-/// Groups with more peers send heartbeats less often.
-constexpr int64_t kPeersAtFullRate = 8;
 /// Ramps travel in thousandths.
 constexpr double kWholeRamp = 1000.0;
 /// A member that was never heard is removed after this many removal timeouts,
@@ -48,11 +46,6 @@
   return a.state > b.state;
 }
 
-/// Returns whether the peer's present incarnation has been heard directly.
-bool WasHeard(const Peer& peer) {
-  return peer.last_sent_at != 0;
-}
-
 }  // namespace
 
 Group::Group(ServiceId service,
@@ -105,25 +98,6 @@
   RebuildView();
 }
 
-void Group::RefuteRemoval(const AgentFacts& facts) {
-  const bool removed = facts.state == AgentState::kGone &&
-                       facts.incarnation >= m_self.incarnation &&
-                       m_self.state != AgentState::kGone;
-  if (removed) {
-    Rejoin(facts.incarnation + 1);
-  }
-}
-
-void Group::Rejoin(uint64_t incarnation) {
-  m_self.incarnation = incarnation;
-  m_views_since_complete.clear();
-  for (Peer& peer : m_peers) {
-    peer.done_view = ViewId();
-    peer.indexed_view = ViewId();
-  }
-  RebuildView();
-}
-
 void Group::SetSplits(std::vector<VersionSplit> splits) {
   m_splits = std::move(splits);
   RebuildView();
@@ -183,7 +157,6 @@
   peer.growth_per_s = since_report > 0 ? grown / since_report : 0;
   peer.reported_at = now;
   peer.open_flows = heartbeat.open_flows();
-  peer.handed_over = 0;
   peer.declined = false;
   peer.capacity = heartbeat.capacity();
   peer.ramp = heartbeat.ramp() / kWholeRamp;
@@ -228,15 +201,6 @@
   peer.sync_count += registration.flow_low_size();
 }
 
-void Group::Observe(TimePoint now) {
-  if (m_fenced || HasMajorityOfEchoes(now)) {
-    return;
-  }
-  m_fenced = true;
-  m_views_since_complete.clear();
-  m_rejoin_deadline = now;
-}
-
 void Group::OnTick(TimePoint now, const OwnLoad& load) {
   m_fenced = m_fenced && !HasMajorityOfEchoes(now);
   if (m_fenced && now >= m_rejoin_deadline) {
@@ -253,18 +217,6 @@
   }
 }
 
-Duration Group::HeartbeatInterval() const {
-  const auto peers = static_cast<int64_t>(std::count_if(
-      m_peers.begin(), m_peers.end(),
-      [](const Peer& peer) { return peer.facts.state != AgentState::kGone; }));
-  // Larger groups beat more slowly, which bounds the bytes of each member, but
-  // never so slowly that a few lost heartbeats look like a dead member.
-  const Duration stretched = m_timeouts.heartbeat *
-                             std::max(peers, kPeersAtFullRate) /
-                             kPeersAtFullRate;
-  return std::clamp(stretched, m_timeouts.heartbeat, m_timeouts.removal / 4);
-}
-
 void Group::FinishListening() {
   m_listened = true;
 }
@@ -308,45 +260,6 @@
                      m_views_since_complete.end(), is_home);
 }
 
-bool Group::HasMovedAcrossRemoval(TimePoint now,
-                                  ClassId class_id,
-                                  FlowId flow) const {
-  for (const RemovalView& removal : m_removal_views) {
-    if (now >= removal.deadline) {
-      continue;
-    }
-    const auto was_elsewhere = [&](const ServiceView& view) {
-      const AgentFacts* before = HomeOf(view, class_id, flow);
-      if (before != nullptr && before->id == removal.removed) {
-        before = HomeWithout(view, class_id, flow, removal.removed);
-      }
-      return before == nullptr || before->id != m_self.id;
-    };
-    const bool moved = removal.before.empty() ||
-                       std::any_of(removal.before.begin(), removal.before.end(),
-                                   was_elsewhere);
-    if (moved) {
-      return true;
-    }
-  }
-  return false;
-}
-
-void Group::NoteRemoval(TimePoint now, Peer* peer) {
-  peer->reappear_deadline = now + m_timeouts.reappear;
-  if (peer->observer) {
-    return;
-  }
-  m_removal_views.erase(
-      std::remove_if(m_removal_views.begin(), m_removal_views.end(),
-                     [now](const RemovalView& removal) {
-                       return now >= removal.deadline;
-                     }),
-      m_removal_views.end());
-  m_removal_views.push_back(
-      {peer->facts.id, peer->reappear_deadline, m_views_since_complete});
-}
-
 bool Group::IsSynced(const Peer& peer) const {
   return peer.done_view == m_view_id;
 }
@@ -358,16 +271,6 @@
   });
 }
 
-bool Group::MayHaveUnreachableFlows(TimePoint now) const {
-  return std::any_of(m_peers.begin(), m_peers.end(), [&](const Peer& peer) {
-    if (now < peer.reappear_deadline) {
-      return true;
-    }
-    return !peer.observer && peer.facts.state != AgentState::kGone &&
-           now + m_timeouts.removal / 2 > peer.removal_deadline;
-  });
-}
-
 std::optional<PeerSlot> Group::FindSlot(MemberId id) const {
   for (size_t i = 0; i < m_peers.size(); ++i) {
     if (m_peers[i].facts.id == id) {
@@ -400,47 +303,6 @@
   return outgoing;
 }
 
-bool Group::HasMajorityOfEchoes(TimePoint now) const {
-  size_t others = 0;
-  size_t hearing = 0;
-  for (const Peer& peer : m_peers) {
-    if (peer.facts.state == AgentState::kGone || !WasHeard(peer)) {
-      continue;
-    }
-    ++others;
-    if (peer.fence_deadline >= now) {
-      ++hearing;
-    }
-  }
-  // Half is enough: a removal needs more than half of the others.
-  return hearing * 2 >= others;
-}
-
-bool Group::MayRemove(TimePoint now, const Peer& peer) const {
-  if (now <= peer.removal_deadline) {
-    return false;
-  }
-  size_t others = 1;  // This member, which finds the peer silent.
-  size_t agreeing = 1;
-  for (const Peer& witness : m_peers) {
-    const bool counts = witness.facts.id != peer.facts.id &&
-                        witness.facts.state != AgentState::kGone &&
-                        WasHeard(witness);
-    if (!counts) {
-      continue;
-    }
-    ++others;
-    const bool recent = witness.removal_deadline - m_timeouts.removal +
-                            HeartbeatInterval() * 2 >=
-                        now;
-    const bool agrees =
-        recent && std::find(witness.silent.begin(), witness.silent.end(),
-                            peer.facts.id.value) != witness.silent.end();
-    agreeing += agrees ? 1 : 0;
-  }
-  return agreeing * 2 > others;
-}
-
 void Group::RebuildView() {
   ServiceView view;
   view.service = m_service;
@@ -510,25 +372,6 @@
   }
 }
 
-void Group::RemoveSilentPeers(TimePoint now) {
-  if (m_fenced) {
-    return;
-  }
-  bool removed = false;
-  for (Peer& peer : m_peers) {
-    const bool silent =
-        peer.facts.state != AgentState::kGone && MayRemove(now, peer);
-    if (silent) {
-      NoteRemoval(now, &peer);
-      peer.facts.state = AgentState::kGone;
-      removed = true;
-    }
-  }
-  if (removed) {
-    RebuildView();
-  }
-}
-
 void Group::NoteCompleteness() {
   if (m_listened && !m_fenced && IsIndexComplete()) {
     m_views_since_complete.assign(1, m_view);
--- a/src/group/group_type.h
+++ b/src/group/group_type.h
@@ -36,7 +36,6 @@
   uint32_t open_flows = 0;       ///< Own count that it reported.
   TimePoint reported_at;         ///< When that report arrived.
   double growth_per_s = 0;       ///< Change of its count between reports.
-  uint32_t handed_over = 0;      ///< Handed to it since that report.
   uint32_t capacity = 0;         ///< Limit that it reported.
   double ramp = 1.0;             ///< Part of the mean it may carry by now.
   bool shedding = false;         ///< Takes no handed-over flows.
--- a/src/locate/agent_admit.cc
+++ b/src/locate/agent_admit.cc
@@ -38,8 +38,7 @@
 Verdict Agent::HandOver(const Request& request,
                         PeerSlot slot,
                         uint32_t claimant) {
-  Peer& peer = m_group.PeerAt(slot);
-  ++peer.handed_over;
+  const MemberId chosen = m_group.PeerAt(slot).facts.id;
   ++m_counters.handed_over;
   if (!m_config.faulty.forget_pointers) {
     FlowEntry& entry = m_flows.Insert(request.packet.flow);
@@ -57,7 +56,7 @@
   envelope.view = m_group.CurrentView();
   envelope.asker = ShortId(m_group.Self().id);
   envelope.pending = {};
-  return Forward(request, peer.facts.id, envelope);
+  return Forward(request, chosen, envelope);
 }
 
 Verdict Agent::Refuse(const Request& request) {
