Fix: Heartbeats that waited during a pause do not prove life

Tried first and reverted: removal on the others' votes alone. Change: without a tick for a second, a heartbeat counts from the last tick.

--- a/src/group/group.cc
+++ b/src/group/group.cc
@@ -11,6 +11,8 @@
 
 /// Beyond this many views the home asks until the index is complete again.
 constexpr size_t kMaxRememberedViews = 8;
+/// Ticks come every 100 ms or faster, unless the process is paused.
+constexpr Duration kLongestTickGap = Milliseconds(1000);
 /// Ramps travel in thousandths.
 constexpr double kWholeRamp = 1000.0;
 /// A member that was never heard is removed after this many removal timeouts,
@@ -142,7 +144,11 @@
     peer.fence_deadline = now + m_timeouts.fence;
   }
   peer.last_sent_at = heartbeat.sent_at();
-  peer.removal_deadline = now + m_timeouts.removal;
+  // Without a tick for so long, the process was paused: what waited in its
+  // sockets tells that the peer lived then, not that it lives now.
+  const bool waited =
+      m_last_tick != TimePoint() && now - m_last_tick > kLongestTickGap;
+  peer.removal_deadline = (waited ? m_last_tick : now) + m_timeouts.removal;
   if (heartbeat.echo_incarnation() == m_self.incarnation &&
       heartbeat.echo() != 0) {
     // Counted from the time of sending, so a pause here cannot prolong it.
@@ -202,6 +208,7 @@
 }
 
 void Group::OnTick(TimePoint now, const OwnLoad& load) {
+  m_last_tick = now;
   m_fenced = m_fenced && !HasMajorityOfEchoes(now);
   if (m_fenced && now >= m_rejoin_deadline) {
     // The others may have removed this member, so it announces itself as a
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -158,6 +158,7 @@
   };
   std::vector<RemovalView> m_removal_views;
   TimePoint m_rejoin_deadline;     ///< While fenced: next new incarnation.
+  TimePoint m_last_tick;           ///< Tells whether the process was paused.
   TimePoint m_heartbeat_deadline;  ///< Next heartbeat.
   std::vector<OutgoingGroupMessage> m_outgoing;  ///< To be sent.
 };
