--- a/bench/bench.h
+++ b/bench/bench.h
@@ -13,6 +13,7 @@
 struct BenchOptions {
   uint64_t seed = 1;      ///< Of all randomness.
   uint32_t seconds = 60;  ///< Length of runs that take as long as asked.
+  uint32_t faults = 0;    ///< Soak: faults a schedule; 0 for one to three.
 };
 
 /// One service of an example deployment.
--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -10,6 +10,7 @@
 
 DEFINE_uint64(seed, 1, "seed of all randomness");
 DEFINE_uint32(seconds, 60, "soak: run so long");
+DEFINE_uint32(faults, 0, "soak: faults a schedule; 0 for one to three");
 
 namespace medlargauge {
 
@@ -47,7 +48,7 @@
     std::cerr << "\n";
     return 2;
   }
-  const nlohmann::json result = bench->second({FLAGS_seed, FLAGS_seconds});
+  const nlohmann::json result = bench->second({FLAGS_seed, FLAGS_seconds, FLAGS_faults});
   std::cout << result.dump() << std::endl;
   return 0;
 }
--- a/bench/soak.cc
+++ b/bench/soak.cc
@@ -46,7 +46,9 @@
     threads.emplace_back([&] {
       while (std::chrono::steady_clock::now() < end) {
         const uint32_t seed = next++;
-        const Schedule schedule = MakeSchedule(seed, 1 + seed % kMaxFaults);
+        const size_t faults =
+            options.faults > 0 ? options.faults : 1 + seed % kMaxFaults;
+        const Schedule schedule = MakeSchedule(seed, faults);
         const ScheduleResult result = RunSchedule(schedule, FaultyRules());
         const std::lock_guard<std::mutex> lock(mutex);
         ++totals.schedules;
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,15 +1,15 @@
 #!/usr/bin/env bash
 # Runs one measurement: a readable table, then one JSON object as last line.
-# Usage: scripts/bench.sh NAME [--seed N] [--seconds S]
+# Usage: scripts/bench.sh NAME [--seed N] [--seconds S] [--faults F]
 set -euo pipefail
 root=$(cd "$(dirname "$0")/.." && pwd)
-name=${1:?usage: scripts/bench.sh NAME [--seed N] [--seconds S]}
+name=${1:?usage: scripts/bench.sh NAME [--seed N] [--seconds S] [--faults F]}
 shift
 flags=()
 while [ $# -gt 0 ]; do
   case "$1" in
-    --seed | --seconds) flags+=("$1=${2:?$1 needs a number}"); shift 2 ;;
-    --seed=* | --seconds=*) flags+=("$1"); shift ;;
+    --seed | --seconds | --faults) flags+=("$1=${2:?$1 needs a number}"); shift 2 ;;
+    --seed=* | --seconds=* | --faults=*) flags+=("$1"); shift ;;
     *) echo "bench.sh: unknown argument $1" >&2; exit 2 ;;
   esac
 done
