--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -48,7 +48,8 @@
     std::cerr << "\n";
     return 2;
   }
-  const nlohmann::json result = bench->second({FLAGS_seed, FLAGS_seconds, FLAGS_faults});
+  const nlohmann::json result =
+      bench->second({FLAGS_seed, FLAGS_seconds, FLAGS_faults});
   std::cout << result.dump() << std::endl;
   return 0;
 }
