--- a/bench/forwarding.cc
+++ b/bench/forwarding.cc
@@ -1,7 +1,5 @@
 // @file forwarding.cc Packets a second of processor time, of a balancer and of
 // an agent, beside a bare recvmmsg/sendmmsg forwarder, in turn in one run.
-#include <ctime>
-
 #include <algorithm>
 #include <atomic>
 #include <functional>
@@ -14,6 +12,7 @@
 #include <vector>
 
 #include "bench/bench.h"
+#include "bench/measure.h"
 #include "src/admission/admission.h"
 #include "src/core/hash.h"
 #include "src/daemon/address.h"
@@ -33,13 +32,6 @@
 constexpr int kAgents = 14;
 constexpr size_t kManyFlows = 400000;
 
-double ThreadSeconds() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) / 1e9;
-}
-
 /// Datagrams of many flows, as the fabric or a balancer sends them.
 std::vector<std::vector<uint8_t>> MakeDatagrams(bool with_envelope) {
   const std::vector<uint8_t> payload(kPayload, 7);
--- a/bench/gossip_bench.cc
+++ b/bench/gossip_bench.cc
@@ -3,7 +3,6 @@
 #include <malloc.h>
 
 #include <algorithm>
-#include <ctime>
 #include <deque>
 #include <iomanip>
 #include <iostream>
@@ -13,6 +12,7 @@
 #include <pcg_random.hpp>
 
 #include "bench/bench.h"
+#include "bench/measure.h"
 #include "src/core/hash.h"
 #include "src/gossip/gossip.h"
 #include "src/target/reader_choice.h"
@@ -20,8 +20,6 @@
 namespace medlargauge {
 namespace {
 
-/// Frame around each message: ZeroMQ, TCP and IP headers.
-constexpr size_t kFrameBytes = 9 + 20 + 20 + 32;
 constexpr Duration kStep = Milliseconds(50);
 constexpr int kWarmUpSteps = 240;
 constexpr int kMeasuredSteps = 800;
@@ -34,13 +32,6 @@
 constexpr double kReadsPerSecond = 2;
 constexpr size_t kRecordBytes = 110;
 
-double ThreadSeconds() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) / 1e9;
-}
-
 /// What one run showed.
 struct GossipResult {
   double bytes_per_second = 0;  ///< Sent by one member, frames included.
--- a/bench/group_cost.cc
+++ b/bench/group_cost.cc
@@ -1,7 +1,5 @@
 // @file group_cost.cc Control bytes and processor time of one agent in a
 // service group, over group size and rate of new flows.
-#include <ctime>
-
 #include <iomanip>
 #include <iostream>
 #include <memory>
@@ -10,6 +8,7 @@
 #include <vector>
 
 #include "bench/bench.h"
+#include "bench/measure.h"
 #include "src/admission/admission.h"
 #include "src/core/hash.h"
 #include "src/locate/agent.h"
@@ -18,19 +17,11 @@
 namespace medlargauge {
 namespace {
 
-constexpr size_t kFrameBytes = 9 + 20 + 20 + 32;
 constexpr Duration kStep = Milliseconds(50);
 constexpr int kWarmUpSteps = 200;
 constexpr int kMeasuredSteps = 400;
 constexpr int kObservers = 3;
 
-double ThreadSeconds() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) / 1e9;
-}
-
 /// One service group with its observers, in lock step.
 class CostGroup {
  public:
--- a/src/daemon/agent_process.cc
+++ b/src/daemon/agent_process.cc
@@ -123,9 +123,7 @@
     config.limits.join = Milliseconds(settings.join_ms);
     config.limits.backups_per_second =
         static_cast<uint32_t>(settings.backups_per_second);
-    config.timeouts.heartbeat = Milliseconds(settings.heartbeat_ms);
-    config.timeouts.removal = Milliseconds(settings.removal_ms);
-    config.timeouts.fence = config.timeouts.removal / 2;
+    config.timeouts = TimeoutsOf(settings);
     config.policy = PlaceWithinBound;
     config.start = m_kind;
     return config;
--- a/src/daemon/balancer_process.cc
+++ b/src/daemon/balancer_process.cc
@@ -73,14 +73,6 @@
   }
 
  private:
-  static GroupTimeouts TimeoutsOf(const Settings& settings) {
-    GroupTimeouts timeouts;
-    timeouts.heartbeat = Milliseconds(settings.heartbeat_ms);
-    timeouts.removal = Milliseconds(settings.removal_ms);
-    timeouts.fence = timeouts.removal / 2;
-    return timeouts;
-  }
-
   AgentFacts ReadyFacts() {
     AgentFacts facts = m_process.Control().StartFacts();
     facts.state = AgentState::kReady;
--- a/src/daemon/process.cc
+++ b/src/daemon/process.cc
@@ -135,6 +135,14 @@
   EventLine(Severity::kInfo, "stop_requested").With("signal", received);
 }
 
+GroupTimeouts TimeoutsOf(const Settings& settings) {
+  GroupTimeouts timeouts;
+  timeouts.heartbeat = Milliseconds(settings.heartbeat_ms);
+  timeouts.removal = Milliseconds(settings.removal_ms);
+  timeouts.fence = timeouts.removal / 2;
+  return timeouts;
+}
+
 std::string_view NameOf(AgentState state) {
   switch (state) {
     case AgentState::kJoining:
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -77,6 +77,9 @@
 /// Keeps SIGTERM and SIGINT for WaitForStopSignal.
 void BlockStopSignals();
 
+/// Returns the intervals of service groups. Thread-safe.
+GroupTimeouts TimeoutsOf(const Settings& settings);
+
 /// Returns the name of a state, for people and JSON. Thread-safe.
 std::string_view NameOf(AgentState state);
 
