--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ clang cmake ninja-build clang-format clang-tidy libclang-rt-14-dev
   libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libgflags-dev
-  libgoogle-glog-dev doctest-dev nlohmann-json3-dev libcpp-httplib-dev
+  libgoogle-glog-dev doctest-dev nlohmann-json3-dev libcpp-httplib-dev libevent-dev pkg-config
   prometheus-cpp-dev libxxhash-dev libabsl-dev liblua5.4-dev librapidcheck-dev libpcg-cpp-dev)
 missing=()
 for package in "${packages[@]}"; do
--- a/src/core/event_log.cc
+++ b/src/core/event_log.cc
@@ -4,6 +4,19 @@
 #include <glog/logging.h>
 
 namespace medlargauge {
+namespace {
+
+/// Null while lines go to glog.
+EventSink& CurrentSink() {
+  static EventSink sink;
+  return sink;
+}
+
+}  // namespace
+
+void SetEventSink(EventSink sink) {
+  CurrentSink() = std::move(sink);
+}
 
 std::string QuoteLogValue(std::string_view value) {
   const bool plain =
@@ -31,6 +44,10 @@
 }
 
 EventLine::~EventLine() {
+  if (CurrentSink()) {
+    CurrentSink()(m_severity, m_line);
+    return;
+  }
   switch (m_severity) {
     case Severity::kInfo:
       LOG(INFO) << m_line;
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -2,6 +2,7 @@
 #ifndef MEDLARGAUGE_CORE_EVENT_LOG_H_
 #define MEDLARGAUGE_CORE_EVENT_LOG_H_
 
+#include <functional>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -10,7 +11,14 @@
 
 namespace medlargauge {
 
-/// Builds one log line; the destructor writes it through glog.
+/// Writes a finished line instead of glog.
+using EventSink = std::function<void(Severity, std::string_view line)>;
+
+/// Sends all lines of this process to `sink`; null goes back to glog.
+/// Precondition: no other thread writes lines yet.
+void SetEventSink(EventSink sink);
+
+/// Builds one log line; the destructor writes it through glog or the sink.
 /// Use from one thread; distinct lines may be written by distinct threads.
 class EventLine {
  public:
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -155,6 +155,8 @@
   reader->CheckAddress("backend_address", settings.backend_address);
   reader->CheckAddress("load_address", settings.load_address);
   reader->CheckAddress("answer_address", settings.answer_address);
+  reader->CheckAddress("report_address", settings.report_address);
+  reader->CheckAddress("outbound_address", settings.outbound_address);
   for (const std::string& seed : settings.seeds) {
     reader->CheckAddress("seeds", seed);
   }
--- /dev/null
+++ b/src/runtime/balancer_runtime.cc
@@ -0,0 +1,210 @@
+// @file balancer_runtime.cc Packets of callers to agents.
+#include "src/runtime/balancer_runtime.h"
+
+#include <algorithm>
+
+#include "src/core/error.h"
+#include "src/core/event_log.h"
+
+namespace medlargauge {
+namespace {
+
+/// Routers check twice a second and move on after two misses.
+constexpr Duration kRoutersMoveOn = Milliseconds(1700);
+constexpr Duration kNoMorePackets = Milliseconds(400);
+constexpr Duration kStopMargin = Milliseconds(1000);
+constexpr Duration kStopCheck = Milliseconds(50);
+/// Opening packets that are due within this are handled in one wake-up.
+constexpr Duration kTimerSlack = Milliseconds(15);
+
+ByteView ToView(ByteSpan span) {
+  return {span.data, span.size};
+}
+
+}  // namespace
+
+BalancerRuntime::BalancerRuntime(EventLoop* loop,
+                                 const Settings& settings,
+                                 const PlatformHooks* platform)
+    : m_loop(loop),
+      m_settings(settings),
+      m_platform(platform),
+      m_fleet(
+          loop,
+          settings,
+          MemberRole::kBalancer,
+          platform,
+          {[](TimePoint, SteerMember* self) {
+             self->state = AgentState::kReady;
+           },
+           [this](TimePoint now, SocketAddress4 from, const PeerFrame& frame) {
+             OnFrame(now, from, frame);
+           }}),
+      m_steering(SteadyTime(),
+                 DomainIdOf(settings.failure_domain),
+                 &m_fleet.Members(),
+                 &m_fleet.Routes(),
+                 SteeringLimits(),
+                 &PlaceByExpectedAnswer),
+      m_admin(loop, [this](const HttpRequest& request) {
+        return AnswerCheck(request);
+      }) {}
+
+bool BalancerRuntime::Start(Error* reason) {
+  const bool bound =
+      m_callers.Bind(*ParseAddress4(m_settings.data_address), reason) &&
+      m_admin.Listen(*ParseAddress4(m_settings.admin_address), reason) &&
+      m_fleet.Start(reason);
+  if (!bound) {
+    return false;
+  }
+  m_loop->OnReadable(m_callers.Descriptor(), [this] {
+    const TimePoint now = SteadyTime();
+    m_callers.Receive([this, now](SocketAddress4 /*from*/, ByteSpan datagram) {
+      OnCallerDatagram(now, datagram);
+    });
+    ArmTimer();
+  });
+  return true;
+}
+
+void BalancerRuntime::OnCallerDatagram(TimePoint now, ByteSpan datagram) {
+  const std::optional<FlowPacket> packet =
+      m_platform->read_packet(ToView(datagram), true);
+  if (!packet.has_value() || packet->bounced) {
+    return;
+  }
+  m_last_packet = now;
+  Act(m_steering.OnCallerPacket(now, *packet, ToView(datagram)), *packet,
+      ToView(datagram));
+}
+
+void BalancerRuntime::OnFrame(TimePoint now,
+                              SocketAddress4 from,
+                              const PeerFrame& frame) {
+  RosterEntry* sender =
+      m_fleet.Members().FindByAddress(from.ip, MemberRole::kAgent);
+  if (sender == nullptr) {
+    return;
+  }
+  const MemberId id = sender->member.id;
+  if (frame.kind == PeerKind::kNote) {
+    proto::FlowNote note;
+    if (!note.ParseFromArray(frame.message.data(),
+                             static_cast<int>(frame.message.size()))) {
+      return;
+    }
+    const FlowKey flow{
+        {note.caller_ip(), static_cast<uint16_t>(note.caller_port())},
+        {note.route_ip(), static_cast<uint16_t>(note.route_port())}};
+    m_fleet.Members().OnLoad(now, id, DecodeLoad(now, note.load()));
+    m_steering.OnHeld(now, id, flow);
+  } else if (frame.kind == PeerKind::kReturn) {
+    m_fleet.Members().OnLoad(now, id, frame.load);
+    const ByteView raw = ToView(frame.packet);
+    const std::optional<FlowPacket> packet = m_platform->read_packet(raw, true);
+    if (packet.has_value()) {
+      Act(m_steering.OnReturned(now, id, frame.reason, *packet), *packet, raw);
+      ArmTimer();
+    }
+  }
+}
+
+void BalancerRuntime::Act(const SteerDecision& decision,
+                          const FlowPacket& packet,
+                          ByteView raw) {
+  switch (decision.kind) {
+    case SteerDecision::Kind::kForward: {
+      const RosterEntry* agent = m_fleet.Members().Find(decision.agent);
+      if (agent != nullptr) {
+        m_fleet.Send(agent->member.ip,
+                     m_fleet.Writer().Forward(decision.header, raw));
+      }
+      break;
+    }
+    case SteerDecision::Kind::kReset: {
+      const std::string reset =
+          m_platform->make_reset(packet.flow, packet.acknowledged);
+      m_callers.Send(
+          {packet.flow.caller.ip, ParseAddress4(m_settings.data_address)->port},
+          {reinterpret_cast<const uint8_t*>(reset.data()), reset.size()});
+      break;
+    }
+    case SteerDecision::Kind::kDrop:
+      break;
+  }
+}
+
+void BalancerRuntime::ArmTimer() {
+  const std::optional<TimePoint> deadline = m_steering.NextDeadline();
+  if (m_timer_armed || !deadline.has_value()) {
+    return;
+  }
+  m_timer_armed = true;
+  const Duration left = *deadline - SteadyTime();
+  m_loop->After(std::max(left, Duration()) + kTimerSlack,
+                [this] { RunTimers(); });
+}
+
+void BalancerRuntime::RunTimers() {
+  m_timer_armed = false;
+  for (const SteerResend& resend : m_steering.OnTick(SteadyTime())) {
+    FlowPacket packet;
+    packet.flow = resend.flow;
+    Act(resend.decision, packet,
+        {reinterpret_cast<const uint8_t*>(resend.packet.data()),
+         resend.packet.size()});
+  }
+  ArmTimer();
+}
+
+HttpAnswer BalancerRuntime::AnswerCheck(const HttpRequest& request) {
+  HttpAnswer answer;
+  if (request.path != m_platform->ready_path) {
+    answer.status = 404;
+    return answer;
+  }
+  const bool ready = !m_stopping && m_steering.CanServe(SteadyTime());
+  if (ready != m_ready) {
+    m_ready = ready;
+    EventLine(Severity::kInfo, ready ? "ready" : "not_ready")
+        .With("revision", m_fleet.Routes().Revision())
+        .With("agents_heard",
+              m_fleet.Members().CountHeard(SteadyTime(), MemberRole::kAgent));
+  }
+  answer.status = ready ? 200 : 503;
+  return answer;
+}
+
+void BalancerRuntime::Stop() {
+  if (m_stopping) {
+    return;
+  }
+  m_stopping = true;
+  const TimePoint now = SteadyTime();
+  m_stop_earliest = now + kRoutersMoveOn;
+  m_stop_latest = now + Milliseconds(m_settings.stop_grace_ms) - kStopMargin;
+  m_fleet.StartLeaving();
+  EndIfIdle();
+}
+
+void BalancerRuntime::EndIfIdle() {
+  const TimePoint now = SteadyTime();
+  const bool idle =
+      now >= m_stop_earliest && now - m_last_packet >= kNoMorePackets;
+  if (idle || now >= m_stop_latest) {
+    EventLine(Severity::kInfo, "stopped")
+        .With("flows", m_steering.FlowCount())
+        .With("idle", idle);
+    m_loop->Stop();
+    return;
+  }
+  m_loop->After(kStopCheck, [this] { EndIfIdle(); });
+}
+
+void BalancerRuntime::Reload(const Settings& settings) {
+  m_settings.stop_grace_ms = settings.stop_grace_ms;
+  m_fleet.SetSeeds(settings.seeds);
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/runtime/balancer_runtime.h
@@ -0,0 +1,54 @@
+// @file balancer_runtime.h A balancer on the operators' platform.
+#ifndef MEDLARGAUGE_RUNTIME_BALANCER_RUNTIME_H_
+#define MEDLARGAUGE_RUNTIME_BALANCER_RUNTIME_H_
+
+#include "src/runtime/fleet.h"
+#include "src/steer/steering.h"
+
+namespace medlargauge {
+
+/// Sockets and timers around Steering. Not thread-safe.
+class BalancerRuntime {
+ public:
+  BalancerRuntime(EventLoop* loop,
+                  const Settings& settings,
+                  const PlatformHooks* platform);
+
+  /// Binds everything. @return false with a reason
+  bool Start(Error* reason);
+
+  /// Begins a planned stop; ends the loop when callers have moved on.
+  void Stop();
+
+  /// Takes over what may change while running.
+  void Reload(const Settings& settings);
+
+ private:
+  void OnCallerDatagram(TimePoint now, ByteSpan datagram);
+  void OnFrame(TimePoint now, SocketAddress4 from, const PeerFrame& frame);
+  void Act(const SteerDecision& decision,
+           const FlowPacket& packet,
+           ByteView raw);
+  void RunTimers();
+  void ArmTimer();
+  void EndIfIdle();
+  HttpAnswer AnswerCheck(const HttpRequest& request);
+
+  EventLoop* m_loop;                ///< Runs everything.
+  Settings m_settings;              ///< As read.
+  const PlatformHooks* m_platform;  ///< Formats and calls.
+  Fleet m_fleet;                    ///< Membership and targets.
+  Steering m_steering;              ///< Decisions.
+  UdpSocket m_callers;              ///< Packets of callers.
+  HttpServer m_admin;               ///< Readiness.
+  bool m_timer_armed = false;       ///< RunTimers is due.
+  bool m_ready = false;             ///< As last told, for the log.
+  bool m_stopping = false;          ///< A planned stop has begun.
+  TimePoint m_stop_earliest;        ///< Not before: routers still send.
+  TimePoint m_stop_latest;          ///< Ends at the latest then.
+  TimePoint m_last_packet;          ///< Of a caller.
+};
+
+}  // namespace medlargauge
+
+#endif  // MEDLARGAUGE_RUNTIME_BALANCER_RUNTIME_H_
--- /dev/null
+++ b/src/runtime/peer_wire.h
@@ -0,0 +1,53 @@
+// @file peer_wire.h Datagrams between balancers and agents.
+#ifndef MEDLARGAUGE_RUNTIME_PEER_WIRE_H_
+#define MEDLARGAUGE_RUNTIME_PEER_WIRE_H_
+
+#include <optional>
+#include <string>
+
+#include "src/steer/roster.h"
+#include "src/steer/steer_type.h"
+
+namespace medlargauge {
+
+/// Kinds of datagrams between processes; the first byte after the magic one.
+enum class PeerKind : uint8_t {
+  kForward = 1,  ///< Balancer to agent: a caller's packet.
+  kReturn = 2,   ///< Agent to balancer: a packet that it did not keep.
+  kNote = 3,     ///< Agent to balancer: the flow is held.
+  kStatus = 4,   ///< Anybody to anybody.
+};
+
+/// A datagram taken apart; views point into its bytes.
+struct PeerFrame {
+  PeerKind kind = PeerKind::kStatus;
+  ForwardHeader header;                       ///< kForward.
+  ReturnReason reason = ReturnReason::kNone;  ///< kReturn.
+  ServerLoad load;                            ///< kReturn.
+  ByteSpan packet;                            ///< kForward, kReturn.
+  ByteView message;                           ///< kNote, kStatus: protobuf.
+};
+
+/// Builds datagrams in a buffer of its own. Not thread-safe.
+class PeerWriter {
+ public:
+  /// Each returns a view that is valid until the next call.
+  ByteView Forward(const ForwardHeader& header, ByteView packet);
+  ByteView Return(TimePoint now,
+                  ReturnReason reason,
+                  const ServerLoad& load,
+                  ByteView packet);
+  ByteView Message(PeerKind kind, const google::protobuf::MessageLite& message);
+
+ private:
+  ByteView View() const;
+
+  std::string m_buffer;  ///< Reused.
+};
+
+/// Takes a datagram apart; nullopt if it is malformed. Thread-safe.
+std::optional<PeerFrame> ReadPeerFrame(TimePoint now, ByteSpan datagram);
+
+}  // namespace medlargauge
+
+#endif  // MEDLARGAUGE_RUNTIME_PEER_WIRE_H_
--- /dev/null
+++ b/src/steer/roster.cc
@@ -0,0 +1,162 @@
+// @file roster.cc Members by direct contact, and their message form.
+#include "src/steer/roster.h"
+
+#include <algorithm>
+
+namespace medlargauge {
+namespace {
+
+constexpr uint32_t kMaxWarmupMs = 60000;  ///< Longer ones are malformed.
+
+}  // namespace
+
+bool Roster::OnStatus(TimePoint now, const proto::PeerStatus& status) {
+  const SteerMember member = DecodeMember(now, status.self());
+  if (!member.id.IsSet() || member.id == m_self) {
+    return false;
+  }
+  RosterEntry& entry = m_entries[member.id];
+  const bool is_new = entry.heard == TimePoint() ||
+                      entry.member.incarnation != member.incarnation;
+  if (!is_new && status.sequence() <= entry.sequence) {
+    entry.heard = now;
+    return false;  // Overtaken by a newer one.
+  }
+  if (entry.learnt == TimePoint()) {
+    entry.learnt = now;
+  }
+  entry.member = member;
+  entry.heard = now;
+  entry.sequence = status.sequence();
+  entry.pending = 0;
+  entry.avoid_until = TimePoint();
+  entry.leaving = status.leaving();
+  entry.store_checked = status.checked_ms() == 0
+                            ? TimePoint()
+                            : now - Milliseconds(status.checked_ms() - 1);
+  return is_new;
+}
+
+void Roster::Learn(TimePoint now, const SteerMember& member) {
+  if (!member.id.IsSet() || member.id == m_self) {
+    return;
+  }
+  const auto [found, is_new] = m_entries.try_emplace(member.id);
+  if (is_new) {
+    found->second.member = member;
+    found->second.learnt = now;
+  }
+}
+
+void Roster::OnLoad(TimePoint now, MemberId id, const ServerLoad& load) {
+  RosterEntry* entry = Find(id);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->heard = now;
+  entry->avoid_until = TimePoint();
+  entry->member.load = load;
+  entry->pending = 0;
+}
+
+void Roster::OnTick(TimePoint now) {
+  for (auto it = m_entries.begin(); it != m_entries.end();) {
+    const TimePoint last = std::max(it->second.heard, it->second.learnt);
+    it = now - last > m_timeouts.forget ? m_entries.erase(it) : std::next(it);
+  }
+}
+
+RosterEntry* Roster::Find(MemberId id) {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const RosterEntry* Roster::Find(MemberId id) const {
+  const auto found = m_entries.find(id);
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
+RosterEntry* Roster::FindByAddress(uint32_t ip, MemberRole role) {
+  RosterEntry* best = nullptr;
+  for (auto& [id, entry] : m_entries) {
+    const bool fits = entry.member.ip == ip && entry.member.role == role;
+    if (fits && (best == nullptr || entry.heard > best->heard)) {
+      best = &entry;
+    }
+  }
+  return best;
+}
+
+bool Roster::IsHeard(TimePoint now, const RosterEntry& entry) const {
+  return entry.heard != TimePoint() && now - entry.heard <= m_timeouts.silent;
+}
+
+bool Roster::IsLost(TimePoint now, const RosterEntry& entry) const {
+  return now - std::max(entry.heard, entry.learnt) > m_timeouts.lost;
+}
+
+size_t Roster::CountHeard(TimePoint now, MemberRole role) const {
+  return std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& e) {
+    return e.second.member.role == role && IsHeard(now, e.second);
+  });
+}
+
+proto::PeerLoad EncodeLoad(TimePoint now, const ServerLoad& load) {
+  proto::PeerLoad message;
+  message.set_active(load.active);
+  message.set_slots(load.slots);
+  message.set_service_us(load.service_us);
+  if (load.warm_at > now) {
+    message.set_warmup_ms(
+        static_cast<uint32_t>(ToMilliseconds(load.warm_at - now)));
+  }
+  return message;
+}
+
+ServerLoad DecodeLoad(TimePoint now, const proto::PeerLoad& message) {
+  ServerLoad load;
+  load.active = message.active();
+  load.slots = std::max(message.slots(), 1U);
+  load.service_us = message.service_us();
+  load.warm_at =
+      now + Milliseconds(std::min(message.warmup_ms(), kMaxWarmupMs));
+  return load;
+}
+
+proto::PeerMember EncodeMember(TimePoint now, const SteerMember& member) {
+  proto::PeerMember message;
+  message.set_id(member.id.value);
+  message.set_role(static_cast<uint32_t>(member.role));
+  message.set_ip(member.ip);
+  message.set_incarnation(member.incarnation);
+  message.set_service(member.service.value);
+  message.set_domain(member.domain.value);
+  message.set_state(static_cast<uint32_t>(member.state));
+  message.set_revision(member.revision);
+  if (member.role == MemberRole::kAgent) {
+    *message.mutable_load() = EncodeLoad(now, member.load);
+  }
+  return message;
+}
+
+SteerMember DecodeMember(TimePoint now, const proto::PeerMember& message) {
+  SteerMember member;
+  const bool usable =
+      message.ip() != 0 && message.role() <= 1 &&
+      message.state() <= static_cast<uint32_t>(AgentState::kGone);
+  if (!usable) {
+    return member;
+  }
+  member.id.value = message.id();
+  member.role = static_cast<MemberRole>(message.role());
+  member.ip = message.ip();
+  member.incarnation = message.incarnation();
+  member.service.value = message.service();
+  member.domain.value = message.domain();
+  member.state = static_cast<AgentState>(message.state());
+  member.revision = message.revision();
+  member.load = DecodeLoad(now, message.load());
+  return member;
+}
+
+}  // namespace medlargauge
--- /dev/null
+++ b/src/steer/roster.h
@@ -0,0 +1,86 @@
+// @file roster.h Who is in the fleet, told by direct contact.
+#ifndef MEDLARGAUGE_STEER_ROSTER_H_
+#define MEDLARGAUGE_STEER_ROSTER_H_
+
+#include <map>
+#include <vector>
+
+#include "src/steer/peer.pb.h"
+#include "src/steer/steer_type.h"
+
+namespace medlargauge {
+
+/// Silence after which members count as unreachable or are forgotten.
+struct RosterTimeouts {
+  Duration silent = Milliseconds(900);  ///< Three lost statuses of an agent.
+  /// Longer than a planned restart of an agent takes, and than the time for
+  /// which an impaired host is excused; flows at it are given up then.
+  Duration lost = Milliseconds(5000);
+  Duration forget = Seconds(60);  ///< Longest life of a flow.
+};
+
+/// One other process as this one knows it.
+struct RosterEntry {
+  SteerMember member;       ///< Newest facts.
+  TimePoint heard;          ///< Last direct message; zero: hearsay only.
+  TimePoint learnt;         ///< When it was first named.
+  TimePoint avoid_until;    ///< It left a packet unanswered; prefer others.
+  uint32_t sequence = 0;    ///< Of its newest status.
+  uint32_t pending = 0;     ///< Own new flows since its last load report.
+  bool leaving = false;     ///< A planned stop has begun there.
+  TimePoint store_checked;  ///< Its last word from the store.
+};
+
+/// The members of the fleet. Not thread-safe.
+class Roster {
+ public:
+  Roster(MemberId self, RosterTimeouts timeouts)
+      : m_self(self), m_timeouts(timeouts) {}
+
+  /// Takes in a status that came from the member itself.
+  /// @return whether the member is new or has restarted
+  bool OnStatus(TimePoint now, const proto::PeerStatus& status);
+
+  /// Takes in a member that somebody else named. Known ones are left alone.
+  void Learn(TimePoint now, const SteerMember& member);
+
+  /// Takes in a load report of an agent.
+  void OnLoad(TimePoint now, MemberId id, const ServerLoad& load);
+
+  /// Forgets members that were silent for too long.
+  void OnTick(TimePoint now);
+
+  /// Returns an entry, or null.
+  RosterEntry* Find(MemberId id);
+  const RosterEntry* Find(MemberId id) const;
+  /// Returns the entry of an address and role, or null.
+  RosterEntry* FindByAddress(uint32_t ip, MemberRole role);
+
+  /// Returns whether the member was heard within the silence timeout.
+  bool IsHeard(TimePoint now, const RosterEntry& entry) const;
+  /// Returns whether the member was silent for so long that its flows are lost.
+  bool IsLost(TimePoint now, const RosterEntry& entry) const;
+  /// Returns how many members of a role are heard.
+  size_t CountHeard(TimePoint now, MemberRole role) const;
+
+  /// Returns all entries in the order of their ids.
+  const std::map<MemberId, RosterEntry>& Entries() const { return m_entries; }
+
+ private:
+  MemberId m_self;                            ///< Own id; never an entry.
+  RosterTimeouts m_timeouts;                  ///< As constructed.
+  std::map<MemberId, RosterEntry> m_entries;  ///< Others.
+};
+
+/// Returns the message form of a member. Thread-safe.
+proto::PeerMember EncodeMember(TimePoint now, const SteerMember& member);
+/// Returns the member of a message; id 0 if it is unusable. Thread-safe.
+SteerMember DecodeMember(TimePoint now, const proto::PeerMember& message);
+/// Returns the message form of a load. Thread-safe.
+proto::PeerLoad EncodeLoad(TimePoint now, const ServerLoad& load);
+/// Returns the load of a message. Thread-safe.
+ServerLoad DecodeLoad(TimePoint now, const proto::PeerLoad& message);
+
+}  // namespace medlargauge
+
+#endif  // MEDLARGAUGE_STEER_ROSTER_H_
--- /dev/null
+++ b/src/steer/server_gate.cc
@@ -0,0 +1,320 @@
+// @file server_gate.cc Delivering, returning and counting.
+#include "src/steer/server_gate.h"
+
+#include <algorithm>
+
+namespace medlargauge {
+namespace {
+
+/// The newest sample counts one part in this many of the mean service time.
+constexpr uint64_t kMeanParts = 8;
+constexpr uint64_t kMicrosecondsPerMs = 1000;
+/// A heartbeat is due about every second; after so much silence the server is
+/// checked.
+constexpr Duration kReportSilence = Milliseconds(3000);
+/// Until the first heartbeat a server counts as having this many slots.
+constexpr uint32_t kUnknownSlots = 4;
+
+/// Returns whether `a` comes after `b` in sequence space.
+bool IsAfter(uint32_t a, uint32_t b) {
+  return static_cast<int32_t>(a - b) > 0;
+}
+
+}  // namespace
+
+ServerGate::ServerGate(std::string service,
+                       SocketAddress4 address,
+                       GateLimits limits)
+    : m_service(std::move(service)),
+      m_service_id(ServiceIdOf(m_service)),
+      m_address(address),
+      m_limits(limits) {}
+
+GateDecision ServerGate::OnForwarded(TimePoint now,
+                                     uint32_t balancer_ip,
+                                     const ForwardHeader& header,
+                                     const FlowPacket& packet) {
+  if (header.service != m_service_id) {
+    return Return(balancer_ip, ReturnReason::kWrongService);
+  }
+  if (m_down) {
+    return Return(balancer_ip, ReturnReason::kServerDown);
+  }
+  if (packet.syn) {
+    return OnOpening(now, balancer_ip, header, packet);
+  }
+  GateDecision decision;
+  decision.kind = GateDecision::Kind::kDeliver;
+  ++m_counters.delivered;
+  if (packet.rst) {
+    Erase(packet.flow);
+    return decision;
+  }
+  if (m_flows.size() >= m_limits.max_flows && m_flows.count(packet.flow) == 0) {
+    return decision;
+  }
+  Flow& flow = m_flows[packet.flow];
+  flow.balancer_ip = balancer_ip;
+  flow.confirm = flow.confirm || header.search;
+  TrackCaller(now, packet, &flow);
+  return decision;
+}
+
+GateDecision ServerGate::OnOpening(TimePoint now,
+                                   uint32_t balancer_ip,
+                                   const ForwardHeader& header,
+                                   const FlowPacket& packet) {
+  const auto found = m_flows.find(packet.flow);
+  const bool is_copy = found != m_flows.end() &&
+                       found->second.stage != Stage::kUnsure &&
+                       found->second.opening_sequence == packet.sequence;
+  if (!is_copy) {
+    if (m_leaving || (m_report.has_value() && m_report->draining)) {
+      return Return(balancer_ip, ReturnReason::kDraining);
+    }
+    if (IsQuiet(now)) {
+      return Return(balancer_ip, ReturnReason::kServerDown);
+    }
+    const ServerLoad load = Load(now);
+    if (!header.last_choice && load.active >= load.slots) {
+      return Return(balancer_ip, ReturnReason::kBusy);
+    }
+    const uint64_t patience_us = header.patience_ms * kMicrosecondsPerMs;
+    if (patience_us != 0 && ExpectedAnswerUs(now, load, 0) > patience_us) {
+      return Return(balancer_ip, ReturnReason::kFull);
+    }
+    Erase(packet.flow);
+  }
+  Flow& flow = m_flows[packet.flow];
+  if (!is_copy) {
+    flow.stage = Stage::kOpening;
+    flow.opening_sequence = packet.sequence;
+    flow.caller_next = packet.sequence + 1;
+    flow.expires = now + m_limits.opening;
+    Count(now + m_limits.reserve, &flow);
+  }
+  flow.balancer_ip = balancer_ip;
+  flow.confirm = true;
+  if (!m_awaits_answer) {
+    m_awaits_answer = true;
+    m_unanswered_since = now;
+  }
+  ++m_counters.delivered;
+  GateDecision decision;
+  decision.kind = GateDecision::Kind::kDeliver;
+  return decision;
+}
+
+void ServerGate::TrackCaller(TimePoint now,
+                             const FlowPacket& packet,
+                             Flow* flow) {
+  const bool ends = packet.fin;
+  flow->acknowledged = packet.acknowledged;
+  flow->expires = now + (ends ? m_limits.closing : m_limits.idle);
+  if (packet.data_length == 0) {
+    return;
+  }
+  const uint32_t end = packet.sequence + packet.data_length;
+  const bool first = flow->stage == Stage::kUnsure && flow->caller_next == 0;
+  if (!first && !IsAfter(end, flow->caller_next)) {
+    return;  // Sent again.
+  }
+  flow->caller_next = end;
+  if (!flow->working) {
+    flow->working = true;
+    flow->work_began = now;
+    Count(now + m_limits.work, flow);
+    flow->ahead = m_active - 1;
+  }
+}
+
+GateDecision ServerGate::OnServerPacket(TimePoint now,
+                                        const FlowPacket& packet) {
+  m_server_seen = now;
+  m_awaits_answer = false;
+  m_down = false;
+  const auto found = m_flows.find(packet.flow);
+  if (packet.bounced) {
+    const uint32_t balancer_ip = packet.tag;
+    if (found != m_flows.end()) {
+      Erase(packet.flow);
+    }
+    return Return(balancer_ip, ReturnReason::kBounced);
+  }
+  GateDecision decision;
+  decision.kind = GateDecision::Kind::kToCaller;
+  if (found == m_flows.end()) {
+    return decision;
+  }
+  Flow& flow = found->second;
+  if (flow.stage == Stage::kOpening) {
+    ++m_counters.opened;
+  }
+  flow.stage = Stage::kHeld;
+  decision.confirm = flow.confirm;
+  decision.balancer_ip = flow.balancer_ip;
+  flow.confirm = false;
+  if (packet.rst) {
+    Erase(packet.flow);
+    return decision;
+  }
+  if (packet.data_length > 0) {
+    NoteAnswer(now, &flow);
+  }
+  flow.expires = now + (packet.fin ? m_limits.closing : m_limits.idle);
+  return decision;
+}
+
+void ServerGate::NoteAnswer(TimePoint now, Flow* flow) {
+  if (flow->working) {
+    const uint64_t passed =
+        std::chrono::duration_cast<std::chrono::microseconds>(now -
+                                                              flow->work_began)
+            .count();
+    // Takes out the wait behind the requests that were there before.
+    const uint64_t slots = Load(now).slots;
+    const uint64_t turns = std::max<uint64_t>(flow->ahead + 1, slots);
+    const uint64_t sample = passed * slots / turns;
+    m_service_us =
+        m_service_us == 0
+            ? sample
+            : (m_service_us * (kMeanParts - 1) + sample) / kMeanParts;
+    ++m_counters.answers;
+  }
+  flow->working = false;
+  Uncount(flow);
+}
+
+ReportOutcome ServerGate::OnReport(TimePoint now, const ServerReport& report) {
+  if (report.service != m_service || report.address != m_address) {
+    return ReportOutcome::kForeign;
+  }
+  if (m_report.has_value()) {
+    const bool same_start =
+        m_report->id == report.id && m_report->started_ms == report.started_ms;
+    const bool older = same_start ? report.sequence <= m_report->sequence
+                                  : report.started_ms < m_report->started_ms;
+    if (older) {
+      return ReportOutcome::kLate;
+    }
+  }
+  const bool left = !m_ended_id.empty() && report.id == m_ended_id &&
+                    report.started_ms <= m_ended_start;
+  if (left) {
+    return ReportOutcome::kLate;
+  }
+  m_report = report;
+  m_reported_at = now;
+  m_server_seen = now;
+  m_awaits_answer = false;
+  m_down = false;
+  return ReportOutcome::kTaken;
+}
+
+bool ServerGate::OnDeregister(TimePoint now, std::string_view id) {
+  if (m_report.has_value() && m_report->id != id) {
+    return false;
+  }
+  m_ended_id = std::string(id);
+  m_ended_start = m_report.has_value() ? m_report->started_ms : 0;
+  m_report = std::nullopt;
+  m_down = true;
+  m_server_seen = now;
+  return true;
+}
+
+std::vector<GateReset> ServerGate::OnServerDown(TimePoint /*now*/) {
+  std::vector<GateReset> resets;
+  for (auto& [key, flow] : m_flows) {
+    if (flow.stage != Stage::kUnsure) {
+      resets.push_back({key, flow.acknowledged});
+      ++m_counters.resets;
+    }
+  }
+  m_flows.clear();
+  m_active = 0;
+  m_service_us = 0;
+  m_down = true;
+  m_awaits_answer = false;
+  return resets;
+}
+
+void ServerGate::OnTick(TimePoint now) {
+  for (auto it = m_flows.begin(); it != m_flows.end();) {
+    Flow& flow = it->second;
+    if (flow.counted && flow.counted_until <= now) {
+      flow.working = false;
+      Uncount(&flow);
+    }
+    if (flow.expires <= now) {
+      Uncount(&flow);
+      it = m_flows.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+bool ServerGate::WantsCheck(TimePoint now) const {
+  const bool silent = m_report.has_value() &&
+                      now - m_reported_at > kReportSilence &&
+                      now - m_server_seen > kReportSilence;
+  return !m_down && (IsQuiet(now) || silent);
+}
+
+bool ServerGate::IsQuiet(TimePoint now) const {
+  return m_awaits_answer && now - m_unanswered_since > m_limits.quiet;
+}
+
+AgentState ServerGate::State(TimePoint now) const {
+  if (m_down) {
+    return AgentState::kGone;
+  }
+  if (!m_report.has_value() || IsQuiet(now)) {
+    return AgentState::kJoining;
+  }
+  return m_report->draining ? AgentState::kDraining : AgentState::kReady;
+}
+
+ServerLoad ServerGate::Load(TimePoint /*now*/) const {
+  ServerLoad load;
+  load.active = m_active;
+  load.service_us = static_cast<uint32_t>(m_service_us);
+  if (m_report.has_value()) {
+    load.slots = std::max(m_report->slots, 1U);
+    load.warm_at = m_reported_at + Milliseconds(m_report->warmup_ms);
+  } else {
+    load.slots = kUnknownSlots;
+  }
+  return load;
+}
+
+void ServerGate::Count(TimePoint until, Flow* flow) {
+  m_active += flow->counted ? 0 : 1;
+  flow->counted = true;
+  flow->counted_until = until;
+}
+
+void ServerGate::Uncount(Flow* flow) {
+  m_active -= flow->counted ? 1 : 0;
+  flow->counted = false;
+}
+
+void ServerGate::Erase(const FlowKey& key) {
+  const auto found = m_flows.find(key);
+  if (found != m_flows.end()) {
+    Uncount(&found->second);
+    m_flows.erase(found);
+  }
+}
+
+GateDecision ServerGate::Return(uint32_t balancer_ip, ReturnReason reason) {
+  ++m_counters.returned[static_cast<size_t>(reason)];
+  GateDecision decision;
+  decision.kind = GateDecision::Kind::kReturn;
+  decision.reason = reason;
+  decision.balancer_ip = balancer_ip;
+  return decision;
+}
+
+}  // namespace medlargauge
