--- a/src/core/event_log.cc
+++ b/src/core/event_log.cc
@@ -1,12 +1,12 @@
-// @file event_log.cc Structured lines on top of glog.
+// @file event_log.cc Structured lines and where they go.
 #include "src/core/event_log.h"
 
-#include <glog/logging.h>
+#include <cstdio>
 
 namespace medlargauge {
 namespace {
 
-/// Null while lines go to glog.
+/// Null while lines go to standard error.
 EventSink& CurrentSink() {
   static EventSink sink;
   return sink;
@@ -46,18 +46,8 @@
 EventLine::~EventLine() {
   if (CurrentSink()) {
     CurrentSink()(m_severity, m_line);
-    return;
-  }
-  switch (m_severity) {
-    case Severity::kInfo:
-      LOG(INFO) << m_line;
-      break;
-    case Severity::kWarning:
-      LOG(WARNING) << m_line;
-      break;
-    case Severity::kError:
-      LOG(ERROR) << m_line;
-      break;
+  } else {
+    std::fprintf(stderr, "%s\n", m_line.c_str());
   }
 }
 
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -11,14 +11,14 @@
 
 namespace medlargauge {
 
-/// Writes a finished line instead of glog.
+/// Writes a finished line.
 using EventSink = std::function<void(Severity, std::string_view line)>;
 
-/// Sends all lines of this process to `sink`; null goes back to glog.
+/// Sends all lines of this process to `sink`; null goes back to standard error.
 /// Precondition: no other thread writes lines yet.
 void SetEventSink(EventSink sink);
 
-/// Builds one log line; the destructor writes it through glog or the sink.
+/// Builds one log line; the destructor hands it to the sink.
 /// Use from one thread; distinct lines may be written by distinct threads.
 class EventLine {
  public:
--- a/src/daemon/daemon_main.cc
+++ b/src/daemon/daemon_main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "src/core/error.h"
+#include "src/daemon/glog_sink.h"
 #include "src/daemon/agent_process.h"
 #include "src/daemon/balancer_process.h"
 #include "src/daemon/process.h"
@@ -36,6 +37,7 @@
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
+  medlargauge::SendEventsToGlog();
   if (FLAGS_print_settings_doc) {
     std::cout << medlargauge::DescribeSettings();
     return 0;
--- a/src/runtime/fleet.cc
+++ b/src/runtime/fleet.cc
@@ -19,9 +19,11 @@
 constexpr size_t kStatusMembers = 24;
 constexpr Duration kJoinFast = Milliseconds(250);     ///< Nobody heard yet.
 constexpr Duration kJoinSlow = Seconds(5);            ///< Repairs lost news.
-constexpr Duration kStoreGrace = Milliseconds(1000);  ///< Seeds come first.
+constexpr Duration kStoreGrace = Milliseconds(60);  ///< Seeds come first.
+/// Serving comes before being found by those who start later.
+constexpr Duration kRegisterGrace = Milliseconds(1500);
 constexpr Duration kStoreRetry = Seconds(3);
-constexpr Duration kLonely = Milliseconds(1500);
+constexpr Duration kLonely = Milliseconds(1500);  ///< All balancers silent.
 constexpr Duration kPeerCall = Milliseconds(800);
 /// Clocks that disagree by less were read one after the other.
 constexpr Duration kSuspensionNoticed = Milliseconds(200);
@@ -61,7 +63,8 @@
       m_server(
           loop,
           [this](const HttpRequest& request) { return ServeTargets(request); }),
-      m_started(SteadyTime()),
+      m_list_deadline(SteadyTime() + kStoreGrace),
+      m_register_deadline(SteadyTime() + kRegisterGrace),
       m_suspended(SuspendedTime()) {
   SetSeeds(settings.seeds);
 }
@@ -90,6 +93,7 @@
     });
   });
   m_loop->Every(kTick, [this] { Tick(); });
+  m_loop->After(kStoreGrace, [this] { Tick(); });
   Tick();
   return true;
 }
@@ -211,8 +215,7 @@
   if (now >= m_join_deadline) {
     Join(now);
   }
-  if (now >= m_store_deadline && now - m_started >= kStoreGrace &&
-      !m_store_busy && !m_leaving) {
+  if (!m_store_busy && !m_leaving) {
     AskStoreForPeers(now);
     RegisterInStore(now);
   }
@@ -245,13 +248,14 @@
 }
 
 void Fleet::AskStoreForPeers(TimePoint now) {
+  const bool starts = m_peer_heard == TimePoint();
   const bool alone = m_roster.CountHeard(now, MemberRole::kBalancer) == 0 &&
-                     now - std::max(m_peer_heard, m_started) >= kLonely;
-  if (!alone) {
+                     (starts || now - m_peer_heard >= kLonely);
+  if (!alone || now < m_list_deadline) {
     return;
   }
   m_store_busy = true;
-  m_store_deadline = now + kStoreRetry;
+  m_list_deadline = now + kStoreRetry;
   ++m_store_calls;
   m_platform->list_balancers(
       [this](StoreResult result, const std::vector<uint32_t>& ips) {
@@ -269,11 +273,13 @@
 }
 
 void Fleet::RegisterInStore(TimePoint now) {
-  if (m_registered || m_store_busy || m_self.role != MemberRole::kBalancer) {
+  const bool due = m_self.role == MemberRole::kBalancer && !m_registered &&
+                   !m_store_busy && now >= m_register_deadline;
+  if (!due) {
     return;
   }
   m_store_busy = true;
-  m_store_deadline = now + kStoreRetry;
+  m_register_deadline = now + kStoreRetry;
   ++m_store_calls;
   m_platform->add_balancer(m_self.ip, [this](StoreResult result) {
     m_store_busy = false;
--- a/src/runtime/fleet.h
+++ b/src/runtime/fleet.h
@@ -97,10 +97,10 @@
   bool m_store_busy = false;            ///< A membership call is under way.
   bool m_store_lost = false;            ///< The last call failed; for the log.
   uint64_t m_store_calls = 0;           ///< Only grows.
-  TimePoint m_started;                  ///< Start of the process.
   TimePoint m_status_deadline;          ///< Next status to everybody.
   TimePoint m_join_deadline;            ///< Next request for members.
-  TimePoint m_store_deadline;           ///< Next membership call to the store.
+  TimePoint m_list_deadline;            ///< Next question to the store.
+  TimePoint m_register_deadline;        ///< Next entry in the store.
   TimePoint m_peer_heard;               ///< A balancer was last heard.
   Duration m_suspended{};               ///< Time suspended so far.
 };
