--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -372,7 +372,7 @@
   decision.header.service = flow.service;
   decision.header.search = flow.phase == Phase::kSearching;
   decision.header.last_choice = flow.last_choice;
-  decision.header.patience_ms = route.timeout_ms;
+  decision.header.patience_ms = route.goal_ms;
   decision.header.revision = m_routes->Revision();
   return decision;
 }
