--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -112,8 +112,15 @@
   if (decision.kind == GateDecision::Kind::kDeliver) {
     m_platform->tag_packet(frame.packet, from.ip);
     m_outbound.Send(m_server, ToView(frame.packet));
+    if (packet->syn && FlowLog::IsSampled(packet->flow)) {
+      EventLine(Severity::kInfo, "flow_delivered")
+          .With("flow", FlowName(packet->flow))
+          .With("from", FormatIp(from.ip))
+          .With("active", m_gate.Active())
+          .With("revision", frame.header.revision);
+    }
   } else if (decision.kind == GateDecision::Kind::kReturn) {
-    SendBack(now, decision, frame.packet);
+    SendBack(now, decision, *packet, frame.packet);
   }
 }
 
@@ -125,7 +132,7 @@
   }
   const GateDecision decision = m_gate.OnServerPacket(now, *packet);
   if (decision.kind == GateDecision::Kind::kReturn) {
-    SendBack(now, decision, datagram);
+    SendBack(now, decision, *packet, datagram);
     return;
   }
   if (decision.kind != GateDecision::Kind::kToCaller) {
@@ -146,7 +153,17 @@
 
 void AgentRuntime::SendBack(TimePoint now,
                             const GateDecision& decision,
+                            const FlowPacket& packet,
                             ByteSpan datagram) {
+  if (m_log.MayReport(now)) {
+    EventLine(Severity::kInfo, "flow_returned")
+        .With("flow", FlowName(packet.flow))
+        .With("to", FormatIp(decision.balancer_ip))
+        .With("reason", ReasonName(decision.reason))
+        .With("opening", packet.syn)
+        .With("active", m_gate.Active())
+        .With("service_us", m_gate.Load(now).service_us);
+  }
   m_platform->tag_packet(datagram, 0);
   m_fleet.Send(decision.balancer_ip,
                m_fleet.Writer().Return(now, decision.reason, m_gate.Load(now),
--- a/src/runtime/agent_runtime.h
+++ b/src/runtime/agent_runtime.h
@@ -3,6 +3,7 @@
 #define MEDLARGAUGE_RUNTIME_AGENT_RUNTIME_H_
 
 #include "src/runtime/fleet.h"
+#include "src/runtime/flow_log.h"
 #include "src/steer/server_gate.h"
 
 namespace medlargauge {
@@ -29,7 +30,10 @@
  private:
   void OnFrame(TimePoint now, SocketAddress4 from, const PeerFrame& frame);
   void OnServerDatagram(TimePoint now, ByteSpan datagram);
-  void SendBack(TimePoint now, const GateDecision& decision, ByteSpan datagram);
+  void SendBack(TimePoint now,
+                const GateDecision& decision,
+                const FlowPacket& packet,
+                ByteSpan datagram);
   void Tick();
   void CheckServer(TimePoint now);
   void OnServerDown(TimePoint now);
@@ -48,6 +52,7 @@
   UdpSocket m_outbound;             ///< Packets of the backend server.
   HttpServer m_reports;             ///< Heartbeats of the backend server.
   HttpServer m_admin;               ///< Readiness.
+  FlowLog m_log;  ///< Limits lines about flows.
   AgentState m_told = AgentState::kJoining;  ///< State in the last status.
   int m_check_fd = -1;         ///< Connection attempt to the server.
   TimePoint m_check_deadline;  ///< Next attempt.
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -75,7 +75,7 @@
     return;
   }
   m_last_packet = now;
-  Act(m_steering.OnCallerPacket(now, *packet, ToView(datagram)), *packet,
+  Act(now, m_steering.OnCallerPacket(now, *packet, ToView(datagram)), *packet,
       ToView(datagram));
 }
 
@@ -104,15 +104,56 @@
     const ByteView raw = ToView(frame.packet);
     const std::optional<FlowPacket> packet = m_platform->read_packet(raw, true);
     if (packet.has_value()) {
-      Act(m_steering.OnReturned(now, id, frame.reason, *packet), *packet, raw);
+      if (m_log.MayReport(now)) {
+        EventLine(Severity::kInfo, "flow_returned")
+            .With("flow", FlowName(packet->flow))
+            .With("by", FormatIp(from.ip))
+            .With("reason", ReasonName(frame.reason))
+            .With("opening", packet->syn)
+            .With("active", frame.load.active)
+            .With("slots", frame.load.slots);
+      }
+      Act(now, m_steering.OnReturned(now, id, frame.reason, *packet), *packet,
+          raw);
       ArmTimer();
     }
   }
 }
 
-void BalancerRuntime::Act(const SteerDecision& decision,
+void BalancerRuntime::LogDecision(TimePoint now,
+                                  const SteerDecision& decision,
+                                  const FlowPacket& packet) {
+  const bool forwards = decision.kind == SteerDecision::Kind::kForward;
+  const bool shown = forwards ? packet.syn && FlowLog::IsSampled(packet.flow)
+                              : m_log.MayReport(now);
+  if (!shown) {
+    return;
+  }
+  EventLine line(Severity::kInfo, forwards ? "flow_forwarded"
+                                  : decision.kind == SteerDecision::Kind::kReset
+                                      ? "flow_reset"
+                                      : "packet_dropped");
+  line.With("flow", FlowName(packet.flow))
+      .With("caller", FormatAddress(packet.flow.caller))
+      .With("route", FormatAddress(packet.flow.route))
+      .With("opening", packet.syn)
+      .With("revision", m_fleet.Routes().Revision());
+  const RosterEntry* agent = m_fleet.Members().Find(decision.agent);
+  if (forwards && agent != nullptr) {
+    line.With("agent", FormatIp(agent->member.ip))
+        .With("active", agent->member.load.active)
+        .With("pending", agent->pending)
+        .With("age_ms", ToMilliseconds(now - agent->heard));
+  } else {
+    line.With("reason", Describe(decision.error).text);
+  }
+}
+
+void BalancerRuntime::Act(TimePoint now,
+                          const SteerDecision& decision,
                           const FlowPacket& packet,
                           ByteView raw) {
+  LogDecision(now, decision, packet);
   switch (decision.kind) {
     case SteerDecision::Kind::kForward: {
       const RosterEntry* agent = m_fleet.Members().Find(decision.agent);
@@ -148,10 +189,17 @@
 
 void BalancerRuntime::RunTimers() {
   m_timer_armed = false;
-  for (const SteerResend& resend : m_steering.OnTick(SteadyTime())) {
+  const TimePoint now = SteadyTime();
+  for (const SteerResend& resend : m_steering.OnTick(now)) {
     FlowPacket packet;
     packet.flow = resend.flow;
-    Act(resend.decision, packet,
+    packet.syn = true;
+    if (m_log.MayReport(now)) {
+      EventLine(Severity::kWarning, "flow_unanswered")
+          .With("flow", FlowName(resend.flow))
+          .With("tried_ms", ToMilliseconds(SteeringLimits().opening_answer));
+    }
+    Act(now, resend.decision, packet,
         {reinterpret_cast<const uint8_t*>(resend.packet.data()),
          resend.packet.size()});
   }
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -3,6 +3,7 @@
 #define MEDLARGAUGE_RUNTIME_BALANCER_RUNTIME_H_
 
 #include "src/runtime/fleet.h"
+#include "src/runtime/flow_log.h"
 #include "src/steer/steering.h"
 
 namespace medlargauge {
@@ -26,9 +27,13 @@
  private:
   void OnCallerDatagram(TimePoint now, ByteSpan datagram);
   void OnFrame(TimePoint now, SocketAddress4 from, const PeerFrame& frame);
-  void Act(const SteerDecision& decision,
+  void Act(TimePoint now,
+           const SteerDecision& decision,
            const FlowPacket& packet,
            ByteView raw);
+  void LogDecision(TimePoint now,
+                   const SteerDecision& decision,
+                   const FlowPacket& packet);
   void RunTimers();
   void ArmTimer();
   void EndIfIdle();
@@ -41,6 +46,7 @@
   Steering m_steering;              ///< Decisions.
   UdpSocket m_callers;              ///< Packets of callers.
   HttpServer m_admin;               ///< Readiness.
+  FlowLog m_log;                    ///< Limits lines about flows.
   bool m_timer_armed = false;       ///< RunTimers is due.
   bool m_ready = false;             ///< As last told, for the log.
   bool m_stopping = false;          ///< A planned stop has begun.
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -18,6 +18,26 @@
   return text;
 }
 
+std::string_view ReasonName(ReturnReason reason) {
+  switch (reason) {
+    case ReturnReason::kNone:
+      return "none";
+    case ReturnReason::kBounced:
+      return "bounced";
+    case ReturnReason::kBusy:
+      return "busy";
+    case ReturnReason::kFull:
+      return "full";
+    case ReturnReason::kDraining:
+      return "draining";
+    case ReturnReason::kWrongService:
+      return "wrong_service";
+    case ReturnReason::kServerDown:
+      return "server_down";
+  }
+  return "unknown";
+}
+
 bool FlowLog::MayReport(TimePoint now) {
   if (now >= m_window_end) {
     if (m_left_out > 0) {
--- a/src/runtime/flow_log.h
+++ b/src/runtime/flow_log.h
@@ -12,6 +12,9 @@
 /// Returns the name of a flow in logs, the same in every process. Thread-safe.
 std::string FlowName(const FlowKey& flow);
 
+/// Returns the name of a reason in logs. Thread-safe.
+std::string_view ReasonName(ReturnReason reason);
+
 /// Limits how many lines about flows are written. Not thread-safe.
 class FlowLog {
  public:
