--- /dev/null
+++ b/lab/lab_main.cc
@@ -0,0 +1,159 @@
+// @file lab_main.cc Plays scenarios and compares policies.
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "lab/lab_scenarios.h"
+#include "lab/lab_world.h"
+#include "src/core/error.h"
+
+DEFINE_string(policy, "present", "policies to play, separated by commas");
+DEFINE_uint32(seeds, 5, "runs of each policy, with seeds from --first_seed");
+DEFINE_uint32(first_seed, 1, "seed of the first run");
+DEFINE_bool(json, false, "print one JSON object a policy");
+
+namespace medlargauge::lab {
+namespace {
+
+/// A mean with half of its 95% confidence interval.
+struct Estimate {
+  double mean = 0;
+  double half = 0;
+};
+
+Estimate EstimateOf(const std::vector<double>& values) {
+  constexpr double kTwoSided95 = 1.96;
+  Estimate estimate;
+  for (const double value : values) {
+    estimate.mean += value / static_cast<double>(values.size());
+  }
+  double squares = 0;
+  for (const double value : values) {
+    squares += (value - estimate.mean) * (value - estimate.mean);
+  }
+  if (values.size() > 1) {
+    estimate.half =
+        kTwoSided95 * std::sqrt(squares / static_cast<double>(
+                                              values.size() *
+                                              (values.size() - 1)));
+  }
+  return estimate;
+}
+
+void PlayPolicy(const Scenario& scenario, const Policy& policy) {
+  std::vector<double> worth;
+  std::vector<double> worst;
+  Result sum;
+  for (uint32_t i = 0; i < FLAGS_seeds; ++i) {
+    const Result result = Play(scenario, policy, FLAGS_first_seed + i);
+    worth.push_back(result.Worth());
+    worst.push_back(result.WorstWindow());
+    sum.classes[""].asked += result.Total().asked;
+    sum.classes[""].in_aim += result.Total().in_aim;
+    sum.classes[""].late += result.Total().late;
+    sum.classes[""].failed += result.Total().failed;
+    sum.wrong_resets += result.wrong_resets;
+    sum.mixed_services += result.mixed_services;
+    sum.ran_twice += result.ran_twice;
+    sum.late_work += result.late_work;
+    sum.connections += result.connections;
+    sum.refused_by_server += result.refused_by_server;
+  }
+  const Estimate mean_worth = EstimateOf(worth);
+  const Estimate mean_worst = EstimateOf(worst);
+  const ClassResult total = sum.Total();
+  if (FLAGS_json) {
+    std::cout << nlohmann::json({{"scenario", scenario.name},
+                                 {"policy", policy.name},
+                                 {"worth", mean_worth.mean},
+                                 {"worth_half", mean_worth.half},
+                                 {"worst_window", mean_worst.mean},
+                                 {"asked", total.asked},
+                                 {"in_aim", total.in_aim},
+                                 {"late", total.late},
+                                 {"failed", total.failed},
+                                 {"wrong_resets", sum.wrong_resets},
+                                 {"mixed_services", sum.mixed_services},
+                                 {"ran_twice", sum.ran_twice},
+                                 {"late_work", sum.late_work},
+                                 {"connections", sum.connections},
+                                 {"refused_by_server", sum.refused_by_server}})
+              << '\n';
+    return;
+  }
+  std::printf(
+      "%-16s %-14s worth %.4f +-%.4f worst %.3f asked %llu in aim %llu late "
+      "%llu failed %llu shed %llu wrong %llu/%llu/%llu/%llu\n",
+      scenario.name.c_str(), policy.name.c_str(), mean_worth.mean,
+      mean_worth.half, mean_worst.mean,
+      static_cast<unsigned long long>(total.asked),
+      static_cast<unsigned long long>(total.in_aim),
+      static_cast<unsigned long long>(total.late),
+      static_cast<unsigned long long>(total.failed),
+      static_cast<unsigned long long>(sum.refused_by_server),
+      static_cast<unsigned long long>(sum.wrong_resets),
+      static_cast<unsigned long long>(sum.mixed_services),
+      static_cast<unsigned long long>(sum.ran_twice),
+      static_cast<unsigned long long>(sum.late_work));
+}
+
+std::vector<std::string> SplitByComma(const std::string& text) {
+  std::vector<std::string> parts(1);
+  for (const char c : text) {
+    if (c == ',') {
+      parts.emplace_back();
+    } else {
+      parts.back() += c;
+    }
+  }
+  return parts;
+}
+
+int Run(const std::vector<std::string>& words) {
+  const bool all = words.size() == 1 && words[0] == "all";
+  const std::vector<std::string> names = all ? ScenarioNames() : words;
+  const std::vector<std::string> policies =
+      FLAGS_policy == "all" ? PolicyNames() : SplitByComma(FLAGS_policy);
+  if (names.empty()) {
+    std::cerr << "medlargauge_lab: name scenarios, or \"all\":";
+    for (const std::string& name : ScenarioNames()) {
+      std::cerr << ' ' << name;
+    }
+    std::cerr << '\n';
+    return Describe(ErrorKind::kBadUsage).exit_code;
+  }
+  for (const std::string& name : names) {
+    const std::optional<Scenario> scenario = FindScenario(name);
+    if (!scenario.has_value()) {
+      std::cerr << "medlargauge_lab: there is no scenario \"" << name << "\"\n";
+      return Describe(ErrorKind::kBadUsage).exit_code;
+    }
+    for (const std::string& policy_name : policies) {
+      const std::optional<Policy> policy = FindPolicy(policy_name);
+      if (!policy.has_value()) {
+        std::cerr << "medlargauge_lab: there is no policy \"" << policy_name
+                  << "\"\n";
+        return Describe(ErrorKind::kBadUsage).exit_code;
+      }
+      PlayPolicy(*scenario, *policy);
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace medlargauge::lab
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "plays modelled deployments with the real decisions\n"
+      "  medlargauge_lab all --seeds=20\n"
+      "  medlargauge_lab overload power-off --policy=present,hash --json");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  return medlargauge::lab::Run(
+      std::vector<std::string>(argv + 1, argv + argc));
+}
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -99,6 +99,18 @@
 void AgentRuntime::OnFrame(TimePoint now,
                            SocketAddress4 from,
                            const PeerFrame& frame) {
+  if (frame.kind == PeerKind::kPointer) {
+    proto::FlowPointer pointer;
+    if (pointer.ParseFromArray(frame.message.data(),
+                               static_cast<int>(frame.message.size()))) {
+      m_gate.OnPointer(
+          now,
+          {{pointer.caller_ip(), static_cast<uint16_t>(pointer.caller_port())},
+           {pointer.route_ip(), static_cast<uint16_t>(pointer.route_port())}},
+          MemberId{pointer.owner()});
+    }
+    return;
+  }
   if (frame.kind != PeerKind::kForward) {
     return;
   }
@@ -166,7 +178,7 @@
   }
   m_platform->tag_packet(datagram, 0);
   m_fleet.Send(decision.balancer_ip,
-               m_fleet.Writer().Return(now, decision.reason, m_gate.Load(now),
+               m_fleet.Writer().Return(now, decision.reason, decision.owner, m_gate.Load(now),
                                        ToView(datagram)));
 }
 
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -113,7 +113,7 @@
             .With("active", frame.load.active)
             .With("slots", frame.load.slots);
       }
-      Act(now, m_steering.OnReturned(now, id, frame.reason, *packet), *packet,
+      Act(now, m_steering.OnReturned(now, id, frame.reason, frame.owner, *packet), *packet,
           raw);
       ArmTimer();
     }
@@ -203,9 +203,27 @@
         {reinterpret_cast<const uint8_t*>(resend.packet.data()),
          resend.packet.size()});
   }
+  SendPointers();
   ArmTimer();
 }
 
+void BalancerRuntime::SendPointers() {
+  for (const SteerPointer& pointer : m_steering.TakePointers()) {
+    const RosterEntry* home = m_fleet.Members().Find(pointer.home);
+    if (home == nullptr) {
+      continue;
+    }
+    proto::FlowPointer message;
+    message.set_caller_ip(pointer.flow.caller.ip);
+    message.set_caller_port(pointer.flow.caller.port);
+    message.set_route_ip(pointer.flow.route.ip);
+    message.set_route_port(pointer.flow.route.port);
+    message.set_owner(pointer.owner.value);
+    m_fleet.Send(home->member.ip,
+                 m_fleet.Writer().Message(PeerKind::kPointer, message));
+  }
+}
+
 HttpAnswer BalancerRuntime::AnswerCheck(const HttpRequest& request) {
   HttpAnswer answer;
   if (request.path != m_platform->ready_path) {
@@ -233,6 +251,8 @@
   m_stop_earliest = now + kRoutersMoveOn;
   m_stop_latest = now + Milliseconds(m_settings.stop_grace_ms) - kStopMargin;
   m_fleet.StartLeaving();
+  m_steering.PointToAll(now);
+  SendPointers();
   EndIfIdle();
 }
 
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -35,6 +35,7 @@
                    const SteerDecision& decision,
                    const FlowPacket& packet);
   void RunTimers();
+  void SendPointers();
   void ArmTimer();
   void EndIfIdle();
   HttpAnswer AnswerCheck(const HttpRequest& request);
--- a/src/runtime/fleet.cc
+++ b/src/runtime/fleet.cc
@@ -16,7 +16,10 @@
 constexpr Duration kBalancerStatus = Milliseconds(450);
 /// With more members than this the interval grows in proportion, so that a
 /// process sends and gets a bounded number of statuses a second.
-constexpr size_t kStatusMembers = 24;
+constexpr int kStatusesToMiss = 2;  ///< Before a member counts as silent.
+constexpr size_t kStatusMembers = 48;
+/// About 50 bytes each: fits the largest datagram that is read.
+constexpr int kMembersPerDatagram = 24;
 constexpr Duration kJoinFast = Milliseconds(250);     ///< Nobody heard yet.
 constexpr Duration kJoinSlow = Seconds(5);            ///< Repairs lost news.
 constexpr Duration kStoreGrace = Milliseconds(60);  ///< Seeds come first.
@@ -147,16 +150,25 @@
     }
   }
   if (is_new || status.wants_members()) {
-    proto::PeerStatus answer = MakeStatus(now);
-    if (status.wants_members()) {
-      for (const auto& [id, entry] : m_roster.Entries()) {
-        if (entry.heard != TimePoint() && !m_roster.IsLost(now, entry)) {
-          *answer.add_known() = EncodeMember(now, entry.member);
-        }
-      }
+    SendKnown(now, from.ip, status.wants_members());
+  }
+}
+
+void Fleet::SendKnown(TimePoint now, uint32_t ip, bool with_members) {
+  proto::PeerStatus answer = MakeStatus(now);
+  for (const auto& [id, entry] : m_roster.Entries()) {
+    const bool named = with_members && entry.heard != TimePoint() &&
+                       !m_roster.IsLost(now, entry);
+    if (!named) {
+      continue;
+    }
+    *answer.add_known() = EncodeMember(now, entry.member);
+    if (answer.known_size() == kMembersPerDatagram) {
+      SendStatus(ip, answer);
+      answer = MakeStatus(now);
     }
-    SendStatus(from.ip, answer);
   }
+  SendStatus(ip, answer);
 }
 
 proto::PeerStatus Fleet::MakeStatus(TimePoint now) {
--- a/src/runtime/fleet.h
+++ b/src/runtime/fleet.h
@@ -65,6 +65,7 @@
   void OnDatagram(SocketAddress4 from, ByteSpan datagram);
   void OnStatus(TimePoint now, SocketAddress4 from, ByteView message);
   proto::PeerStatus MakeStatus(TimePoint now);
+  void SendKnown(TimePoint now, uint32_t ip, bool with_members);
   void SendStatus(uint32_t ip, const proto::PeerStatus& status);
   void Tick();
   void Join(TimePoint now);
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -34,6 +34,8 @@
       return "wrong_service";
     case ReturnReason::kServerDown:
       return "server_down";
+    case ReturnReason::kMoved:
+      return "moved";
   }
   return "unknown";
 }
--- a/src/runtime/peer_wire.cc
+++ b/src/runtime/peer_wire.cc
@@ -9,6 +9,7 @@
 constexpr uint8_t kMagic = 0xB7;  ///< Tells our datagrams from strays.
 constexpr uint8_t kSearchBit = 1;
 constexpr uint8_t kLastChoiceBit = 2;
+constexpr uint8_t kUsePointerBit = 4;
 
 /// Before a forwarded packet, in host byte order: all hosts are alike.
 struct ForwardHead {
@@ -33,8 +34,10 @@
   uint32_t slots;
   uint32_t service_us;
   uint32_t warmup_ms;
+  uint32_t unused_too;
+  uint64_t owner;
 };
-static_assert(sizeof(ReturnHead) == 20);
+static_assert(sizeof(ReturnHead) == 32);
 
 }  // namespace
 
@@ -47,7 +50,8 @@
   head.magic = kMagic;
   head.kind = static_cast<uint8_t>(PeerKind::kForward);
   head.bits = (header.search ? kSearchBit : 0) |
-              (header.last_choice ? kLastChoiceBit : 0);
+              (header.last_choice ? kLastChoiceBit : 0) |
+              (header.use_pointer ? kUsePointerBit : 0);
   head.service = header.service.value;
   head.patience_ms = header.patience_ms;
   head.revision = header.revision;
@@ -58,12 +62,14 @@
 
 ByteView PeerWriter::Return(TimePoint now,
                             ReturnReason reason,
+                            MemberId owner,
                             const ServerLoad& load,
                             ByteView packet) {
   ReturnHead head{};
   head.magic = kMagic;
   head.kind = static_cast<uint8_t>(PeerKind::kReturn);
   head.reason = static_cast<uint8_t>(reason);
+  head.owner = owner.value;
   head.active = load.active;
   head.slots = load.slots;
   head.service_us = load.service_us;
@@ -100,6 +106,7 @@
       frame.header.service.value = head.service;
       frame.header.search = (head.bits & kSearchBit) != 0;
       frame.header.last_choice = (head.bits & kLastChoiceBit) != 0;
+      frame.header.use_pointer = (head.bits & kUsePointerBit) != 0;
       frame.header.patience_ms = head.patience_ms;
       frame.header.revision = head.revision;
       frame.packet = {datagram.data + sizeof(head),
@@ -112,10 +119,11 @@
         return std::nullopt;
       }
       std::memcpy(&head, datagram.data, sizeof(head));
-      if (head.reason > static_cast<uint8_t>(ReturnReason::kServerDown)) {
+      if (head.reason > static_cast<uint8_t>(ReturnReason::kMoved)) {
         return std::nullopt;
       }
       frame.reason = static_cast<ReturnReason>(head.reason);
+      frame.owner.value = head.owner;
       proto::PeerLoad load;
       load.set_active(head.active);
       load.set_slots(head.slots);
@@ -128,6 +136,7 @@
     }
     case PeerKind::kNote:
     case PeerKind::kStatus:
+    case PeerKind::kPointer:
       frame.message = {datagram.data + 2, datagram.size - 2};
       return frame;
   }
--- a/src/runtime/peer_wire.h
+++ b/src/runtime/peer_wire.h
@@ -15,7 +15,8 @@
   kForward = 1,  ///< Balancer to agent: a caller's packet.
   kReturn = 2,   ///< Agent to balancer: a packet that it did not keep.
   kNote = 3,     ///< Agent to balancer: the flow is held.
-  kStatus = 4,   ///< Anybody to anybody.
+  kStatus = 4,    ///< Anybody to anybody.
+  kPointer = 5,   ///< Balancer to agent: who has a flow.
 };
 
 /// A datagram taken apart; views point into its bytes.
@@ -24,8 +25,9 @@
   ForwardHeader header;                       ///< kForward.
   ReturnReason reason = ReturnReason::kNone;  ///< kReturn.
   ServerLoad load;                            ///< kReturn.
+  MemberId owner;                             ///< kReturn, kMoved: who has it.
   ByteSpan packet;                            ///< kForward, kReturn.
-  ByteView message;                           ///< kNote, kStatus: protobuf.
+  ByteView message;                           ///< The others: protobuf.
 };
 
 /// Builds datagrams in a buffer of its own. Not thread-safe.
@@ -35,6 +37,7 @@
   ByteView Forward(const ForwardHeader& header, ByteView packet);
   ByteView Return(TimePoint now,
                   ReturnReason reason,
+                  MemberId owner,
                   const ServerLoad& load,
                   ByteView packet);
   ByteView Message(PeerKind kind, const google::protobuf::MessageLite& message);
--- a/src/steer/roster.cc
+++ b/src/steer/roster.cc
@@ -24,6 +24,7 @@
   }
   if (entry.learnt == TimePoint()) {
     entry.learnt = now;
+    NoteNew(now, member);
   }
   entry.member = member;
   entry.heard = now;
@@ -45,6 +46,13 @@
   if (is_new) {
     found->second.member = member;
     found->second.learnt = now;
+    NoteNew(now, member);
+  }
+}
+
+void Roster::NoteNew(TimePoint now, const SteerMember& member) {
+  if (member.role == MemberRole::kAgent) {
+    m_last_new_agent = now;
   }
 }
 
--- a/src/steer/roster.h
+++ b/src/steer/roster.h
@@ -63,13 +63,23 @@
   /// Returns how many members of a role are heard.
   size_t CountHeard(TimePoint now, MemberRole role) const;
 
+  /// Sets the silence after which a member is not heard any more.
+  void SetSilence(Duration silence) { m_timeouts.silent = silence; }
+
+  /// Returns when the last agent was met or named for the first time; zero if
+  /// none was.
+  TimePoint LastNewAgent() const { return m_last_new_agent; }
+
   /// Returns all entries in the order of their ids.
   const std::map<MemberId, RosterEntry>& Entries() const { return m_entries; }
 
  private:
+  void NoteNew(TimePoint now, const SteerMember& member);
+
   MemberId m_self;                            ///< Own id; never an entry.
   RosterTimeouts m_timeouts;                  ///< As constructed.
   std::map<MemberId, RosterEntry> m_entries;  ///< Others.
+  TimePoint m_last_new_agent;                 ///< See LastNewAgent.
 };
 
 /// Returns the message form of a member. Thread-safe.
--- a/src/steer/server_gate.cc
+++ b/src/steer/server_gate.cc
@@ -43,6 +43,16 @@
   if (packet.syn) {
     return OnOpening(now, balancer_ip, header, packet);
   }
+  const auto pointer = m_pointers.find(packet.flow);
+  const auto known = m_flows.find(packet.flow);
+  const bool own =
+      known != m_flows.end() && known->second.stage != Stage::kUnsure;
+  if (header.search && header.use_pointer && !own &&
+      pointer != m_pointers.end()) {
+    GateDecision moved = Return(balancer_ip, ReturnReason::kMoved);
+    moved.owner = pointer->second.owner;
+    return moved;
+  }
   GateDecision decision;
   decision.kind = GateDecision::Kind::kDeliver;
   ++m_counters.delivered;
@@ -60,6 +70,15 @@
   return decision;
 }
 
+void ServerGate::OnPointer(TimePoint now,
+                           const FlowKey& flow,
+                           MemberId owner) {
+  if (m_pointers.size() < m_limits.max_flows ||
+      m_pointers.count(flow) > 0) {
+    m_pointers[flow] = {owner, now + m_limits.idle};
+  }
+}
+
 GateDecision ServerGate::OnOpening(TimePoint now,
                                    uint32_t balancer_ip,
                                    const ForwardHeader& header,
@@ -79,8 +98,11 @@
     if (!header.last_choice && load.active >= load.slots) {
       return Return(balancer_ip, ReturnReason::kBusy);
     }
-    const uint64_t patience_us = header.patience_ms * kMicrosecondsPerMs;
-    if (patience_us != 0 && ExpectedAnswerUs(now, load, 0) > patience_us) {
+    const uint64_t patience_us =
+        header.patience_ms * kMicrosecondsPerMs * m_limits.aim_percent / 100;
+    const bool too_late =
+        patience_us != 0 && ExpectedAnswerUs(now, load, 0) > patience_us;
+    if (too_late || load.active >= load.slots * m_limits.active_per_slot) {
       return Return(balancer_ip, ReturnReason::kFull);
     }
     Erase(packet.flow);
@@ -240,6 +262,9 @@
 }
 
 void ServerGate::OnTick(TimePoint now) {
+  for (auto it = m_pointers.begin(); it != m_pointers.end();) {
+    it = it->second.expires <= now ? m_pointers.erase(it) : std::next(it);
+  }
   for (auto it = m_flows.begin(); it != m_flows.end();) {
     Flow& flow = it->second;
     if (flow.counted && flow.counted_until <= now) {
--- a/src/steer/server_gate.h
+++ b/src/steer/server_gate.h
@@ -42,6 +42,12 @@
   /// A server that leaves an opening packet unanswered this long and sends
   /// nothing else meanwhile does not answer.
   Duration quiet = Milliseconds(70);
+  /// A new flow is refused if its answer is expected beyond this part of its
+  /// aim.
+  uint32_t aim_percent = 75;
+  /// Servers queue a few requests behind their slots and refuse the rest,
+  /// which costs the caller a try: at most this many for each slot.
+  uint32_t active_per_slot = 4;
   size_t max_flows = 50000;  ///< Entries kept; about 120 bytes each.
 };
 
@@ -51,7 +57,8 @@
   Kind kind = Kind::kDrop;                    ///< What to do.
   ReturnReason reason = ReturnReason::kNone;  ///< kReturn: why.
   bool confirm = false;      ///< kToCaller: tell the balancer that it is held.
-  uint32_t balancer_ip = 0;  ///< kReturn, confirm: receiver.
+  uint32_t balancer_ip = 0;            ///< kReturn, confirm: receiver.
+  MemberId owner;                      ///< kMoved: who has the flow.
   ErrorKind error = ErrorKind::kNone;  ///< kDrop: why.
 };
 
@@ -74,7 +81,7 @@
   uint64_t delivered = 0;              ///< Packets given to the server.
   uint64_t answers = 0;                ///< Requests whose answer began.
   uint64_t resets = 0;                 ///< Flows reset because the server died.
-  std::array<uint64_t, 8> returned{};  ///< By ReturnReason.
+  std::array<uint64_t, 9> returned{};  ///< By ReturnReason.
 };
 
 /// State machine of an agent: (now, event) -> decision. Reads no clock, no
@@ -90,6 +97,9 @@
                            const ForwardHeader& header,
                            const FlowPacket& packet);
 
+  /// Remembers who has a flow, for balancers that will look for it here first.
+  void OnPointer(TimePoint now, const FlowKey& flow, MemberId owner);
+
   /// Decides about a packet that the backend server sent.
   GateDecision OnServerPacket(TimePoint now, const FlowPacket& packet);
 
@@ -144,6 +154,12 @@
     TimePoint expires;              ///< Forgotten then.
   };
 
+  /// Who has a flow that is looked for here first.
+  struct Pointer {
+    MemberId owner;     ///< The agent.
+    TimePoint expires;  ///< Forgotten then.
+  };
+
   GateDecision OnOpening(TimePoint now,
                          uint32_t balancer_ip,
                          const ForwardHeader& header,
@@ -172,6 +188,7 @@
   uint32_t m_active = 0;                 ///< Counted flows.
   uint64_t m_service_us = 0;             ///< Moving mean.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> m_flows;  ///< Remembered.
+  std::unordered_map<FlowKey, Pointer, FlowKeyHash> m_pointers;
   GateCounters m_counters;                                 ///< Only grow.
 };
 
--- a/src/steer/steer_type.h
+++ b/src/steer/steer_type.h
@@ -104,12 +104,14 @@
   kDraining,      ///< Takes no new flows.
   kWrongService,  ///< The host serves another service.
   kServerDown,    ///< No backend server is running.
+  kMoved,         ///< Another agent has the flow.
 };
 
 /// What a balancer tells the agent along with a packet.
 struct ForwardHeader {
   ServiceId service;         ///< Service that must serve the flow.
-  bool search = false;       ///< The owner is unknown: confirm if held.
+  bool search = false;        ///< The owner is unknown: confirm if held.
+  bool use_pointer = true;    ///< While searching: name the owner if known.
   bool last_choice = false;  ///< Take it unless that is useless.
   uint32_t patience_ms = 0;  ///< A new request is useless if later than this.
   uint64_t revision = 0;     ///< Targets that the balancer went by.
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -2,6 +2,7 @@
 #include "src/steer/steering.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace medlargauge {
 namespace {
@@ -167,13 +168,21 @@
     ++m_counters.searches;
     return SearchNext(now, packet.flow, &flow);
   }
+  if (flow.phase == Phase::kOpening) {
+    // The caller has an answer, from whichever server took the flow.
+    BeginSearch(&flow);
+  }
   const RosterEntry* owner = m_roster->Find(flow.agent);
   const bool lost = owner == nullptr || m_roster->IsLost(now, *owner);
-  if (lost && m_roster->CountHeard(now, MemberRole::kAgent) > 0) {
-    if (flow.phase == Phase::kSearching) {
-      AddOnce(&flow.tried, flow.agent);
+  if (flow.phase == Phase::kSearching) {
+    const bool mute = now - flow.asked_at >= m_limits.search_answer;
+    if (mute || lost) {
+      AddOnce(lost ? &flow.tried : &flow.mute, flow.agent);
       return SearchNext(now, packet.flow, &flow);
     }
+    return Forward(route, flow);
+  }
+  if (lost && m_roster->CountHeard(now, MemberRole::kAgent) > 0) {
     m_flows.erase(found);
     return Reject(SteerDecision::Kind::kReset, ErrorKind::kFlowUnknown);
   }
@@ -183,6 +192,7 @@
 SteerDecision Steering::OnReturned(TimePoint now,
                                    MemberId from,
                                    ReturnReason reason,
+                                   MemberId owner,
                                    const FlowPacket& packet) {
   const SteerRoute* route = m_routes->Find(packet.flow.route);
   if (route == nullptr) {
@@ -204,10 +214,19 @@
     m_flows.erase(found);
     return Reject(SteerDecision::Kind::kDrop, ErrorKind::kFlowUnknown);
   }
-  AddOnce(&flow.tried, from);
   if (flow.phase != Phase::kSearching && flow.agent == from) {
-    flow.phase = Phase::kSearching;
-    ++m_counters.searches;
+    BeginSearch(&flow);
+  }
+  if (reason == ReturnReason::kMoved) {
+    const bool usable = m_roster->Find(owner) != nullptr &&
+                        !Contains(flow.tried, owner);
+    flow.use_pointer = false;
+    if (usable && flow.agent == from) {
+      Ask(now, owner, &flow);
+      return Forward(*route, flow);
+    }
+  } else {
+    AddOnce(&flow.tried, from);
   }
   if (flow.agent != from && flow.agent.IsSet() &&
       !Contains(flow.tried, flow.agent)) {
@@ -245,17 +264,42 @@
   return decision;
 }
 
+void Steering::BeginSearch(Flow* flow) {
+  for (const MemberId asked : flow->tried) {
+    AddOnce(&flow->likely, asked);
+  }
+  AddOnce(&flow->likely, flow->agent);
+  // Agents that left an opening packet unanswered may hold the flow.
+  flow->tried.clear();
+  flow->mute.clear();
+  flow->syn = std::string();
+  flow->phase = Phase::kSearching;
+  ++m_counters.searches;
+}
+
+void Steering::Ask(TimePoint now, MemberId agent, Flow* flow) {
+  ++m_counters.search_steps;
+  flow->agent = agent;
+  flow->service = m_roster->Find(agent)->member.service;
+  flow->asked_at = now;
+}
+
 SteerDecision Steering::SearchNext(TimePoint now,
                                    const FlowKey& key,
                                    Flow* flow) {
-  const std::optional<MemberId> next = NextToAsk(now, key, *flow);
+  std::optional<MemberId> next = NextToAsk(now, key, *flow);
+  if (!next.has_value() && !flow->mute.empty()) {
+    // One of those that did not answer has it: they are asked again.
+    flow->mute.clear();
+    next = NextToAsk(now, key, *flow);
+  }
   if (next.has_value()) {
-    ++m_counters.search_steps;
-    flow->agent = *next;
-    flow->service = m_roster->Find(*next)->member.service;
+    Ask(now, *next, flow);
     return Forward(*m_routes->Find(key.route), *flow);
   }
+  // A newcomer may not have heard of the owner yet.
   const bool settled = now - m_started >= m_limits.settle &&
+                       now - m_roster->LastNewAgent() >= m_limits.quiet_news &&
                        m_roster->CountHeard(now, MemberRole::kAgent) > 0;
   m_flows.erase(key);
   // Every server that could hold the flow was asked and does not.
@@ -276,14 +320,14 @@
         std::find(services.begin(), services.end(), entry.member.service);
     const bool skip = entry.member.role != MemberRole::kAgent ||
                       service == services.end() || Contains(flow.tried, id) ||
-                      m_roster->IsLost(now, entry);
+                      Contains(flow.mute, id) || m_roster->IsLost(now, entry);
     if (skip) {
       continue;
     }
-    // Those that said they hold it first, silent ones last: the search stops
+    // Those that were given the flow first, silent ones last: the search stops
     // at a silent one, which may be the owner.
     const uint64_t rank =
-        (Contains(flow.held, id) ? 1ULL << 63U : 0) |
+        (Contains(flow.likely, id) ? 1ULL << 63U : 0) |
         (m_roster->IsHeard(now, entry) ? 1ULL << 62U : 0) |
         (entry.member.state != AgentState::kGone ? 1ULL << 61U : 0) |
         (MixHash(hash, id.value) >> 3U);
@@ -301,12 +345,14 @@
     return;
   }
   Flow& flow = found->second;
-  AddOnce(&flow.held, from);
+  AddOnce(&flow.likely, from);
   if (flow.phase != Phase::kHeld) {
     flow.agent = from;
     flow.phase = Phase::kHeld;
     flow.tried.clear();
+    flow.mute.clear();
     flow.syn = std::string();
+    flow.held_since = now;
     flow.expires = now + IdleTimeout();
   }
 }
@@ -371,6 +417,7 @@
   decision.agent = flow.agent;
   decision.header.service = flow.service;
   decision.header.search = flow.phase == Phase::kSearching;
+  decision.header.use_pointer = flow.use_pointer;
   decision.header.last_choice = flow.last_choice;
   decision.header.patience_ms = route.goal_ms;
   decision.header.revision = m_routes->Revision();
@@ -390,8 +437,36 @@
   return stated == 0 ? m_limits.idle : Milliseconds(stated) + Seconds(1);
 }
 
+void Steering::PointTo(TimePoint now, const FlowKey& key, Flow* flow) {
+  flow->pointed = true;
+  // The first that a balancer without this entry would ask.
+  const std::optional<MemberId> home = NextToAsk(now, key, Flow());
+  if (home.has_value() && *home != flow->agent) {
+    m_pointers.push_back({*home, key, flow->agent});
+  }
+}
+
+void Steering::PointToAll(TimePoint now) {
+  for (auto& [key, flow] : m_flows) {
+    if (flow.phase == Phase::kHeld && !flow.pointed) {
+      PointTo(now, key, &flow);
+    }
+  }
+}
+
+std::vector<SteerPointer> Steering::TakePointers() {
+  return std::exchange(m_pointers, {});
+}
+
 void Steering::Sweep(TimePoint now) {
   for (auto it = m_flows.begin(); it != m_flows.end();) {
+    Flow& flow = it->second;
+    const bool lasts = flow.phase == Phase::kHeld && !flow.pointed &&
+                       now - flow.held_since >= m_limits.lasting &&
+                       flow.expires - now > m_limits.closing;
+    if (lasts) {
+      PointTo(now, it->first, &flow);
+    }
     it = it->second.expires <= now ? m_flows.erase(it) : std::next(it);
   }
 }
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -27,7 +27,12 @@
   Duration opening = Seconds(2);  ///< Callers give up opening after 1.4 s.
   Duration closing = Seconds(3);  ///< Last acknowledgements.
   Duration idle = Seconds(30);    ///< Until the operators' value is known.
+  /// While searching, an agent without an answer for so long is passed over.
+  Duration search_answer = Milliseconds(120);
+  /// Flows that last longer get a pointer at their home.
+  Duration lasting = Milliseconds(500);
   Duration settle = Milliseconds(1500);  ///< Members are not all known before.
+  Duration quiet_news = Milliseconds(1000);  ///< The same, after a new agent.
   uint32_t busy_tries = 3;    ///< Busy servers asked for a free slot.
   uint32_t late_tries = 3;    ///< Opening packets sent elsewhere.
   size_t max_flows = 200000;  ///< Entries kept; about 120 bytes each.
@@ -49,6 +54,13 @@
   SteerDecision decision;  ///< kForward or kReset.
 };
 
+/// Where a flow is, for the agent that is asked first when it is searched.
+struct SteerPointer {
+  MemberId home;   ///< Asked first.
+  FlowKey flow;    ///< The flow.
+  MemberId owner;  ///< Has it.
+};
+
 /// Counters that only grow.
 struct SteeringCounters {
   uint64_t opened = 0;         ///< New flows placed.
@@ -80,9 +92,11 @@
                                ByteView raw);
 
   /// Decides about a packet that an agent returned.
+  /// @param owner who has the flow, if `reason` is kMoved
   SteerDecision OnReturned(TimePoint now,
                            MemberId from,
                            ReturnReason reason,
+                           MemberId owner,
                            const FlowPacket& packet);
 
   /// Learns that an agent's backend server holds a flow.
@@ -92,6 +106,13 @@
   /// @return opening packets to send again
   std::vector<SteerResend> OnTick(TimePoint now);
 
+  /// Returns and clears what homes are to be told. Flows that end soon are
+  /// left out.
+  std::vector<SteerPointer> TakePointers();
+
+  /// This balancer stops: makes pointers for all flows that have none yet.
+  void PointToAll(TimePoint now);
+
   /// Returns the earliest time at which OnTick has something to do.
   std::optional<TimePoint> NextDeadline() const;
 
@@ -109,14 +130,19 @@
   /// What is remembered of one flow.
   struct Flow {
     Phase phase = Phase::kOpening;
-    bool last_choice = false;     ///< The agent was told to take it.
+    bool use_pointer = true;   ///< Searching: no pointer was followed yet.
+    bool pointed = false;      ///< Its home was told, or needs not be.
+    bool last_choice = false;  ///< The agent was told to take it.
     uint8_t late = 0;             ///< Opening packets that went unanswered.
     uint32_t syn_sequence = 0;    ///< Tells copies from a new flow.
     MemberId agent;               ///< Where packets go.
     ServiceId service;            ///< What must be served there.
     std::vector<MemberId> tried;  ///< Returned or left the packet unanswered.
     std::vector<MemberId> busy;   ///< Had no free slot.
-    std::vector<MemberId> held;   ///< Said that they hold it.
+    std::vector<MemberId> likely;  ///< Were given it or said they hold it.
+    std::vector<MemberId> mute;    ///< Searching: have not answered.
+    TimePoint asked_at;            ///< Searching: when `agent` was asked.
+    TimePoint held_since;          ///< Held: since when.
     std::string syn;              ///< Kept until an agent holds the flow.
     TimePoint answer_deadline;    ///< Opening: try another agent then.
     TimePoint expires;            ///< Forgotten then.
@@ -140,6 +166,8 @@
                       const SteerRoute& route,
                       const FlowKey& key,
                       Flow* flow);
+  void BeginSearch(Flow* flow);
+  void Ask(TimePoint now, MemberId agent, Flow* flow);
   SteerDecision SearchNext(TimePoint now, const FlowKey& key, Flow* flow);
   std::optional<MemberId> NextToAsk(TimePoint now,
                                     const FlowKey& key,
@@ -151,6 +179,7 @@
   SteerDecision Forward(const SteerRoute& route, const Flow& flow);
   SteerDecision Reject(SteerDecision::Kind kind, ErrorKind error);
   Duration IdleTimeout() const;
+  void PointTo(TimePoint now, const FlowKey& key, Flow* flow);
   void Sweep(TimePoint now);
 
   TimePoint m_started;        ///< Start of the process.
@@ -161,6 +190,7 @@
   PlacementPolicy m_policy;   ///< Places new flows.
   FlowMap m_flows;            ///< Remembered flows.
   std::deque<std::pair<TimePoint, FlowKey>> m_opening;  ///< By deadline.
+  std::vector<SteerPointer> m_pointers;  ///< To be sent.
   TimePoint m_sweep_deadline;   ///< Next look for old entries.
   SteeringCounters m_counters;  ///< Only grow.
 };
