--- a/lab/lab_parts.h
+++ b/lab/lab_parts.h
@@ -54,6 +54,7 @@
   TimePoint started;                 ///< For the cold start.
   uint64_t generation = 0;           ///< Grows with each start.
   uint64_t reports = 0;              ///< Sequence of heartbeats.
+  double failing = 0;                ///< Probability of a failed answer.
   double slow = 1;                   ///< Factor on the work.
   uint32_t working = 0;              ///< Slots taken.
   uint32_t next_sequence = 1;        ///< Of the next flow.
--- a/lab/lab_scenarios.cc
+++ b/lab/lab_scenarios.cc
@@ -75,6 +75,10 @@
   next.troubles = {At(6, TroubleKind::kSlowServers, 1, Seconds(6), 5)};
   next.troubles[0].service = "stock";
   all.push_back(next);
+  next = Base("failing-servers", 0.5);
+  next.troubles = {At(4, TroubleKind::kFailingServers, 2, Seconds(8), 0.6)};
+  next.troubles[0].service = "stock";
+  all.push_back(next);
   next = WithLongFlows(Base("planned-stops", 0.45));
   for (int i = 0; i < 6; ++i) {
     next.troubles.push_back(
--- a/lab/lab_type.h
+++ b/lab/lab_type.h
@@ -46,6 +46,7 @@
   kStopAgents,     ///< The same, announced.
   kCrashServers,   ///< Servers end and start again under the same id.
   kDarkServers,    ///< Servers fall silent for `length`, then start again.
+  kFailingServers,  ///< Answers fail at once with probability `factor`.
   kSlowServers,    ///< Work takes `factor` times as long for `length`.
   kDrainServers,   ///< Servers announce that they leave, then end.
   kCutBalancers,   ///< Balancers reach no agent for `length`.
--- a/lab/lab_world.cc
+++ b/lab/lab_world.cc
@@ -108,7 +108,10 @@
   void ServerGets(LabAgent* agent, const LabPacket& packet, uint64_t generation);
   void ServerSends(LabAgent* agent, const LabPacket& packet);
   void ServerWorks(LabAgent* agent, const LabPacket& packet);
-  void ServerAnswers(LabAgent* agent, const LabPacket& packet, bool refused);
+  void ServerAnswers(LabAgent* agent,
+                     const LabPacket& packet,
+                     bool refused,
+                     bool failed);
   LabAgent* AgentAt(uint32_t ip);
   LabBalancer* BalancerAt(uint32_t ip);
 
@@ -412,8 +415,8 @@
   } else {
     EndFlow(number, true);
   }
-  if (packet.is_refusal) {
-    FailAttempt(request, false);
+  if (packet.is_refusal || packet.head.answer == AnswerKind::kFailure) {
+    FailAttempt(request, !packet.is_refusal);
   } else {
     Finish(request, true);
   }
@@ -746,7 +749,7 @@
     server.waiting.push_back(packet);
   } else {
     ++m_result.refused_by_server;
-    ServerAnswers(agent, packet, true);
+    ServerAnswers(agent, packet, true, false);
   }
 }
 
@@ -764,16 +767,18 @@
   const double factor =
       std::lognormal_distribution<>(-sigma * sigma / 2, sigma)(m_work) *
       (cold ? service.cold_factor : 1.0) * server.slow;
-  const Duration length(
+  const bool failed =
+      server.failing > 0 && std::bernoulli_distribution(server.failing)(m_work);
+  const Duration length = failed ? Milliseconds(1) : Duration(
       static_cast<int64_t>(static_cast<double>(model.work.count()) * factor));
   const uint64_t generation = server.generation;
-  m_queue.After(length, [this, agent, packet, generation] {
+  m_queue.After(length, [this, agent, packet, generation, failed] {
     LabServer& then = agent->server;
     if (!then.running || then.generation != generation) {
       return;
     }
     --then.working;
-    ServerAnswers(agent, packet, false);
+    ServerAnswers(agent, packet, false, failed);
     if (!then.waiting.empty()) {
       const LabPacket next = then.waiting.front();
       then.waiting.pop_front();
@@ -784,7 +789,8 @@
 
 void World::ServerAnswers(LabAgent* agent,
                           const LabPacket& packet,
-                          bool refused) {
+                          bool refused,
+                          bool failed) {
   LabServer& server = agent->server;
   LabPacket answer;
   answer.head.flow = packet.head.flow;
@@ -794,6 +800,9 @@
   answer.head.fin = server.draining;
   answer.request = packet.request;
   answer.is_refusal = refused;
+  answer.head.answer = refused ? AnswerKind::kRefused
+                       : failed ? AnswerKind::kFailure
+                                : AnswerKind::kSuccess;
   if (server.draining) {
     server.flows.erase(packet.head.flow);
     server.ended.insert(packet.head.flow);
@@ -952,6 +961,12 @@
         RestartServer(agent, trouble.length);
       }
       break;
+    case TroubleKind::kFailingServers:
+      for (LabAgent* agent : ChooseAgents(trouble)) {
+        agent->server.failing = trouble.factor;
+        m_queue.After(trouble.length, [agent] { agent->server.failing = 0; });
+      }
+      break;
     case TroubleKind::kSlowServers:
       for (LabAgent* agent : ChooseAgents(trouble)) {
         agent->server.slow = trouble.factor;
@@ -960,6 +975,9 @@
       break;
     case TroubleKind::kDrainServers:
       for (LabAgent* agent : ChooseAgents(trouble)) {
+        if (agent->server.draining || !agent->server.running) {
+          continue;  // It leaves already.
+        }
         agent->server.draining = true;
         Report(agent);
         SendStatus(agent);
--- a/src/runtime/peer_wire.cc
+++ b/src/runtime/peer_wire.cc
@@ -34,7 +34,7 @@
   uint32_t slots;
   uint32_t service_us;
   uint32_t warmup_ms;
-  uint32_t unused_too;
+  uint32_t failing;
   uint64_t owner;
 };
 static_assert(sizeof(ReturnHead) == 32);
@@ -73,6 +73,7 @@
   head.active = load.active;
   head.slots = load.slots;
   head.service_us = load.service_us;
+  head.failing = load.failing;
   head.warmup_ms =
       load.warm_at > now
           ? static_cast<uint32_t>(ToMilliseconds(load.warm_at - now))
@@ -128,6 +129,7 @@
       load.set_active(head.active);
       load.set_slots(head.slots);
       load.set_service_us(head.service_us);
+      load.set_failing(head.failing);
       load.set_warmup_ms(head.warmup_ms);
       frame.load = DecodeLoad(now, load);
       frame.packet = {datagram.data + sizeof(head),
--- a/src/steer/placement.cc
+++ b/src/steer/placement.cc
@@ -14,6 +14,9 @@
 /// An idle server is preferred to a busy one with free slots: reports are old,
 /// and other balancers place flows as well.
 constexpr uint64_t kBusySlotUs = 2000;
+/// A failure costs the caller another try; one that may not be repeated is
+/// lost.
+constexpr uint64_t kFailureUs = 400'000;
 constexpr uint64_t kOtherDomainUs = 600;  ///< A crossing there and back.
 constexpr uint64_t kTieUs = 1024;         ///< Spread of the hash over ties.
 constexpr uint64_t kUncertainUs = 10'000'000;  ///< Behind every certain one.
@@ -43,7 +46,8 @@
     const PlacementCandidate& candidate = candidates[i];
     uint64_t cost = ExpectedAnswerUs(now, candidate.load, candidate.pending) +
                     kBusySlotUs * (candidate.load.active + candidate.pending) +
-                    MixHash(flow_hash, candidate.id.value) % kTieUs;
+                    MixHash(flow_hash, candidate.id.value) % kTieUs +
+        kFailureUs * candidate.load.failing / 1000;
     cost += candidate.same_domain ? 0 : kOtherDomainUs;
     cost += candidate.certain ? 0 : kUncertainUs;
     if (!best.has_value() || cost < best_cost) {
--- a/src/steer/roster.cc
+++ b/src/steer/roster.cc
@@ -6,6 +6,7 @@
 namespace medlargauge {
 namespace {
 
+constexpr uint32_t kWholeFailing = 1000;
 constexpr uint32_t kMaxWarmupMs = 60000;  ///< Longer ones are malformed.
 
 }  // namespace
@@ -15,6 +16,7 @@
   if (!member.id.IsSet() || member.id == m_self) {
     return false;
   }
+  NoteContact(now);
   RosterEntry& entry = m_entries[member.id];
   const bool is_new = entry.heard == TimePoint() ||
                       entry.member.incarnation != member.incarnation;
@@ -50,6 +52,13 @@
   }
 }
 
+void Roster::NoteContact(TimePoint now) {
+  if (now - m_last_heard > m_timeouts.silent) {
+    m_contact_since = now;
+  }
+  m_last_heard = now;
+}
+
 void Roster::NoteNew(TimePoint now, const SteerMember& member) {
   if (member.role == MemberRole::kAgent) {
     m_last_new_agent = now;
@@ -61,6 +70,7 @@
   if (entry == nullptr) {
     return;
   }
+  NoteContact(now);
   entry->heard = now;
   entry->avoid_until = TimePoint();
   entry->member.load = load;
@@ -100,7 +110,10 @@
 }
 
 bool Roster::IsLost(TimePoint now, const RosterEntry& entry) const {
-  return now - std::max(entry.heard, entry.learnt) > m_timeouts.lost;
+  // Silence from everybody at once was this host's own.
+  const TimePoint since =
+      std::max({entry.heard, entry.learnt, m_contact_since});
+  return now - since > m_timeouts.lost;
 }
 
 size_t Roster::CountHeard(TimePoint now, MemberRole role) const {
@@ -114,6 +127,7 @@
   message.set_active(load.active);
   message.set_slots(load.slots);
   message.set_service_us(load.service_us);
+  message.set_failing(load.failing);
   if (load.warm_at > now) {
     message.set_warmup_ms(
         static_cast<uint32_t>(ToMilliseconds(load.warm_at - now)));
@@ -126,6 +140,7 @@
   load.active = message.active();
   load.slots = std::max(message.slots(), 1U);
   load.service_us = message.service_us();
+  load.failing = std::min(message.failing(), kWholeFailing);
   load.warm_at =
       now + Milliseconds(std::min(message.warmup_ms(), kMaxWarmupMs));
   return load;
--- a/src/steer/roster.h
+++ b/src/steer/roster.h
@@ -75,10 +75,13 @@
 
  private:
   void NoteNew(TimePoint now, const SteerMember& member);
+  void NoteContact(TimePoint now);
 
   MemberId m_self;                            ///< Own id; never an entry.
   RosterTimeouts m_timeouts;                  ///< As constructed.
   std::map<MemberId, RosterEntry> m_entries;  ///< Others.
+  TimePoint m_last_heard;     ///< Any member was last heard then.
+  TimePoint m_contact_since;  ///< Since then some member was always heard.
   TimePoint m_last_new_agent;                 ///< See LastNewAgent.
 };
 
--- /dev/null
+++ b/src/steer/roster_test.cc
@@ -0,0 +1,237 @@
+// @file roster_test.cc Tests of members, targets' readers and placing.
+#include <doctest/doctest.h>
+
+#include "src/steer/placement.h"
+#include "src/steer/roster.h"
+#include "src/steer/target_reader.h"
+
+namespace medlargauge {
+namespace {
+
+proto::PeerStatus StatusOf(TimePoint now,
+                           uint64_t id,
+                           MemberRole role,
+                           uint32_t sequence,
+                           uint32_t checked_ms = 0) {
+  SteerMember member;
+  member.id = MemberId{id};
+  member.role = role;
+  member.ip = static_cast<uint32_t>(id);
+  member.incarnation = 1;
+  member.state = AgentState::kReady;
+  proto::PeerStatus status;
+  *status.mutable_self() = EncodeMember(now, member);
+  status.set_sequence(sequence);
+  status.set_checked_ms(checked_ms);
+  return status;
+}
+
+TEST_CASE("members are heard, silent, lost and forgotten in turn") {
+  TimePoint now{Seconds(100)};
+  Roster roster(MemberId{1}, RosterTimeouts());
+  CHECK(roster.OnStatus(now, StatusOf(now, 2, MemberRole::kAgent, 1)));
+  const RosterEntry* entry = roster.Find(MemberId{2});
+  REQUIRE(entry != nullptr);
+  CHECK(roster.IsHeard(now, *entry));
+  now += Milliseconds(1000);
+  CHECK_FALSE(roster.IsHeard(now, *entry));
+  CHECK_FALSE(roster.IsLost(now, *entry));
+  now += Seconds(5);
+  CHECK(roster.IsLost(now, *entry));
+  roster.OnTick(now);
+  CHECK(roster.Find(MemberId{2}) != nullptr);
+  now += Seconds(60);
+  roster.OnTick(now);
+  CHECK(roster.Find(MemberId{2}) == nullptr);
+}
+
+TEST_CASE("nobody is lost right after this host was cut off") {
+  TimePoint now{Seconds(100)};
+  Roster roster(MemberId{1}, RosterTimeouts());
+  roster.OnStatus(now, StatusOf(now, 2, MemberRole::kAgent, 1));
+  roster.OnStatus(now, StatusOf(now, 3, MemberRole::kAgent, 1));
+  now += Seconds(8);  // Nobody is heard.
+  roster.OnStatus(now, StatusOf(now, 3, MemberRole::kAgent, 2));
+  CHECK_FALSE(roster.IsLost(now, *roster.Find(MemberId{2})));
+  for (uint32_t i = 3; i < 12; ++i) {
+    now += Milliseconds(600);
+    roster.OnStatus(now, StatusOf(now, 3, MemberRole::kAgent, i));
+  }
+  CHECK(roster.IsLost(now, *roster.Find(MemberId{2})));
+}
+
+TEST_CASE("an overtaken status changes nothing but proves life") {
+  TimePoint now{Seconds(100)};
+  Roster roster(MemberId{1}, RosterTimeouts());
+  roster.OnStatus(now, StatusOf(now, 2, MemberRole::kAgent, 5));
+  proto::PeerStatus old = StatusOf(now, 2, MemberRole::kAgent, 4);
+  old.mutable_self()->set_state(static_cast<uint32_t>(AgentState::kGone));
+  roster.OnStatus(now, old);
+  CHECK(roster.Find(MemberId{2})->member.state == AgentState::kReady);
+}
+
+TEST_CASE("hearsay adds members but does not change known ones") {
+  const TimePoint now{Seconds(100)};
+  Roster roster(MemberId{1}, RosterTimeouts());
+  SteerMember member;
+  member.id = MemberId{2};
+  member.ip = 9;
+  roster.Learn(now, member);
+  CHECK_FALSE(roster.IsHeard(now, *roster.Find(MemberId{2})));
+  roster.OnStatus(now, StatusOf(now, 2, MemberRole::kAgent, 1));
+  roster.Learn(now, member);
+  CHECK(roster.Find(MemberId{2})->member.ip == 2);
+  member.id = MemberId{1};
+  roster.Learn(now, member);
+  CHECK(roster.Entries().size() == 1);
+}
+
+TEST_CASE("malformed members are left out") {
+  const TimePoint now{Seconds(100)};
+  Roster roster(MemberId{1}, RosterTimeouts());
+  proto::PeerStatus status = StatusOf(now, 2, MemberRole::kAgent, 1);
+  status.mutable_self()->set_role(9);
+  CHECK_FALSE(roster.OnStatus(now, status));
+  status = StatusOf(now, 2, MemberRole::kAgent, 1);
+  status.mutable_self()->set_state(99);
+  CHECK_FALSE(roster.OnStatus(now, status));
+  status = StatusOf(now, 2, MemberRole::kAgent, 1);
+  status.mutable_self()->set_ip(0);
+  CHECK_FALSE(roster.OnStatus(now, status));
+  CHECK(roster.Entries().empty());
+}
+
+/// Members of a fleet of balancers, of which three read the store.
+struct ReaderBed {
+  TimePoint now{Seconds(100)};
+  Roster roster{MemberId{1}, RosterTimeouts()};
+  TargetReader reader{now, 1, TargetReaderLimits()};
+  uint32_t sequence = 0;
+
+  /// Returns an id that is not chosen among the reading ones, as seen by it.
+  MemberId Outsider() {
+    const std::vector<MemberId> all{MemberId{1}, MemberId{2}, MemberId{3},
+                                    MemberId{4}, MemberId{5}, MemberId{6}};
+    for (const MemberId id : all) {
+      Roster others(id, RosterTimeouts());
+      for (const MemberId other : all) {
+        others.OnStatus(
+            now, StatusOf(now, other.value, MemberRole::kBalancer, 1, 1));
+      }
+      TargetReader probe(now, 1, TargetReaderLimits());
+      if (probe.Next(now, id, others, 5) == ReadAction::kNothing) {
+        return id;
+      }
+    }
+    return MemberId();
+  }
+};
+
+TEST_CASE("most balancers leave the store to the chosen readers") {
+  ReaderBed bed;
+  const MemberId self = bed.Outsider();
+  REQUIRE(self.IsSet());
+  Roster roster(self, RosterTimeouts());
+  const auto hear = [&](uint32_t checked_ms) {
+    for (uint64_t id = 1; id <= 6; ++id) {
+      roster.OnStatus(bed.now, StatusOf(bed.now, id, MemberRole::kBalancer,
+                                        ++bed.sequence, checked_ms));
+    }
+  };
+  TargetReader reader(bed.now, 1, TargetReaderLimits());
+  hear(1);
+  CHECK(reader.Next(bed.now, self, roster, 5) == ReadAction::kNothing);
+  // The readers have lost the store: everybody reads.
+  hear(0);
+  bed.now += Milliseconds(10);
+  CHECK(reader.Next(bed.now, self, roster, 5) == ReadAction::kRead);
+}
+
+TEST_CASE("a reader reads first, then watches, and reads after any gap") {
+  ReaderBed bed;
+  const auto next = [&] {
+    return bed.reader.Next(bed.now, MemberId{1}, bed.roster, 5);
+  };
+  CHECK(next() == ReadAction::kRead);
+  CHECK(next() == ReadAction::kNothing);
+  bed.reader.OnRead(bed.now, StoreResult::kOk, 40);
+  CHECK(next() == ReadAction::kWatch);
+  bed.reader.OnWatch(bed.now, StoreResult::kOk, 44);
+  CHECK(bed.reader.Position() == 44);
+  CHECK(next() == ReadAction::kWatch);
+  bed.reader.OnWatch(bed.now, StoreResult::kHistoryGone, 0);
+  CHECK(next() == ReadAction::kRead);
+  bed.reader.OnRead(bed.now, StoreResult::kOk, 50);
+  CHECK(next() == ReadAction::kWatch);
+  bed.reader.OnWatch(bed.now, StoreResult::kNoAnswer, 0);
+  CHECK(bed.reader.Checked() == TimePoint());
+  CHECK(next() == ReadAction::kNothing);  // Backs off.
+  bed.now += Seconds(2);
+  CHECK(next() == ReadAction::kRead);
+  bed.reader.OnRead(bed.now, StoreResult::kOk, 51);
+  bed.reader.OnSuspended();
+  CHECK(next() == ReadAction::kRead);
+}
+
+TEST_CASE("a failing store is asked ever less often, out of step") {
+  std::vector<Duration> first_waits;
+  for (const uint64_t seed : {1, 2, 3, 4, 5}) {
+    TimePoint now{Seconds(100)};
+    const Roster roster(MemberId{1}, RosterTimeouts());
+    TargetReader reader(now, seed, TargetReaderLimits());
+    const TimePoint start = now;
+    uint32_t calls = 0;
+    while (now - start < Seconds(10)) {
+      if (reader.Next(now, MemberId{1}, roster, 0) != ReadAction::kNothing) {
+        reader.OnRead(now, StoreResult::kRefused, 0);
+        ++calls;
+        if (calls == 2) {
+          first_waits.push_back(now - start);
+        }
+      }
+      now += Milliseconds(1);
+    }
+    CHECK(calls <= 20);
+    CHECK(calls >= 7);
+  }
+  std::sort(first_waits.begin(), first_waits.end());
+  CHECK(first_waits.front() != first_waits.back());
+}
+
+TEST_CASE("the expected answer grows with the queue, the cold and the work") {
+  const TimePoint now{Seconds(100)};
+  ServerLoad load;
+  load.slots = 5;
+  load.service_us = 40000;
+  CHECK(ExpectedAnswerUs(now, load, 0) == 40000);
+  load.active = 5;
+  CHECK(ExpectedAnswerUs(now, load, 0) == 48000);
+  CHECK(ExpectedAnswerUs(now, load, 5) == 88000);
+  load.warm_at = now + Seconds(1);
+  CHECK(ExpectedAnswerUs(now, load, 0) == 76800);
+}
+
+TEST_CASE("equal servers share new flows, a slower one gets fewer") {
+  const TimePoint now{Seconds(100)};
+  std::vector<PlacementCandidate> candidates(3);
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    candidates[i].id = MemberId{i + 1};
+    candidates[i].load.slots = 5;
+    candidates[i].load.service_us = 40000;
+  }
+  std::vector<int> counts(3);
+  for (uint64_t flow = 0; flow < 3000; ++flow) {
+    ++counts[*PlaceByExpectedAnswer(now, MixHash(flow, 7), candidates)];
+  }
+  for (const int count : counts) {
+    CHECK(count == doctest::Approx(1000).epsilon(0.15));
+  }
+  candidates[0].load.service_us = 200000;
+  for (uint64_t flow = 0; flow < 100; ++flow) {
+    CHECK(*PlaceByExpectedAnswer(now, MixHash(flow, 7), candidates) != 0);
+  }
+  CHECK_FALSE(PlaceByExpectedAnswer(now, 1, {}).has_value());
+}
+
+}  // namespace
+}  // namespace medlargauge
--- a/src/steer/server_gate.cc
+++ b/src/steer/server_gate.cc
@@ -2,6 +2,7 @@
 #include "src/steer/server_gate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace medlargauge {
 namespace {
@@ -9,6 +10,7 @@
 /// The newest sample counts one part in this many of the mean service time.
 constexpr uint64_t kMeanParts = 8;
 constexpr uint64_t kMicrosecondsPerMs = 1000;
+constexpr double kWholeFailing = 1000;  ///< ServerLoad counts in thousandths.
 /// A heartbeat is due about every second; after so much silence the server is
 /// checked.
 constexpr Duration kReportSilence = Milliseconds(3000);
@@ -102,7 +104,10 @@
         header.patience_ms * kMicrosecondsPerMs * m_limits.aim_percent / 100;
     const bool too_late =
         patience_us != 0 && ExpectedAnswerUs(now, load, 0) > patience_us;
-    if (too_late || load.active >= load.slots * m_limits.active_per_slot) {
+    const bool refused =
+        now < m_refused_until && load.active >= m_refused_above;
+    if (too_late || refused ||
+        load.active >= load.slots * m_limits.active_per_slot) {
       return Return(balancer_ip, ReturnReason::kFull);
     }
     Erase(packet.flow);
@@ -181,13 +186,31 @@
     return decision;
   }
   if (packet.data_length > 0) {
-    NoteAnswer(now, &flow);
+    NoteAnswer(now, packet.answer, &flow);
   }
   flow.expires = now + (packet.fin ? m_limits.closing : m_limits.idle);
   return decision;
 }
 
-void ServerGate::NoteAnswer(TimePoint now, Flow* flow) {
+double ServerGate::Failing(TimePoint now) const {
+  const double halvings =
+      static_cast<double>((now - m_failing_at).count()) /
+      static_cast<double>(m_limits.failing_half_life.count());
+  return m_failing * std::exp2(-halvings);
+}
+
+void ServerGate::NoteAnswer(TimePoint now, AnswerKind answer, Flow* flow) {
+  if (flow->working && answer == AnswerKind::kRefused) {
+    m_refused_above = std::max(m_active - 1, Load(now).slots);
+    m_refused_until = now + m_limits.full_memory;
+    flow->working = false;  // Tells nothing of the service time.
+  }
+  if (flow->working && answer != AnswerKind::kUnknown) {
+    const double sample = answer == AnswerKind::kFailure ? 1.0 : 0.0;
+    const double before = Failing(now);
+    m_failing = before + (sample - before) / kMeanParts;
+    m_failing_at = now;
+  }
   if (flow->working) {
     const uint64_t passed =
         std::chrono::duration_cast<std::chrono::microseconds>(now -
@@ -256,6 +279,7 @@
   m_flows.clear();
   m_active = 0;
   m_service_us = 0;
+  m_failing = 0;
   m_down = true;
   m_awaits_answer = false;
   return resets;
@@ -301,10 +325,11 @@
   return m_report->draining ? AgentState::kDraining : AgentState::kReady;
 }
 
-ServerLoad ServerGate::Load(TimePoint /*now*/) const {
+ServerLoad ServerGate::Load(TimePoint now) const {
   ServerLoad load;
   load.active = m_active;
   load.service_us = static_cast<uint32_t>(m_service_us);
+  load.failing = static_cast<uint32_t>(Failing(now) * kWholeFailing);
   if (m_report.has_value()) {
     load.slots = std::max(m_report->slots, 1U);
     load.warm_at = m_reported_at + Milliseconds(m_report->warmup_ms);
--- a/src/steer/server_gate.h
+++ b/src/steer/server_gate.h
@@ -48,6 +48,11 @@
   /// Servers queue a few requests behind their slots and refuse the rest,
   /// which costs the caller a try: at most this many for each slot.
   uint32_t active_per_slot = 4;
+  /// A refusal by the server shows where it is full, for this long.
+  Duration full_memory = Seconds(5);
+  /// Without requests the part that failed halves in this time, so that the
+  /// server is tried again.
+  Duration failing_half_life = Milliseconds(1000);
   size_t max_flows = 50000;  ///< Entries kept; about 120 bytes each.
 };
 
@@ -168,7 +173,8 @@
   void Count(TimePoint until, Flow* flow);
   void Uncount(Flow* flow);
   void Erase(const FlowKey& key);
-  void NoteAnswer(TimePoint now, Flow* flow);
+  void NoteAnswer(TimePoint now, AnswerKind answer, Flow* flow);
+  double Failing(TimePoint now) const;
   bool IsQuiet(TimePoint now) const;
   GateDecision Return(uint32_t balancer_ip, ReturnReason reason);
 
@@ -186,6 +192,10 @@
   bool m_down = false;                   ///< Nothing listens there.
   bool m_leaving = false;                ///< This agent stops.
   uint32_t m_active = 0;                 ///< Counted flows.
+  double m_failing = 0;                  ///< Part that failed, at m_failing_at.
+  TimePoint m_failing_at;                ///< See m_failing.
+  uint32_t m_refused_above = 0;          ///< The server refused beyond that.
+  TimePoint m_refused_until;             ///< Believed until then.
   uint64_t m_service_us = 0;             ///< Moving mean.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> m_flows;  ///< Remembered.
   std::unordered_map<FlowKey, Pointer, FlowKeyHash> m_pointers;
--- a/src/steer/steer_type.h
+++ b/src/steer/steer_type.h
@@ -56,6 +56,14 @@
   size_t operator()(const FlowKey& key) const { return HashFlow(key); }
 };
 
+/// What the first bytes of an answer say of the request.
+enum class AnswerKind : uint8_t {
+  kUnknown = 0,  ///< Not the start of an answer, or not readable.
+  kSuccess,      ///< Served.
+  kFailure,      ///< The server failed at it.
+  kRefused,      ///< The server did not run it.
+};
+
 /// One packet of a flow; its bytes are kept by the owner of the buffer.
 struct FlowPacket {
   FlowKey flow;               ///< Ends of the flow.
@@ -68,6 +76,7 @@
   uint32_t sequence = 0;      ///< Number of the first data byte.
   uint32_t acknowledged = 0;  ///< Next byte expected; in a SYN: copy number.
   uint16_t data_length = 0;   ///< Bytes after the head.
+  AnswerKind answer = AnswerKind::kUnknown;  ///< From a server: see there.
   uint32_t tag = 0;           ///< Ours on the way in, returned in a bounce.
 };
 
@@ -79,6 +88,7 @@
   uint32_t active = 0;      ///< Requests being worked on or waiting there.
   uint32_t slots = 1;       ///< Requests that it works on at once.
   uint32_t service_us = 0;  ///< Mean time to the first answer byte.
+  uint32_t failing = 0;     ///< Failed of the latest requests, in a thousand.
   TimePoint warm_at;        ///< Slow until then.
 };
 
--- /dev/null
+++ b/src/steer/steering_test.cc
@@ -0,0 +1,455 @@
+// @file steering_test.cc Tests of a balancer's decisions.
+#include <doctest/doctest.h>
+
+#include "src/steer/steering.h"
+
+namespace medlargauge {
+namespace {
+
+constexpr uint32_t kRouteIp = 0xC6120001;
+const SocketAddress4 kRoute{kRouteIp, 443};
+const SocketAddress4 kOtherRoute{kRouteIp, 8080};
+
+RouteTable TableOf(uint64_t revision, std::vector<SteerRoute> routes) {
+  RouteTable table;
+  table.revision = revision;
+  table.routes = std::move(routes);
+  return table;
+}
+
+SteerRoute RouteTo(SocketAddress4 address, const std::string& service) {
+  SteerRoute route;
+  route.name = service;
+  route.address = address;
+  route.shares.push_back({ServiceIdOf(service), 1});
+  route.timeout_ms = 3000;
+  route.goal_ms = 200;
+  return route;
+}
+
+FlowPacket Opening(uint16_t port, uint32_t sequence = 100) {
+  FlowPacket packet;
+  packet.flow = {{0x64400007, port}, kRoute};
+  packet.syn = true;
+  packet.sequence = sequence;
+  return packet;
+}
+
+FlowPacket Later(uint16_t port) {
+  FlowPacket packet = Opening(port);
+  packet.syn = false;
+  packet.ack = true;
+  packet.data_length = 10;
+  return packet;
+}
+
+/// A balancer that hears three agents of one service and one of another.
+struct Bed {
+  TimePoint now{Seconds(100)};
+  Roster roster{MemberId{1}, RosterTimeouts()};
+  RouteBook routes;
+  Steering steering{now,
+                    DomainId{1},
+                    &roster,
+                    &routes,
+                    SteeringLimits(),
+                    &PlaceByExpectedAnswer};
+  std::string raw = "packet";
+  uint32_t sequence = 0;
+
+  Bed() {
+    routes.Adopt(TableOf(1, {RouteTo(kRoute, "stock")}));
+    HearAll();
+    now += Seconds(5);
+    HearAll();
+  }
+
+  void Hear(uint64_t id,
+            const std::string& service,
+            AgentState state = AgentState::kReady,
+            uint32_t active = 0,
+            bool leaving = false,
+            uint32_t failing = 0) {
+    SteerMember member;
+    member.id = MemberId{id};
+    member.role = MemberRole::kAgent;
+    member.ip = static_cast<uint32_t>(id);
+    member.incarnation = 1;
+    member.service = ServiceIdOf(service);
+    member.domain = DomainId{1};
+    member.state = state;
+    member.load.active = active;
+    member.load.slots = 5;
+    member.load.failing = failing;
+    proto::PeerStatus status;
+    *status.mutable_self() = EncodeMember(now, member);
+    status.set_sequence(++sequence);
+    status.set_leaving(leaving);
+    roster.OnStatus(now, status);
+  }
+
+  void HearAll() {
+    for (const uint64_t id : {11, 12, 13}) {
+      Hear(id, "stock");
+    }
+    Hear(20, "media");
+  }
+
+  SteerDecision Send(const FlowPacket& packet) {
+    return steering.OnCallerPacket(
+        now, packet,
+        {reinterpret_cast<const uint8_t*>(raw.data()), raw.size()});
+  }
+
+  SteerDecision Return(const SteerDecision& sent,
+                       ReturnReason reason,
+                       const FlowPacket& packet) {
+    return steering.OnReturned(now, sent.agent, reason, MemberId(), packet);
+  }
+};
+
+TEST_CASE("a new flow goes to the least loaded ready agent of its service") {
+  Bed bed;
+  bed.Hear(11, "stock", AgentState::kReady, 9);
+  bed.Hear(12, "stock", AgentState::kReady, 2);
+  bed.Hear(13, "stock", AgentState::kReady, 7);
+  const SteerDecision decision = bed.Send(Opening(1));
+  CHECK(decision.kind == SteerDecision::Kind::kForward);
+  CHECK(decision.agent == MemberId{12});
+  CHECK(decision.header.service == ServiceIdOf("stock"));
+  CHECK_FALSE(decision.header.search);
+}
+
+TEST_CASE("draining, leaving and gone agents get no new flow") {
+  Bed bed;
+  bed.Hear(11, "stock", AgentState::kDraining);
+  bed.Hear(12, "stock", AgentState::kReady, 0, true);
+  bed.Hear(13, "stock", AgentState::kGone);
+  const SteerDecision decision = bed.Send(Opening(1));
+  CHECK(decision.kind == SteerDecision::Kind::kReset);
+  CHECK(decision.error == ErrorKind::kNoAgent);
+}
+
+TEST_CASE("a failing agent gets new flows only when the others are slower") {
+  Bed bed;
+  bed.Hear(11, "stock", AgentState::kReady, 0, false, 900);
+  bed.Hear(12, "stock", AgentState::kReady, 8);
+  bed.Hear(13, "stock", AgentState::kReady, 8);
+  for (uint16_t port = 1; port < 10; ++port) {
+    CHECK(bed.Send(Opening(port)).agent != MemberId{11});
+  }
+}
+
+TEST_CASE("an agent whose server is unknown is the second choice") {
+  Bed bed;
+  bed.Hear(11, "stock", AgentState::kJoining);
+  bed.Hear(12, "stock", AgentState::kReady, 15);
+  bed.Hear(13, "stock", AgentState::kDraining);
+  CHECK(bed.Send(Opening(1)).agent == MemberId{12});
+  bed.Hear(12, "stock", AgentState::kGone);
+  CHECK(bed.Send(Opening(2)).agent == MemberId{11});
+}
+
+TEST_CASE("a copy of an opening packet follows the first") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  const SteerDecision copy = bed.Send(Opening(1));
+  CHECK(copy.agent == first.agent);
+  CHECK(bed.steering.Counters().opened == 1);
+}
+
+TEST_CASE("a port that is used again opens a new flow") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.Send(Opening(1, 999));
+  CHECK(bed.steering.Counters().opened == 2);
+}
+
+TEST_CASE("an unanswered opening packet goes to another agent in time") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  bed.now += Milliseconds(80);
+  CHECK(bed.steering.OnTick(bed.now).empty());
+  bed.now += Milliseconds(20);
+  const std::vector<SteerResend> resends = bed.steering.OnTick(bed.now);
+  REQUIRE(resends.size() == 1);
+  CHECK(resends[0].decision.agent != first.agent);
+  CHECK(resends[0].packet == bed.raw);
+  // Before the caller's copy after 200 ms.
+  CHECK(SteeringLimits().opening_answer < Milliseconds(200));
+}
+
+TEST_CASE("an answered opening packet is not sent again") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.now += Milliseconds(200);
+  CHECK(bed.steering.OnTick(bed.now).empty());
+}
+
+TEST_CASE("busy agents are asked in turn, the last must take the flow") {
+  Bed bed;
+  SteerDecision decision = bed.Send(Opening(1));
+  std::vector<MemberId> asked;
+  for (int i = 0; i < 3; ++i) {
+    CHECK(std::find(asked.begin(), asked.end(), decision.agent) ==
+          asked.end());
+    asked.push_back(decision.agent);
+    CHECK(decision.header.last_choice == (i == 2));
+    decision = bed.Return(decision, ReturnReason::kBusy, Opening(1));
+  }
+  CHECK(decision.kind == SteerDecision::Kind::kForward);
+  CHECK(decision.header.last_choice);
+  decision = bed.Return(decision, ReturnReason::kFull, Opening(1));
+  CHECK(decision.kind == SteerDecision::Kind::kReset);
+  CHECK(decision.error == ErrorKind::kOverloaded);
+}
+
+TEST_CASE("a flow of no route is reset at once, without targets it is not") {
+  Bed bed;
+  FlowPacket packet = Opening(1);
+  packet.flow.route = kOtherRoute;
+  CHECK(bed.Send(packet).kind == SteerDecision::Kind::kReset);
+  packet.syn = false;
+  CHECK(bed.Send(packet).kind == SteerDecision::Kind::kDrop);
+
+  RouteBook empty;
+  Steering fresh(bed.now, DomainId{1}, &bed.roster, &empty, SteeringLimits(),
+                 &PlaceByExpectedAnswer);
+  CHECK(fresh.OnCallerPacket(bed.now, Opening(1), {}).kind ==
+        SteerDecision::Kind::kDrop);
+  CHECK_FALSE(fresh.CanServe(bed.now));
+}
+
+TEST_CASE("an open flow of a dropped route is reset, others stay") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.routes.Adopt(TableOf(2, {RouteTo(kRoute, "stock"),
+                               RouteTo(kOtherRoute, "media")}));
+  CHECK(bed.Send(Later(1)).agent == first.agent);
+  bed.routes.Adopt(TableOf(3, {RouteTo(kOtherRoute, "media")}));
+  CHECK(bed.Send(Later(1)).kind == SteerDecision::Kind::kReset);
+}
+
+TEST_CASE("an unknown flow is searched at every agent of the service once") {
+  Bed bed;
+  SteerDecision decision = bed.Send(Later(1));
+  std::vector<MemberId> asked;
+  while (decision.kind == SteerDecision::Kind::kForward) {
+    CHECK(decision.header.search);
+    CHECK(decision.agent != MemberId{20});
+    CHECK(std::find(asked.begin(), asked.end(), decision.agent) ==
+          asked.end());
+    asked.push_back(decision.agent);
+    decision = bed.Return(decision, ReturnReason::kBounced, Later(1));
+  }
+  CHECK(asked.size() == 3);
+  CHECK(decision.kind == SteerDecision::Kind::kReset);
+  CHECK(decision.error == ErrorKind::kFlowUnknown);
+}
+
+TEST_CASE("a search is not concluded while an agent is silent") {
+  Bed bed;
+  bed.now += Milliseconds(1500);
+  bed.Hear(11, "stock");
+  bed.Hear(12, "stock");  // 13 is silent, and may have the flow.
+  SteerDecision decision = bed.Send(Later(1));
+  decision = bed.Return(decision, ReturnReason::kBounced, Later(1));
+  decision = bed.Return(decision, ReturnReason::kBounced, Later(1));
+  CHECK(decision.kind == SteerDecision::Kind::kForward);
+  CHECK(decision.agent == MemberId{13});
+  for (int i = 0; i < 5; ++i) {
+    bed.now += Milliseconds(200);
+    CHECK(bed.Send(Later(1)).agent == MemberId{13});
+  }
+}
+
+TEST_CASE("an agent that swallows a searched packet is passed over") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Later(1));
+  bed.now += Milliseconds(200);
+  const SteerDecision second = bed.Send(Later(1));
+  CHECK(second.agent != first.agent);
+  const SteerDecision third =
+      bed.Return(second, ReturnReason::kBounced, Later(1));
+  SteerDecision last = bed.Return(third, ReturnReason::kBounced, Later(1));
+  // Only the mute one is left: it is asked again, nothing is reset.
+  CHECK(last.kind == SteerDecision::Kind::kForward);
+  CHECK(last.agent == first.agent);
+}
+
+TEST_CASE("a search ends where an agent says that it holds the flow") {
+  Bed bed;
+  bed.Send(Later(1));
+  bed.steering.OnHeld(bed.now, MemberId{12}, Later(1).flow);
+  const SteerDecision decision = bed.Send(Later(1));
+  CHECK(decision.agent == MemberId{12});
+  CHECK_FALSE(decision.header.search);
+}
+
+TEST_CASE("a search asks again those that left the opening unanswered") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  bed.now += Milliseconds(100);
+  const std::vector<SteerResend> resends = bed.steering.OnTick(bed.now);
+  REQUIRE(resends.size() == 1);
+  // The first agent's word was lost, but its server has the flow.
+  SteerDecision decision = bed.Send(Later(1));
+  std::vector<MemberId> asked;
+  while (decision.kind == SteerDecision::Kind::kForward && asked.size() < 5) {
+    asked.push_back(decision.agent);
+    if (decision.agent == first.agent) {
+      break;
+    }
+    decision = bed.Return(decision, ReturnReason::kBounced, Later(1));
+  }
+  CHECK(asked.back() == first.agent);
+  CHECK(asked.size() <= 2);
+}
+
+TEST_CASE("a pointer is followed once, then everybody is asked") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Later(1));
+  CHECK(first.header.use_pointer);
+  const MemberId owner = first.agent == MemberId{11} ? MemberId{12}
+                                                     : MemberId{11};
+  SteerDecision decision = bed.steering.OnReturned(
+      bed.now, first.agent, ReturnReason::kMoved, owner, Later(1));
+  CHECK(decision.agent == owner);
+  CHECK_FALSE(decision.header.use_pointer);
+  std::vector<MemberId> asked;
+  while (decision.kind == SteerDecision::Kind::kForward) {
+    asked.push_back(decision.agent);
+    decision = bed.Return(decision, ReturnReason::kBounced, Later(1));
+  }
+  CHECK(asked.size() == 3);
+}
+
+TEST_CASE("lasting flows get a pointer at the agent that is asked first") {
+  Bed bed;
+  const SteerDecision home = bed.Send(Later(7));
+  const MemberId owner = home.agent == MemberId{11} ? MemberId{12}
+                                                    : MemberId{11};
+  bed.steering.OnHeld(bed.now, owner, Later(7).flow);
+  bed.steering.OnTick(bed.now);
+  CHECK(bed.steering.TakePointers().empty());
+  bed.now += Milliseconds(1100);
+  bed.HearAll();
+  bed.steering.OnTick(bed.now);
+  const std::vector<SteerPointer> pointers = bed.steering.TakePointers();
+  REQUIRE(pointers.size() == 1);
+  CHECK(pointers[0].home == home.agent);
+  CHECK(pointers[0].owner == owner);
+  bed.steering.PointToAll(bed.now);
+  CHECK(bed.steering.TakePointers().empty());
+}
+
+TEST_CASE("a newcomer resets nothing before it knows the agents") {
+  Bed bed;
+  Steering fresh(bed.now, DomainId{1}, &bed.roster, &bed.routes,
+                 SteeringLimits(), &PlaceByExpectedAnswer);
+  SteerDecision decision = fresh.OnCallerPacket(bed.now, Later(1), {});
+  while (decision.kind == SteerDecision::Kind::kForward) {
+    decision = fresh.OnReturned(bed.now, decision.agent,
+                                ReturnReason::kBounced, MemberId(), Later(1));
+  }
+  CHECK(decision.kind == SteerDecision::Kind::kDrop);
+}
+
+TEST_CASE("nothing is concluded just after a new agent was met") {
+  Bed bed;
+  bed.Hear(14, "stock");
+  SteerDecision decision = bed.Send(Later(1));
+  while (decision.kind == SteerDecision::Kind::kForward) {
+    decision = bed.Return(decision, ReturnReason::kBounced, Later(1));
+  }
+  CHECK(decision.kind == SteerDecision::Kind::kDrop);
+}
+
+TEST_CASE("flows of a lost agent are reset, those of a silent one are not") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  const auto others = [&] {
+    for (const uint64_t id : {11, 12, 13}) {
+      if (MemberId{id} != first.agent) {
+        bed.Hear(id, "stock");
+      }
+    }
+  };
+  for (int i = 0; i < 5; ++i) {
+    bed.now += Milliseconds(800);
+    others();
+  }
+  CHECK(bed.Send(Later(1)).kind == SteerDecision::Kind::kForward);
+  for (int i = 0; i < 3; ++i) {
+    bed.now += Milliseconds(800);
+    others();
+  }
+  CHECK(bed.Send(Later(1)).kind == SteerDecision::Kind::kReset);
+}
+
+TEST_CASE("a balancer that hears no agent resets no open flow") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.now += Seconds(8);
+  CHECK(bed.Send(Later(1)).kind == SteerDecision::Kind::kForward);
+  CHECK_FALSE(bed.steering.CanServe(bed.now));
+}
+
+TEST_CASE("an agent of another service is asked for the flow's own service") {
+  Bed bed;
+  const SteerDecision first = bed.Send(Opening(1));
+  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.Hear(first.agent.value, "media");
+  const SteerDecision decision = bed.Send(Later(1));
+  CHECK(decision.header.service == ServiceIdOf("stock"));
+  const SteerDecision next =
+      bed.Return(decision, ReturnReason::kWrongService, Later(1));
+  CHECK(next.agent != first.agent);
+}
+
+TEST_CASE("the table of flows is bounded") {
+  Bed bed;
+  SteeringLimits limits;
+  limits.max_flows = 2;
+  Steering small(bed.now, DomainId{1}, &bed.roster, &bed.routes, limits,
+                 &PlaceByExpectedAnswer);
+  small.OnCallerPacket(bed.now, Opening(1), {});
+  small.OnCallerPacket(bed.now, Opening(2), {});
+  const SteerDecision third = small.OnCallerPacket(bed.now, Opening(3), {});
+  CHECK(third.kind == SteerDecision::Kind::kReset);
+  CHECK(third.error == ErrorKind::kOverloaded);
+}
+
+TEST_CASE("shares of a route split new flows by their hash") {
+  SteerRoute route = RouteTo(kRoute, "stock");
+  route.shares = {{ServiceIdOf("stock"), 90}, {ServiceIdOf("trial"), 10}};
+  int trial = 0;
+  constexpr int kFlows = 20000;
+  for (int i = 0; i < kFlows; ++i) {
+    FlowKey key{{0x64400001U + static_cast<uint32_t>(i) / 1000,
+                 static_cast<uint16_t>(1000 + i % 1000)},
+                kRoute};
+    const ServiceId chosen = RouteBook::ServiceFor(route, HashFlow(key));
+    trial += chosen == ServiceIdOf("trial") ? 1 : 0;
+  }
+  CHECK(trial == doctest::Approx(kFlows / 10).epsilon(0.1));
+}
+
+TEST_CASE("routes never go back to an older revision") {
+  RouteBook book;
+  CHECK(book.Adopt(TableOf(7, {RouteTo(kRoute, "stock")})));
+  CHECK_FALSE(book.Adopt(TableOf(6, {})));
+  CHECK_FALSE(book.Adopt(TableOf(7, {})));
+  CHECK(book.Find(kRoute) != nullptr);
+  CHECK(book.Adopt(TableOf(9, {})));
+  CHECK(book.Find(kRoute) == nullptr);
+  CHECK(book.WasRoute(kRoute));
+}
+
+}  // namespace
+}  // namespace medlargauge
