--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -59,9 +59,8 @@
              self->load = m_gate.Load(now);
              m_told = self->state;
            },
-           [this](TimePoint now, SocketAddress4 from, const PeerFrame& frame) {
-             OnFrame(now, from, frame);
-           }}),
+           [this](TimePoint now, SocketAddress4 from, const PeerFrame& frame) { OnFrame(now, from, frame); },
+               [this](TimePoint, Stats* stats) { Measure(stats); }}),
       m_reports(
           loop,
           [this](const HttpRequest& request) { return AnswerServer(request); }),
@@ -276,6 +275,29 @@
   AnnounceChange(now);
 }
 
+void AgentRuntime::Measure(Stats* stats) const {
+  const GateCounters& counters = m_gate.Counters();
+  uint64_t returned = 0;
+  for (const uint64_t count : counters.returned) {
+    returned += count;
+  }
+  stats->Set(Stat::flows, m_gate.FlowCount());
+  stats->Set(Stat::flows_opened, counters.opened);
+  stats->Set(Stat::packets_delivered, counters.delivered);
+  stats->Set(Stat::packets_returned, returned);
+  stats->Set(
+      Stat::packets_bounced,
+      counters.returned[static_cast<size_t>(ReturnReason::kBounced)]);
+  stats->Set(Stat::requests_active, m_gate.Active());
+  stats->Set(Stat::requests_answered, counters.answers);
+  stats->Set(Stat::requests_failed, counters.failed);
+  stats->Set(Stat::requests_refused, counters.refused);
+  stats->Set(Stat::resets_server_down, counters.resets);
+  stats->Set(Stat::send_failures, m_outbound.SendFailures());
+  stats->Set(Latency::opening_ms, counters.opening);
+  stats->Set(Latency::first_answer_ms, counters.first_answer);
+}
+
 HttpAnswer AgentRuntime::AnswerCheck(const HttpRequest& request) const {
   HttpAnswer answer;
   answer.status = request.path == m_platform->ready_path ? 200 : 404;
--- a/src/runtime/agent_runtime.h
+++ b/src/runtime/agent_runtime.h
@@ -39,6 +39,7 @@
   void OnServerDown(TimePoint now);
   void AnnounceChange(TimePoint now);
   void EndIfIdle();
+  void Measure(Stats* stats) const;
   HttpAnswer AnswerServer(const HttpRequest& request);
   HttpAnswer AnswerCheck(const HttpRequest& request) const;
 
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -37,9 +37,8 @@
           {[](TimePoint, SteerMember* self) {
              self->state = AgentState::kReady;
            },
-           [this](TimePoint now, SocketAddress4 from, const PeerFrame& frame) {
-             OnFrame(now, from, frame);
-           }}),
+           [this](TimePoint now, SocketAddress4 from, const PeerFrame& frame) { OnFrame(now, from, frame); },
+               [this](TimePoint, Stats* stats) { Measure(stats); }}),
       m_steering(SteadyTime(),
                  DomainIdOf(settings.failure_domain),
                  &m_fleet.Members(),
@@ -224,6 +223,25 @@
   }
 }
 
+void BalancerRuntime::Measure(Stats* stats) const {
+  const SteeringCounters& counters = m_steering.Counters();
+  const auto rejected = [&counters](ErrorKind kind) {
+    return counters.rejected[static_cast<size_t>(kind)];
+  };
+  stats->Set(Stat::flows, m_steering.FlowCount());
+  stats->Set(Stat::flows_opened, counters.opened);
+  stats->Set(Stat::packets_forwarded, counters.forwarded);
+  stats->Set(Stat::searches, counters.searches);
+  stats->Set(Stat::search_steps, counters.search_steps);
+  stats->Set(Stat::late_openings, counters.late_openings);
+  stats->Set(Stat::busy_returns, counters.busy_returns);
+  stats->Set(Stat::resets_overload, rejected(ErrorKind::kOverloaded));
+  stats->Set(Stat::resets_no_agent, rejected(ErrorKind::kNoAgent));
+  stats->Set(Stat::resets_unknown, rejected(ErrorKind::kFlowUnknown));
+  stats->Set(Stat::unrouted, rejected(ErrorKind::kUnknownAddress));
+  stats->Set(Stat::send_failures, m_callers.SendFailures());
+}
+
 HttpAnswer BalancerRuntime::AnswerCheck(const HttpRequest& request) {
   HttpAnswer answer;
   if (request.path != m_platform->ready_path) {
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -38,6 +38,7 @@
   void SendPointers();
   void ArmTimer();
   void EndIfIdle();
+  void Measure(Stats* stats) const;
   HttpAnswer AnswerCheck(const HttpRequest& request);
 
   EventLoop* m_loop;                ///< Runs everything.
--- a/src/runtime/fleet.cc
+++ b/src/runtime/fleet.cc
@@ -31,6 +31,7 @@
 /// Clocks that disagree by less were read one after the other.
 constexpr Duration kSuspensionNoticed = Milliseconds(200);
 constexpr std::string_view kTargetsPath = "/targets";
+constexpr std::string_view kMetricsPath = "/metrics";
 
 uint32_t SeedIp(const std::string& seed) {
   const std::optional<SocketAddress4> address = ParseAddress4(seed);
@@ -65,7 +66,7 @@
       m_reader(SteadyTime(), m_self.id.value, TargetReaderLimits()),
       m_server(
           loop,
-          [this](const HttpRequest& request) { return ServeTargets(request); }),
+          [this](const HttpRequest& request) { return Serve(request); }),
       m_list_deadline(SteadyTime() + kStoreGrace),
       m_register_deadline(SteadyTime() + kRegisterGrace),
       m_suspended(SuspendedTime()) {
@@ -86,8 +87,7 @@
   if (!m_socket.Bind(m_peer_address, reason)) {
     return false;
   }
-  if (m_self.role == MemberRole::kBalancer &&
-      !m_server.Listen(m_peer_address, reason)) {
+  if (!m_server.Listen(m_peer_address, reason)) {
     return false;
   }
   m_loop->OnReadable(m_socket.Descriptor(), [this] {
@@ -309,7 +309,7 @@
   }
   ++m_store_calls;
   const bool watches = action == ReadAction::kWatch;
-  const auto done = [this, watches](StoreResult result,
+  const auto done = [this, watches, now](StoreResult result,
                                     const std::optional<StoredTargets>& targets,
                                     uint64_t position) {
     const TimePoint then = SteadyTime();
@@ -317,6 +317,7 @@
       m_reader.OnWatch(then, result, position);
     } else {
       m_reader.OnRead(then, result, position);
+      m_store_latency.Add(then - now);
     }
     NoteStore(result, watches ? "watch_targets" : "fetch_targets");
     if (targets.has_value()) {
@@ -398,8 +399,31 @@
       });
 }
 
-HttpAnswer Fleet::ServeTargets(const HttpRequest& request) const {
+std::string Fleet::RenderStats() {
+  const TimePoint now = SteadyTime();
+  Stats stats;
+  stats.Set(Stat::members_heard,
+            m_roster.CountHeard(now, MemberRole::kBalancer) +
+                m_roster.CountHeard(now, MemberRole::kAgent));
+  stats.Set(Stat::target_revision, m_routes.Revision());
+  stats.Set(Stat::store_calls, m_store_calls);
+  stats.Set(Latency::store_call_ms, m_store_latency);
+  if (m_reader.Checked() != TimePoint()) {
+    stats.Set(Stat::store_check_age_ms,
+              static_cast<uint64_t>(ToMilliseconds(now - m_reader.Checked())));
+  }
+  m_hooks.measure(now, &stats);
+  return stats.Render();
+}
+
+HttpAnswer Fleet::Serve(const HttpRequest& request) {
   HttpAnswer answer;
+  if (request.path == kMetricsPath) {
+    answer.status = 200;
+    answer.body = RenderStats();
+    answer.content_type = "text/plain; version=0.0.4";
+    return answer;
+  }
   const bool known = request.path == kTargetsPath && m_stored.revision != 0;
   answer.status = known ? 200 : 404;
   if (known) {
--- a/src/runtime/fleet.h
+++ b/src/runtime/fleet.h
@@ -12,6 +12,7 @@
 #include "src/runtime/http.h"
 #include "src/runtime/peer_wire.h"
 #include "src/runtime/platform_hooks.h"
+#include "src/runtime/stats.h"
 #include "src/runtime/udp_socket.h"
 #include "src/steer/roster.h"
 #include "src/steer/route_book.h"
@@ -26,6 +27,8 @@
   /// A datagram of another kind than a status has come.
   std::function<void(TimePoint now, SocketAddress4 from, const PeerFrame&)>
       on_frame;
+  /// Fills the role's part of the metrics.
+  std::function<void(TimePoint now, Stats* stats)> measure;
 };
 
 /// Membership, targets and the socket between processes. Not thread-safe.
@@ -76,7 +79,8 @@
   void Adopt(const StoredTargets& targets, std::string_view source);
   void FetchFromPeer(uint32_t ip);
   void NoteStore(StoreResult result, std::string_view call);
-  HttpAnswer ServeTargets(const HttpRequest& request) const;
+  HttpAnswer Serve(const HttpRequest& request);
+  std::string RenderStats();
 
   EventLoop* m_loop;                    ///< Runs everything.
   const PlatformHooks* m_platform;      ///< Formats and calls.
@@ -97,6 +101,7 @@
   bool m_registered = false;            ///< The store knows this balancer.
   bool m_store_busy = false;            ///< A membership call is under way.
   bool m_store_lost = false;            ///< The last call failed; for the log.
+  LatencyHistogram m_store_latency;     ///< Calls that do not wait.
   uint64_t m_store_calls = 0;           ///< Only grows.
   TimePoint m_status_deadline;          ///< Next status to everybody.
   TimePoint m_join_deadline;            ///< Next request for members.
--- /dev/null
+++ b/src/runtime/stats.h
@@ -0,0 +1,58 @@
+// @file stats.h The metrics of a process as Prometheus text.
+#ifndef MEDLARGAUGE_RUNTIME_STATS_H_
+#define MEDLARGAUGE_RUNTIME_STATS_H_
+
+#include <array>
+#include <string>
+
+#include "src/steer/latency_histogram.h"
+
+namespace medlargauge {
+
+/// Counters and gauges of stats_table.inc.
+enum class Stat : uint8_t {
+#define STAT(name, kind, role, unit, meaning) name,
+#define LATENCY(name, role, meaning)
+#include "src/runtime/stats_table.inc"
+#undef STAT
+#undef LATENCY
+  count_of_stats,
+};
+
+/// Histograms of stats_table.inc.
+enum class Latency : uint8_t {
+#define STAT(name, kind, role, unit, meaning)
+#define LATENCY(name, role, meaning) name,
+#include "src/runtime/stats_table.inc"
+#undef STAT
+#undef LATENCY
+  count_of_latencies,
+};
+
+/// One reading of all metrics of a process. Not thread-safe.
+class Stats {
+ public:
+  /// Sets a counter or gauge.
+  void Set(Stat stat, uint64_t value) {
+    m_values[static_cast<size_t>(stat)] = value;
+  }
+  /// Sets a histogram.
+  void Set(Latency latency, const LatencyHistogram& histogram) {
+    m_histograms[static_cast<size_t>(latency)] = histogram;
+  }
+
+  /// Returns all metrics in Prometheus' text format.
+  std::string Render() const;
+
+ private:
+  std::array<uint64_t, static_cast<size_t>(Stat::count_of_stats)> m_values{};
+  std::array<LatencyHistogram, static_cast<size_t>(Latency::count_of_latencies)>
+      m_histograms{};
+};
+
+/// Returns docs/METRICS.md, made from the table. Thread-safe.
+std::string DescribeStats();
+
+}  // namespace medlargauge
+
+#endif  // MEDLARGAUGE_RUNTIME_STATS_H_
--- /dev/null
+++ b/src/steer/latency_histogram.h
@@ -0,0 +1,43 @@
+// @file latency_histogram.h Counts of durations in fixed buckets.
+#ifndef MEDLARGAUGE_STEER_LATENCY_HISTOGRAM_H_
+#define MEDLARGAUGE_STEER_LATENCY_HISTOGRAM_H_
+
+#include <array>
+#include <cstdint>
+
+#include "src/core/time_type.h"
+
+namespace medlargauge {
+
+/// A histogram from 1 ms to 5 s. Not thread-safe.
+class LatencyHistogram {
+ public:
+  /// Upper bounds of the buckets in milliseconds; above them comes one more.
+  static constexpr std::array<int64_t, 12> kBoundsMs = {
+      1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000};
+
+  /// Counts one duration.
+  void Add(Duration duration) {
+    size_t i = 0;
+    while (i < kBoundsMs.size() && duration > Milliseconds(kBoundsMs[i])) {
+      ++i;
+    }
+    ++m_counts[i];
+    m_sum += duration;
+  }
+
+  /// Returns the counts, the one above all bounds last.
+  const std::array<uint64_t, kBoundsMs.size() + 1>& Counts() const {
+    return m_counts;
+  }
+  /// Returns the sum of all durations.
+  Duration Sum() const { return m_sum; }
+
+ private:
+  std::array<uint64_t, kBoundsMs.size() + 1> m_counts{};  ///< By bucket.
+  Duration m_sum{};                                       ///< Of all.
+};
+
+}  // namespace medlargauge
+
+#endif  // MEDLARGAUGE_STEER_LATENCY_HISTOGRAM_H_
--- a/src/steer/server_gate.cc
+++ b/src/steer/server_gate.cc
@@ -106,8 +106,7 @@
         patience_us != 0 && ExpectedAnswerUs(now, load, 0) > patience_us;
     const bool refused =
         now < m_refused_until && load.active >= m_refused_above;
-    if (too_late || refused ||
-        load.active >= load.slots * m_limits.active_per_slot) {
+    if (too_late || refused) {
       return Return(balancer_ip, ReturnReason::kFull);
     }
     Erase(packet.flow);
@@ -117,6 +116,7 @@
     flow.stage = Stage::kOpening;
     flow.opening_sequence = packet.sequence;
     flow.caller_next = packet.sequence + 1;
+    flow.work_began = now;
     flow.expires = now + m_limits.opening;
     Count(now + m_limits.reserve, &flow);
   }
@@ -176,6 +176,7 @@
   Flow& flow = found->second;
   if (flow.stage == Stage::kOpening) {
     ++m_counters.opened;
+    m_counters.opening.Add(now - flow.work_began);
   }
   flow.stage = Stage::kHeld;
   decision.confirm = flow.confirm;
@@ -200,6 +201,12 @@
 }
 
 void ServerGate::NoteAnswer(TimePoint now, AnswerKind answer, Flow* flow) {
+  if (flow->working) {
+    ++m_counters.answers;
+    m_counters.failed += answer == AnswerKind::kFailure ? 1 : 0;
+    m_counters.refused += answer == AnswerKind::kRefused ? 1 : 0;
+    m_counters.first_answer.Add(now - flow->work_began);
+  }
   if (flow->working && answer == AnswerKind::kRefused) {
     m_refused_above = std::max(m_active - 1, Load(now).slots);
     m_refused_until = now + m_limits.full_memory;
@@ -224,7 +231,6 @@
         m_service_us == 0
             ? sample
             : (m_service_us * (kMeanParts - 1) + sample) / kMeanParts;
-    ++m_counters.answers;
   }
   flow->working = false;
   Uncount(flow);
--- a/src/steer/server_gate.h
+++ b/src/steer/server_gate.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/core/error_type.h"
+#include "src/steer/latency_histogram.h"
 #include "src/steer/placement.h"
 #include "src/steer/steer_type.h"
 
@@ -44,10 +45,8 @@
   Duration quiet = Milliseconds(70);
   /// A new flow is refused if its answer is expected beyond this part of its
   /// aim.
-  uint32_t aim_percent = 75;
-  /// Servers queue a few requests behind their slots and refuse the rest,
-  /// which costs the caller a try: at most this many for each slot.
-  uint32_t active_per_slot = 4;
+  uint32_t aim_percent = 100;
+  
   /// A refusal by the server shows where it is full, for this long.
   Duration full_memory = Seconds(5);
   /// Without requests the part that failed halves in this time, so that the
@@ -85,6 +84,10 @@
   uint64_t opened = 0;                 ///< Flows that the server accepted.
   uint64_t delivered = 0;              ///< Packets given to the server.
   uint64_t answers = 0;                ///< Requests whose answer began.
+  uint64_t failed = 0;     ///< Of these: the server failed.
+  uint64_t refused = 0;    ///< Of these: the server did not run them.
+  LatencyHistogram opening;       ///< Opening packet to the server's answer.
+  LatencyHistogram first_answer;  ///< Request to the first answer byte.
   uint64_t resets = 0;                 ///< Flows reset because the server died.
   std::array<uint64_t, 9> returned{};  ///< By ReturnReason.
 };
