--- a/lab/lab_test.cc
+++ b/lab/lab_test.cc
@@ -70,6 +70,12 @@
   CHECK(total.failed * 200 < total.asked);
 }
 
+TEST_CASE("many balancers do not herd on the same idle server") {
+  const Result present = PlayNamed("wide", 1);
+  const Result best_of_all = PlayNamed("wide", 1, "tries-4");
+  CHECK(present.waited * 5 < best_of_all.waited * 4);
+}
+
 TEST_CASE("a slow server gets less") {
   CHECK(PlayNamed("slow-servers", 1).Worth() >
         PlayNamed("slow-servers", 1, "hash").Worth());
--- a/lab/lab_type.h
+++ b/lab/lab_type.h
@@ -79,9 +79,10 @@
 /// What is compared: the decisions of a run.
 struct Policy {
   std::string name;                             ///< For the report.
-  PlacementPolicy place = &PlaceByExpectedAnswer;  ///< Chooses servers.
+  PlacementPolicy place = &PlaceBySample;  ///< Chooses servers.
   bool by_aim = true;   ///< A new flow is useless beyond the aim, else limit.
   uint32_t aim_percent = GateLimits().aim_percent;  ///< See GateLimits.
+  uint32_t busy_tries = SteeringLimits().busy_tries;  ///< See there.
   bool ask_busy = true;  ///< Agents without a free slot return new flows.
 };
 
@@ -97,6 +98,7 @@
 
 /// The outcome of a run.
 struct Result {
+  Duration waited{};  ///< Sum over the answered requests, from first attempt.
   std::map<std::string, ClassResult> classes;  ///< By name.
   std::vector<ClassResult> windows;            ///< Of two seconds each.
   uint64_t wrong_resets = 0;    ///< Resets of flows whose server held them.
--- a/lab/lab_world.cc
+++ b/lab/lab_world.cc
@@ -225,9 +225,11 @@
   balancer->roster = std::make_unique<Roster>(id, RosterTimeouts());
   balancer->routes = std::make_unique<RouteBook>();
   balancer->routes->Adopt(MakeTable());
+  SteeringLimits limits;
+  limits.busy_tries = m_policy.busy_tries;
   balancer->steering = std::make_unique<Steering>(
       Now(), DomainId{balancer->domain + 1}, balancer->roster.get(),
-      balancer->routes.get(), SteeringLimits(), m_policy.place);
+      balancer->routes.get(), limits, m_policy.place);
   balancer->running = true;
   balancer->ready = true;
   ++balancer->starts;
@@ -451,6 +453,7 @@
   }
   request.done = true;
   const ClassModel& model = m_scenario.classes[request.class_index];
+  m_result.waited += answered ? Now() - request.asked : Duration();
   const bool in_aim = answered && Now() - request.asked <= model.aim;
   const double earned =
       in_aim ? model.worth : answered ? model.late_worth : 0.0;
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -44,7 +44,7 @@
                  &m_fleet.Members(),
                  &m_fleet.Routes(),
                  SteeringLimits(),
-                 &PlaceByExpectedAnswer),
+                 &PlaceBySample),
       m_admin(loop, [this](const HttpRequest& request) {
         return AnswerCheck(request);
       }) {}
--- a/src/steer/placement.cc
+++ b/src/steer/placement.cc
@@ -2,6 +2,7 @@
 #include "src/steer/placement.h"
 
 #include <algorithm>
+#include <array>
 
 #include "src/routing/routing.h"
 
@@ -19,6 +20,7 @@
 constexpr uint64_t kFailureUs = 400'000;
 constexpr uint64_t kOtherDomainUs = 600;  ///< A crossing there and back.
 constexpr uint64_t kTieUs = 1024;         ///< Spread of the hash over ties.
+constexpr size_t kSampledServers = 3;  ///< More of them herd again.
 constexpr uint64_t kUncertainUs = 10'000'000;  ///< Behind every certain one.
 
 }  // namespace
@@ -58,6 +60,42 @@
   return best;
 }
 
+std::optional<size_t> PlaceBySample(
+    TimePoint now,
+    uint64_t flow_hash,
+    const std::vector<PlacementCandidate>& candidates) {
+  // The first ones of a rendezvous ranking: a copy finds the same sample.
+  std::array<size_t, kSampledServers> sample{};
+  std::array<uint64_t, kSampledServers> ranks{};
+  size_t sampled = 0;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const uint64_t rank =
+        (candidates[i].certain ? 1ULL << 63U : 0) |
+        (MixHash(flow_hash, candidates[i].id.value) >> 1U);
+    size_t at = sampled < kSampledServers ? sampled++ : kSampledServers;
+    if (at == kSampledServers) {
+      if (rank <= ranks[kSampledServers - 1]) {
+        continue;
+      }
+      at = kSampledServers - 1;
+    }
+    while (at > 0 && ranks[at - 1] < rank) {
+      ranks[at] = ranks[at - 1];
+      sample[at] = sample[at - 1];
+      --at;
+    }
+    ranks[at] = rank;
+    sample[at] = i;
+  }
+  std::vector<PlacementCandidate> chosen;
+  for (size_t i = 0; i < sampled; ++i) {
+    chosen.push_back(candidates[sample[i]]);
+  }
+  const std::optional<size_t> best =
+      PlaceByExpectedAnswer(now, flow_hash, chosen);
+  return best.has_value() ? std::make_optional(sample[*best]) : std::nullopt;
+}
+
 std::optional<size_t> PlaceByHash(
     TimePoint /*now*/,
     uint64_t flow_hash,
--- a/src/steer/placement.h
+++ b/src/steer/placement.h
@@ -41,6 +41,15 @@
     uint64_t flow_hash,
     const std::vector<PlacementCandidate>& candidates);
 
+/// Chooses the best of `kSampledServers` that the flow's hash picks. Reports
+/// are older than a request takes, so balancers that all chose the best of all
+/// would send their flows to the same server. Answers many balancers before
+/// many servers with few slots. Thread-safe.
+std::optional<size_t> PlaceBySample(
+    TimePoint now,
+    uint64_t flow_hash,
+    const std::vector<PlacementCandidate>& candidates);
+
 /// Chooses by the flow's hash alone. Thread-safe.
 std::optional<size_t> PlaceByHash(
     TimePoint now,
--- a/src/steer/roster_test.cc
+++ b/src/steer/roster_test.cc
@@ -233,5 +233,36 @@
   CHECK_FALSE(PlaceByExpectedAnswer(now, 1, {}).has_value());
 }
 
+TEST_CASE("a sample of servers is the same for copies, and certain ones first") {
+  const TimePoint now{Seconds(100)};
+  std::vector<PlacementCandidate> candidates(20);
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    candidates[i].id = MemberId{i + 1};
+    candidates[i].load.slots = 2;
+    candidates[i].load.service_us = 40000;
+    candidates[i].certain = i < 2;
+  }
+  std::vector<int> counts(candidates.size());
+  for (uint64_t flow = 0; flow < 500; ++flow) {
+    const uint64_t hash = MixHash(flow, 3);
+    const size_t chosen = *PlaceBySample(now, hash, candidates);
+    CHECK(chosen == *PlaceBySample(now, hash, candidates));
+    CHECK(chosen < 2);
+  }
+  for (PlacementCandidate& candidate : candidates) {
+    candidate.certain = true;
+  }
+  candidates[4].load.active = 9;
+  for (uint64_t flow = 0; flow < 4000; ++flow) {
+    ++counts[*PlaceBySample(now, MixHash(flow, 3), candidates)];
+  }
+  // One idle server does not draw everything, a busy one gets nothing.
+  CHECK(counts[4] == 0);
+  for (size_t i = 0; i < counts.size(); ++i) {
+    CHECK(counts[i] < 400);
+  }
+  CHECK_FALSE(PlaceBySample(now, 1, {}).has_value());
+}
+
 }  // namespace
 }  // namespace medlargauge
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -117,7 +117,8 @@
                                                    ? ErrorKind::kNoAgent
                                                    : ErrorKind::kOverloaded);
   }
-  flow->last_choice = flow->last_choice || candidates.size() == 1;
+  const bool only_one = candidates.size() == 1 && flow->busy.empty();
+  flow->last_choice = flow->last_choice || only_one;
   flow->agent = candidates[*chosen].id;
   flow->service = service;
   flow->answer_deadline = now + m_limits.opening_answer;
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -33,7 +33,7 @@
   Duration lasting = Milliseconds(500);
   Duration settle = Milliseconds(1500);  ///< Members are not all known before.
   Duration quiet_news = Milliseconds(1000);  ///< The same, after a new agent.
-  uint32_t busy_tries = 3;    ///< Busy servers asked for a free slot.
+  uint32_t busy_tries = 5;    ///< Busy servers asked for a free slot.
   uint32_t late_tries = 3;    ///< Opening packets sent elsewhere.
   size_t max_flows = 200000;  ///< Entries kept; about 120 bytes each.
 };
