--- a/src/steer/roster.cc
+++ b/src/steer/roster.cc
@@ -109,6 +109,13 @@
   return entry.heard != TimePoint() && now - entry.heard <= m_timeouts.silent;
 }
 
+bool Roster::IsMute(TimePoint now, const RosterEntry& entry) const {
+  const TimePoint since =
+      std::max({entry.heard, entry.learnt, m_contact_since});
+  const Duration limit = std::max(m_timeouts.mute, 2 * m_timeouts.silent);
+  return !entry.leaving && entry.heard != TimePoint() && now - since > limit;
+}
+
 bool Roster::IsLost(TimePoint now, const RosterEntry& entry) const {
   // Silence from everybody at once was this host's own.
   const TimePoint since =
--- a/src/steer/roster.h
+++ b/src/steer/roster.h
@@ -13,6 +13,9 @@
 /// Silence after which members count as unreachable or are forgotten.
 struct RosterTimeouts {
   Duration silent = Milliseconds(900);  ///< Three lost statuses of an agent.
+  /// An unplanned restart of an agent takes less; repeatable requests at it
+  /// are better tried elsewhere.
+  Duration mute = Milliseconds(1300);
   /// Longer than a planned restart of an agent takes, and than the time for
   /// which an impaired host is excused; flows at it are given up then.
   Duration lost = Milliseconds(5000);
@@ -58,6 +61,9 @@
 
   /// Returns whether the member was heard within the silence timeout.
   bool IsHeard(TimePoint now, const RosterEntry& entry) const;
+  /// Returns whether the member has been silent for longer than a restart
+  /// takes, while others were heard, and had not announced a stop.
+  bool IsMute(TimePoint now, const RosterEntry& entry) const;
   /// Returns whether the member was silent for so long that its flows are lost.
   bool IsLost(TimePoint now, const RosterEntry& entry) const;
   /// Returns how many members of a role are heard.
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -183,7 +183,10 @@
     }
     return Forward(route, flow);
   }
-  if (lost && m_roster->CountHeard(now, MemberRole::kAgent) > 0) {
+  // Its caller repeats the request at once, instead of after its own time-out.
+  const bool better_elsewhere =
+      lost || (route.repeatable && m_roster->IsMute(now, *owner));
+  if (better_elsewhere && m_roster->CountHeard(now, MemberRole::kAgent) > 0) {
     m_flows.erase(found);
     return Reject(SteerDecision::Kind::kReset, ErrorKind::kFlowUnknown);
   }
--- a/src/steer/steering_test.cc
+++ b/src/steer/steering_test.cc
@@ -373,6 +373,9 @@
       }
     }
   };
+  SteerRoute route = RouteTo(kRoute, "stock");
+  route.repeatable = false;
+  bed.routes.Adopt(TableOf(2, {route}));
   for (int i = 0; i < 5; ++i) {
     bed.now += Milliseconds(800);
     others();
@@ -385,6 +388,32 @@
   CHECK(bed.Send(Later(1)).kind == SteerDecision::Kind::kReset);
 }
 
+TEST_CASE("repeatable requests leave a mute agent, unless it stops as planned") {
+  const auto kind_after_silence = [](bool repeatable, bool leaving) {
+    Bed bed;
+    SteerRoute route = RouteTo(kRoute, "stock");
+    route.repeatable = repeatable;
+    bed.routes.Adopt(TableOf(2, {route}));
+    const SteerDecision first = bed.Send(Opening(1));
+    bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+    if (leaving) {
+      bed.Hear(first.agent.value, "stock", AgentState::kReady, 0, true);
+    }
+    for (int i = 0; i < 4; ++i) {
+      bed.now += Milliseconds(500);
+      for (const uint64_t id : {11, 12, 13}) {
+        if (MemberId{id} != first.agent) {
+          bed.Hear(id, "stock");
+        }
+      }
+    }
+    return bed.Send(Later(1)).kind;
+  };
+  CHECK(kind_after_silence(true, false) == SteerDecision::Kind::kReset);
+  CHECK(kind_after_silence(false, false) == SteerDecision::Kind::kForward);
+  CHECK(kind_after_silence(true, true) == SteerDecision::Kind::kForward);
+}
+
 TEST_CASE("a balancer that hears no agent resets no open flow") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
