--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -125,9 +125,12 @@
   if (decision.kind == GateDecision::Kind::kDeliver) {
     m_platform->tag_packet(frame.packet, from.ip);
     m_outbound.Send(m_server, ToView(frame.packet));
-    if (packet->syn && FlowLog::IsSampled(packet->flow)) {
+    const bool shown = packet->syn || !packet->request_id.empty();
+    if (shown && FlowLog::IsSampled(packet->flow)) {
       EventLine(Severity::kInfo, "flow_delivered")
           .With("flow", FlowName(packet->flow))
+          .With("caller", FormatAddress(packet->flow.caller))
+          .With("request", packet->request_id)
           .With("from", FormatIp(from.ip))
           .With("active", m_gate.Active())
           .With("revision", frame.header.revision);
@@ -152,6 +155,7 @@
     return;
   }
   m_outbound.Send({packet->flow.caller.ip, m_caller_port}, ToView(datagram));
+  LogAnswer(now, *packet, decision);
   if (decision.confirm) {
     proto::FlowNote note;
     note.set_caller_ip(packet->flow.caller.ip);
@@ -164,6 +168,24 @@
   }
 }
 
+void AgentRuntime::LogAnswer(TimePoint now,
+                             const FlowPacket& packet,
+                             const GateDecision& decision) {
+  const bool bad = packet.answer == AnswerKind::kFailure ||
+                   packet.answer == AnswerKind::kRefused;
+  if (!bad || !m_log.MayReport(now)) {
+    return;
+  }
+  EventLine(Severity::kInfo, "request_failed")
+      .With("flow", FlowName(packet.flow))
+      .With("request", decision.request_id)
+      .With("reason", packet.answer == AnswerKind::kRefused
+                          ? "server_refused"
+                          : "server_failed")
+      .With("active", m_gate.Active())
+      .With("failing", m_gate.Load(now).failing);
+}
+
 void AgentRuntime::SendBack(TimePoint now,
                             const GateDecision& decision,
                             const FlowPacket& packet,
@@ -272,6 +294,13 @@
     m_outbound.Send(
         {reset.flow.caller.ip, m_caller_port},
         {reinterpret_cast<const uint8_t*>(packet.data()), packet.size()});
+    if (m_log.MayReport(now)) {
+      EventLine(Severity::kInfo, "flow_reset")
+          .With("flow", FlowName(reset.flow))
+          .With("caller", FormatAddress(reset.flow.caller))
+          .With("request", reset.request_id)
+          .With("reason", "server_down");
+    }
   }
   EventLine(Severity::kWarning, "server_down").With("resets", resets.size());
   AnnounceChange(now);
--- a/src/runtime/agent_runtime.h
+++ b/src/runtime/agent_runtime.h
@@ -30,6 +30,9 @@
  private:
   void OnFrame(TimePoint now, SocketAddress4 from, const PeerFrame& frame);
   void OnServerDatagram(TimePoint now, ByteSpan datagram);
+  void LogAnswer(TimePoint now,
+                 const FlowPacket& packet,
+                 const GateDecision& decision);
   void SendBack(TimePoint now,
                 const GateDecision& decision,
                 const FlowPacket& packet,
--- a/src/steer/server_gate.cc
+++ b/src/steer/server_gate.cc
@@ -146,6 +146,7 @@
   flow->caller_next = end;
   if (!flow->working) {
     flow->working = true;
+    flow->request_id = packet.request_id;
     flow->work_began = now;
     Count(now + m_limits.work, flow);
     flow->ahead = m_active - 1;
@@ -183,6 +184,11 @@
     Erase(packet.flow);
     return decision;
   }
+  const bool bad = packet.answer == AnswerKind::kFailure ||
+                   packet.answer == AnswerKind::kRefused;
+  if (bad && flow.working) {
+    decision.request_id = flow.request_id;
+  }
   if (packet.data_length > 0) {
     NoteAnswer(now, packet.answer, &flow);
   }
@@ -275,7 +281,8 @@
   std::vector<GateReset> resets;
   for (auto& [key, flow] : m_flows) {
     if (flow.stage != Stage::kUnsure) {
-      resets.push_back({key, flow.acknowledged});
+      resets.push_back({key, flow.working ? flow.request_id : std::string(),
+                        flow.acknowledged});
       ++m_counters.resets;
     }
   }
