--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -179,9 +179,8 @@
   EventLine(Severity::kInfo, "request_failed")
       .With("flow", FlowName(packet.flow))
       .With("request", decision.request_id)
-      .With("reason", packet.answer == AnswerKind::kRefused
-                          ? "server_refused"
-                          : "server_failed")
+      .With("reason", packet.answer == AnswerKind::kRefused ? "server_refused"
+                                                            : "server_failed")
       .With("active", m_gate.Active())
       .With("failing", m_gate.Load(now).failing);
 }
--- a/src/steer/roster.h
+++ b/src/steer/roster.h
@@ -72,6 +72,9 @@
   /// Sets the silence after which a member is not heard any more.
   void SetSilence(Duration silence) { m_timeouts.silent = silence; }
 
+  /// Returns when any member was last heard; zero if none was.
+  TimePoint LastHeard() const { return m_last_heard; }
+
   /// Returns when the last agent was met or named for the first time; zero if
   /// none was.
   TimePoint LastNewAgent() const { return m_last_new_agent; }
--- a/src/steer/server_gate.h
+++ b/src/steer/server_gate.h
@@ -60,8 +60,8 @@
   enum class Kind : uint8_t { kDrop, kDeliver, kToCaller, kReturn };
   Kind kind = Kind::kDrop;                    ///< What to do.
   ReturnReason reason = ReturnReason::kNone;  ///< kReturn: why.
-  std::string request_id;  ///< kToCaller: of a request that ended badly.
-  bool confirm = false;  ///< kToCaller: tell the balancer that it is held.
+  std::string request_id;    ///< kToCaller: of a request that ended badly.
+  bool confirm = false;      ///< kToCaller: tell the balancer that it is held.
   uint32_t balancer_ip = 0;  ///< kReturn, confirm: receiver.
   MemberId owner;            ///< kMoved: who has the flow.
   ErrorKind error = ErrorKind::kNone;  ///< kDrop: why.
@@ -69,8 +69,8 @@
 
 /// A flow that the dead server held and its caller must be told about.
 struct GateReset {
-  FlowKey flow;                ///< The flow.
-  std::string request_id;      ///< Of its request under way, if known.
+  FlowKey flow;               ///< The flow.
+  std::string request_id;     ///< Of its request under way, if known.
   uint32_t acknowledged = 0;  ///< The caller's last acknowledgement.
 };
 
@@ -158,7 +158,7 @@
     uint32_t opening_sequence = 0;  ///< Of the SYN.
     uint32_t caller_next = 0;       ///< End of the caller's data so far.
     uint32_t acknowledged = 0;      ///< The caller's last acknowledgement.
-    std::string request_id;        ///< Of the request under way, if known.
+    std::string request_id;         ///< Of the request under way, if known.
     uint32_t ahead = 0;             ///< Requests there when this one came.
     TimePoint work_began;           ///< When the request came.
     TimePoint counted_until;        ///< Not counted after this.
--- a/src/steer/steer_type.h
+++ b/src/steer/steer_type.h
@@ -67,16 +67,16 @@
 
 /// One packet of a flow; its bytes are kept by the owner of the buffer.
 struct FlowPacket {
-  FlowKey flow;               ///< Ends of the flow.
-  bool from_caller = true;    ///< Direction.
-  bool syn = false;           ///< Opens the flow.
-  bool ack = false;           ///< Acknowledges data.
-  bool fin = false;           ///< Sender has sent everything.
-  bool rst = false;           ///< Sender gives the flow up.
-  bool bounced = false;       ///< Returned by a backend server.
-  uint32_t sequence = 0;      ///< Number of the first data byte.
-  uint32_t acknowledged = 0;  ///< Next byte expected; in a SYN: copy number.
-  uint16_t data_length = 0;   ///< Bytes after the head.
+  FlowKey flow;                 ///< Ends of the flow.
+  bool from_caller = true;      ///< Direction.
+  bool syn = false;             ///< Opens the flow.
+  bool ack = false;             ///< Acknowledges data.
+  bool fin = false;             ///< Sender has sent everything.
+  bool rst = false;             ///< Sender gives the flow up.
+  bool bounced = false;         ///< Returned by a backend server.
+  uint32_t sequence = 0;        ///< Number of the first data byte.
+  uint32_t acknowledged = 0;    ///< Next byte expected; in a SYN: copy number.
+  uint16_t data_length = 0;     ///< Bytes after the head.
   std::string_view request_id;  ///< Named in the data, for logs; or empty.
   AnswerKind answer = AnswerKind::kUnknown;  ///< From a server: see there.
   uint32_t tag = 0;  ///< Ours on the way in, returned in a bounce.
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -400,7 +400,8 @@
 }
 
 bool Steering::CanServe(TimePoint now) const {
-  if (m_routes->Revision() == 0) {
+  const bool isolated = now - m_roster->LastHeard() > m_limits.isolated;
+  if (m_routes->Revision() == 0 || isolated) {
     return false;
   }
   for (const auto& [id, entry] : m_roster->Entries()) {
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -31,6 +31,9 @@
   Duration search_answer = Milliseconds(120);
   /// Flows that last longer get a pointer at their home.
   Duration lasting = Milliseconds(500);
+  /// A balancer that hears nobody for so long is cut off and leaves the
+  /// rotation. Agents send a status every 300 ms, and a note for each flow.
+  Duration isolated = Milliseconds(350);
   Duration settle = Milliseconds(1500);  ///< Members are not all known before.
   Duration quiet_news = Milliseconds(1000);  ///< The same, after a new agent.
   uint32_t busy_tries = 5;    ///< Busy servers asked for a free slot.
--- a/src/steer/steering_test.cc
+++ b/src/steer/steering_test.cc
@@ -388,7 +388,8 @@
   CHECK(bed.Send(Later(1)).kind == SteerDecision::Kind::kReset);
 }
 
-TEST_CASE("repeatable requests leave a mute agent, unless it stops as planned") {
+TEST_CASE(
+    "repeatable requests leave a mute agent, unless it stops as planned") {
   const auto kind_after_silence = [](bool repeatable, bool leaving) {
     Bed bed;
     SteerRoute route = RouteTo(kRoute, "stock");
@@ -414,6 +415,15 @@
   CHECK(kind_after_silence(true, true) == SteerDecision::Kind::kForward);
 }
 
+TEST_CASE("a balancer that hears nobody leaves the rotation and returns") {
+  Bed bed;
+  CHECK(bed.steering.CanServe(bed.now));
+  bed.now += Milliseconds(600);
+  CHECK_FALSE(bed.steering.CanServe(bed.now));
+  bed.Hear(11, "stock");
+  CHECK(bed.steering.CanServe(bed.now));
+}
+
 TEST_CASE("a balancer that hears no agent resets no open flow") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
