--- a/scripts/explain_flow.sh
+++ b/scripts/explain_flow.sh
@@ -3,17 +3,36 @@
 # Usage: scripts/explain_flow.sh ID LOG_FILE...
 # ID: a flow's name (16 hex digits), a request's id, or a caller's IP:PORT.
 set -euo pipefail
-id=${1:?usage: scripts/explain_flow.sh ID LOG_FILE...}
+usage="usage: scripts/explain_flow.sh ID LOG_FILE..."
+[ $# -ge 2 ] || { echo "$usage" >&2; exit 2; }
+id=$1
 shift
-[ $# -gt 0 ] || { echo "explain_flow.sh: name at least one log file" >&2; exit 2; }
+for file in "$@"; do
+  [ -r "$file" ] || { echo "explain_flow.sh: cannot read $file" >&2; exit 2; }
+done
 # A request or a caller leads to the names of its flows first.
-flows=$(grep -hE "(request|caller)=$id( |\$)" "$@" | grep -oE 'flow=[0-9a-f]{16}' |
-  sort -u | cut -d= -f2 || true)
-pattern=$(printf '%s\n' "$id" $flows | paste -sd'|')
-lines=$(grep -hE "(flow|request|caller)=($pattern)( |\$)" "$@" || true)
+flows=$(awk -v id="$id" '
+  index(" " $0 " ", " request=" id " ") || index(" " $0 " ", " caller=" id " ") {
+    if (match($0, /flow=[0-9a-f]+/)) print substr($0, RSTART + 5, RLENGTH - 5)
+  }' "$@" | sort -u)
+lines=$(awk -v ids="$id $flows" '
+  BEGIN { count = split(ids, wanted, /[ \n]+/) }
+  {
+    for (i = 1; i <= count; ++i) {
+      text = " " $0 " "
+      found = index(text, " flow=" wanted[i] " ") ||
+        index(text, " request=" wanted[i] " ") ||
+        index(text, " caller=" wanted[i] " ")
+      if (wanted[i] != "" && found && match($0, /time_ms=[0-9]+/)) {
+        name = FILENAME
+        sub(/.*\//, "", name)
+        print substr($0, RSTART + 8, RLENGTH - 8), name ":", substr($0, RSTART)
+        break
+      }
+    }
+  }' "$@" | sort -n -s | cut -d' ' -f2-)
 if [ -z "$lines" ]; then
   echo "explain_flow.sh: nothing is logged about $id" >&2
   exit 1
 fi
-printf '%s\n' "$lines" | sed -E 's/.*(time_ms=)/\1/; t' | sort -t= -k2,2n -s |
-  uniq
+printf '%s\n' "$lines"
--- a/src/daemon/daemon_main.cc
+++ b/src/daemon/daemon_main.cc
@@ -5,9 +5,9 @@
 #include <iostream>
 
 #include "src/core/error.h"
-#include "src/daemon/glog_sink.h"
 #include "src/daemon/agent_process.h"
 #include "src/daemon/balancer_process.h"
+#include "src/daemon/glog_sink.h"
 #include "src/daemon/process.h"
 #include "src/daemon/settings.h"
 
