--- a/src/runtime/fleet.cc
+++ b/src/runtime/fleet.cc
@@ -6,6 +6,7 @@
 
 #include "src/core/error.h"
 #include "src/core/event_log.h"
+#include "src/target/reader_choice.h"
 
 namespace medlargauge {
 namespace {
@@ -25,6 +26,8 @@
 constexpr Duration kStoreGrace = Milliseconds(60);  ///< Seeds come first.
 /// Serving comes before being found by those who start later.
 constexpr Duration kRegisterGrace = Milliseconds(1500);
+/// Others may have removed the entry while this host was cut off.
+constexpr Duration kRegisterRepeat = Seconds(600);
 constexpr Duration kStoreRetry = Seconds(3);
 constexpr Duration kLonely = Milliseconds(1500);  ///< All balancers silent.
 constexpr Duration kPeerCall = Milliseconds(800);
@@ -219,7 +222,7 @@
     m_reader.OnSuspended();
   }
   m_suspended = suspended;
-  m_roster.OnTick(now);
+  RemoveForgotten(now, m_roster.OnTick(now));
   if (now >= m_status_deadline) {
     Announce();
   }
@@ -284,8 +287,8 @@
 }
 
 void Fleet::RegisterInStore(TimePoint now) {
-  const bool due = m_self.role == MemberRole::kBalancer && !m_registered &&
-                   !m_store_busy && now >= m_register_deadline;
+  const bool due = m_self.role == MemberRole::kBalancer && !m_store_busy &&
+                   now >= m_register_deadline;
   if (!due) {
     return;
   }
@@ -294,11 +297,39 @@
   ++m_store_calls;
   m_platform->add_balancer(m_self.ip, [this](StoreResult result) {
     m_store_busy = false;
-    m_registered = result == StoreResult::kOk;
+    if (result == StoreResult::kOk) {
+      m_register_deadline = SteadyTime() + kRegisterRepeat;
+    }
     NoteStore(result, "add_balancer");
   });
 }
 
+void Fleet::RemoveForgotten(TimePoint now,
+                            const std::vector<SteerMember>& forgotten) {
+  if (forgotten.empty() || m_self.role != MemberRole::kBalancer) {
+    return;
+  }
+  std::vector<MemberId> balancers{m_self.id};
+  for (const auto& [id, entry] : m_roster.Entries()) {
+    if (entry.member.role == MemberRole::kBalancer &&
+        m_roster.IsHeard(now, entry)) {
+      balancers.push_back(id);
+    }
+  }
+  const bool chosen = ChooseReaders(balancers, 1).front() == m_self.id;
+  for (const SteerMember& member : forgotten) {
+    if (!chosen || m_store_busy || member.role != MemberRole::kBalancer) {
+      continue;  // One that stays only costs newcomers a datagram.
+    }
+    m_store_busy = true;
+    ++m_store_calls;
+    m_platform->remove_balancer(member.ip, [this](StoreResult result) {
+      m_store_busy = false;
+      NoteStore(result, "remove_balancer");
+    });
+  }
+}
+
 void Fleet::ReadTargets(TimePoint now) {
   const TargetReaderLimits limits;
   const ReadAction action =
--- a/src/runtime/fleet.h
+++ b/src/runtime/fleet.h
@@ -74,7 +74,8 @@
   void Join(TimePoint now);
   void AskStoreForPeers(TimePoint now);
   void RegisterInStore(TimePoint now);
-  void RemoveForgotten(TimePoint now);
+  void RemoveForgotten(TimePoint now,
+                       const std::vector<SteerMember>& forgotten);
   void ReadTargets(TimePoint now);
   void Adopt(const StoredTargets& targets, std::string_view source);
   void FetchFromPeer(uint32_t ip);
@@ -98,7 +99,6 @@
   std::unique_ptr<HttpClient> m_fetch;  ///< Takes targets from a peer.
   uint32_t m_sequence = 0;              ///< Of the own statuses.
   bool m_leaving = false;               ///< A planned stop has begun.
-  bool m_registered = false;            ///< The store knows this balancer.
   bool m_store_busy = false;            ///< A membership call is under way.
   bool m_store_lost = false;            ///< The last call failed; for the log.
   LatencyHistogram m_store_latency;     ///< Calls that do not wait.
--- a/src/steer/roster.cc
+++ b/src/steer/roster.cc
@@ -77,11 +77,18 @@
   entry->pending = 0;
 }
 
-void Roster::OnTick(TimePoint now) {
+std::vector<SteerMember> Roster::OnTick(TimePoint now) {
+  std::vector<SteerMember> forgotten;
   for (auto it = m_entries.begin(); it != m_entries.end();) {
     const TimePoint last = std::max(it->second.heard, it->second.learnt);
-    it = now - last > m_timeouts.forget ? m_entries.erase(it) : std::next(it);
+    if (now - last <= m_timeouts.forget) {
+      ++it;
+      continue;
+    }
+    forgotten.push_back(it->second.member);
+    it = m_entries.erase(it);
   }
+  return forgotten;
 }
 
 RosterEntry* Roster::Find(MemberId id) {
--- a/src/steer/roster.h
+++ b/src/steer/roster.h
@@ -51,7 +51,8 @@
   void OnLoad(TimePoint now, MemberId id, const ServerLoad& load);
 
   /// Forgets members that were silent for too long.
-  void OnTick(TimePoint now);
+  /// @return those forgotten
+  std::vector<SteerMember> OnTick(TimePoint now);
 
   /// Returns an entry, or null.
   RosterEntry* Find(MemberId id);
--- a/src/steer/roster_test.cc
+++ b/src/steer/roster_test.cc
@@ -38,10 +38,12 @@
   CHECK_FALSE(roster.IsLost(now, *entry));
   now += Seconds(5);
   CHECK(roster.IsLost(now, *entry));
-  roster.OnTick(now);
+  CHECK(roster.OnTick(now).empty());
   CHECK(roster.Find(MemberId{2}) != nullptr);
   now += Seconds(60);
-  roster.OnTick(now);
+  const std::vector<SteerMember> forgotten = roster.OnTick(now);
+  REQUIRE(forgotten.size() == 1);
+  CHECK(forgotten[0].id == MemberId{2});
   CHECK(roster.Find(MemberId{2}) == nullptr);
 }
 
--- a/src/steer/steer_type.h
+++ b/src/steer/steer_type.h
@@ -77,7 +77,7 @@
   uint32_t sequence = 0;        ///< Number of the first data byte.
   uint32_t acknowledged = 0;    ///< Next byte expected; in a SYN: copy number.
   uint16_t data_length = 0;     ///< Bytes after the head.
-  std::string_view request_id;  ///< Named in the data, for logs; or empty.
+  std::string_view request_id;  ///< In the packet's bytes, for logs; or empty.
   AnswerKind answer = AnswerKind::kUnknown;  ///< From a server: see there.
   uint32_t tag = 0;  ///< Ours on the way in, returned in a bounce.
 };
--- a/src/steer/target_reader.h
+++ b/src/steer/target_reader.h
@@ -13,7 +13,6 @@
 struct TargetReaderLimits {
   size_t readers = 3;                    ///< Chosen by hash among balancers.
   Duration wait = Milliseconds(2000);    ///< A watch waits this long.
-  Duration call = Milliseconds(700);     ///< Beyond the wait of a watch.
   Duration stale = Milliseconds(3200);   ///< A word from the store is older.
   Duration backoff = Milliseconds(150);  ///< After the first failure.
   Duration backoff_limit = Milliseconds(1500);  ///< Doubles up to this.
