--- a/lab/lab_parts.h
+++ b/lab/lab_parts.h
@@ -77,16 +77,16 @@
 
 /// A modelled balancer process.
 struct LabBalancer {
-  uint32_t ip = 0;                     ///< Of its host.
-  uint32_t domain = 0;                 ///< Failure domain.
-  bool running = false;                ///< Handles packets.
-  bool cut = false;                    ///< Reaches no agent.
-  bool in_rotation = true;             ///< Routers send to it.
-  bool ready = true;                   ///< Last answer to the routers' check.
-  uint64_t starts = 0;                 ///< Tells timers of earlier starts.
-  std::unique_ptr<Roster> roster;      ///< Fresh with each start.
-  std::unique_ptr<RouteBook> routes;   ///< Fresh with each start.
-  std::unique_ptr<Steering> steering;  ///< Fresh with each start.
+  uint32_t ip = 0;                    ///< Of its host.
+  uint32_t domain = 0;                ///< Failure domain.
+  bool running = false;               ///< Handles packets.
+  bool cut = false;                   ///< Reaches no agent.
+  bool in_rotation = true;            ///< Routers send to it.
+  bool ready = true;                  ///< Last answer to the routers' check.
+  uint64_t starts = 0;                ///< Tells timers of earlier starts.
+  std::unique_ptr<Roster> roster;     ///< Fresh with each start.
+  std::unique_ptr<RouteBook> routes;  ///< Fresh with each start.
+  std::unique_ptr<FlowDirector> director;  ///< Fresh with each start.
 };
 
 }  // namespace medlargauge::lab
--- a/lab/lab_type.h
+++ b/lab/lab_type.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "src/steer/flow_director.h"
 #include "src/steer/placement.h"
 #include "src/steer/server_gate.h"
-#include "src/steer/steering.h"
 
 namespace medlargauge::lab {
 
@@ -82,7 +82,7 @@
   PlacementPolicy place = &PlaceBySample;  ///< Chooses servers.
   bool by_aim = true;  ///< A new flow is useless beyond the aim, else limit.
   uint32_t aim_percent = GateLimits().aim_percent;    ///< See GateLimits.
-  uint32_t busy_tries = SteeringLimits().busy_tries;  ///< See there.
+  uint32_t busy_tries = DirectorLimits().busy_tries;  ///< See there.
   bool ask_busy = true;  ///< Agents without a free slot return new flows.
 };
 
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -41,11 +41,11 @@
              OnFrame(now, from, frame);
            },
            [this](TimePoint, Stats* stats) { Measure(stats); }}),
-      m_steering(SteadyTime(),
+      m_director(SteadyTime(),
                  DomainIdOf(settings.failure_domain),
                  &m_fleet.Members(),
                  &m_fleet.Routes(),
-                 SteeringLimits(),
+                 DirectorLimits(),
                  &PlaceBySample),
       m_admin(loop, [this](const HttpRequest& request) {
         return AnswerCheck(request);
@@ -76,7 +76,7 @@
     return;
   }
   m_last_packet = now;
-  Act(now, m_steering.OnCallerPacket(now, *packet, ToView(datagram)), *packet,
+  Act(now, m_director.OnCallerPacket(now, *packet, ToView(datagram)), *packet,
       ToView(datagram));
 }
 
@@ -99,7 +99,7 @@
         {note.caller_ip(), static_cast<uint16_t>(note.caller_port())},
         {note.route_ip(), static_cast<uint16_t>(note.route_port())}};
     m_fleet.Members().OnLoad(now, id, DecodeLoad(now, note.load()));
-    m_steering.OnHeld(now, id, flow);
+    m_director.OnHeld(now, id, flow);
   } else if (frame.kind == PeerKind::kReturn) {
     m_fleet.Members().OnLoad(now, id, frame.load);
     const ByteView raw = ToView(frame.packet);
@@ -115,7 +115,7 @@
             .With("slots", frame.load.slots);
       }
       Act(now,
-          m_steering.OnReturned(now, id, frame.reason, frame.owner, *packet),
+          m_director.OnReturned(now, id, frame.reason, frame.owner, *packet),
           *packet, raw);
       ArmTimer();
     }
@@ -179,7 +179,7 @@
 }
 
 void BalancerRuntime::ArmTimer() {
-  const std::optional<TimePoint> deadline = m_steering.NextDeadline();
+  const std::optional<TimePoint> deadline = m_director.NextDeadline();
   if (m_timer_armed || !deadline.has_value()) {
     return;
   }
@@ -192,14 +192,14 @@
 void BalancerRuntime::RunTimers() {
   m_timer_armed = false;
   const TimePoint now = SteadyTime();
-  for (const SteerResend& resend : m_steering.OnTick(now)) {
+  for (const SteerResend& resend : m_director.OnTick(now)) {
     FlowPacket packet;
     packet.flow = resend.flow;
     packet.syn = true;
     if (m_log.MayReport(now)) {
       EventLine(Severity::kWarning, "flow_unanswered")
           .With("flow", FlowName(resend.flow))
-          .With("tried_ms", ToMilliseconds(SteeringLimits().opening_answer));
+          .With("tried_ms", ToMilliseconds(DirectorLimits().opening_answer));
     }
     Act(now, resend.decision, packet,
         {reinterpret_cast<const uint8_t*>(resend.packet.data()),
@@ -210,7 +210,7 @@
 }
 
 void BalancerRuntime::SendPointers() {
-  for (const SteerPointer& pointer : m_steering.TakePointers()) {
+  for (const SteerPointer& pointer : m_director.TakePointers()) {
     const RosterEntry* home = m_fleet.Members().Find(pointer.home);
     if (home == nullptr) {
       continue;
@@ -227,11 +227,11 @@
 }
 
 void BalancerRuntime::Measure(Stats* stats) const {
-  const SteeringCounters& counters = m_steering.Counters();
+  const DirectorCounters& counters = m_director.Counters();
   const auto rejected = [&counters](ErrorKind kind) {
     return counters.rejected[static_cast<size_t>(kind)];
   };
-  stats->Set(Stat::flows, m_steering.FlowCount());
+  stats->Set(Stat::flows, m_director.FlowCount());
   stats->Set(Stat::flows_opened, counters.opened);
   stats->Set(Stat::packets_forwarded, counters.forwarded);
   stats->Set(Stat::searches, counters.searches);
@@ -251,7 +251,7 @@
     answer.status = 404;
     return answer;
   }
-  const bool ready = !m_stopping && m_steering.CanServe(SteadyTime());
+  const bool ready = !m_stopping && m_director.CanServe(SteadyTime());
   if (ready != m_ready) {
     m_ready = ready;
     EventLine(Severity::kInfo, ready ? "ready" : "not_ready")
@@ -272,7 +272,7 @@
   m_stop_earliest = now + kRoutersMoveOn;
   m_stop_latest = now + Milliseconds(m_settings.stop_grace_ms) - kStopMargin;
   m_fleet.StartLeaving();
-  m_steering.PointToAll(now);
+  m_director.PointToAll(now);
   SendPointers();
   EndIfIdle();
 }
@@ -283,7 +283,7 @@
       now >= m_stop_earliest && now - m_last_packet >= kNoMorePackets;
   if (idle || now >= m_stop_latest) {
     EventLine(Severity::kInfo, "stopped")
-        .With("flows", m_steering.FlowCount())
+        .With("flows", m_director.FlowCount())
         .With("idle", idle);
     m_loop->Stop();
     return;
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -4,11 +4,11 @@
 
 #include "src/runtime/fleet.h"
 #include "src/runtime/flow_log.h"
-#include "src/steer/steering.h"
+#include "src/steer/flow_director.h"
 
 namespace medlargauge {
 
-/// Sockets and timers around Steering. Not thread-safe.
+/// Sockets and timers around FlowDirector. Not thread-safe.
 class BalancerRuntime {
  public:
   BalancerRuntime(EventLoop* loop,
@@ -45,7 +45,7 @@
   Settings m_settings;              ///< As read.
   const PlatformHooks* m_platform;  ///< Formats and calls.
   Fleet m_fleet;                    ///< Membership and targets.
-  Steering m_steering;              ///< Decisions.
+  FlowDirector m_director;          ///< Decisions.
   UdpSocket m_callers;              ///< Packets of callers.
   HttpServer m_admin;               ///< Readiness.
   FlowLog m_log;                    ///< Limits lines about flows.
--- a/src/steer/steering.cc
+++ b/src/steer/flow_director.cc
@@ -1,8 +1,9 @@
-// @file steering.cc Opening, following and finding flows.
-#include "src/steer/steering.h"
+// @file flow_director.cc Opening and following flows.
+#include "src/steer/flow_director.h"
 
 #include <algorithm>
-#include <utility>
+
+#include "src/steer/member_list.h"
 
 namespace medlargauge {
 namespace {
@@ -12,24 +13,14 @@
 /// heard again, at most this long.
 constexpr Duration kAvoid = Milliseconds(600);
 
-bool Contains(const std::vector<MemberId>& list, MemberId id) {
-  return std::find(list.begin(), list.end(), id) != list.end();
-}
-
-void AddOnce(std::vector<MemberId>* list, MemberId id) {
-  if (id.IsSet() && !Contains(*list, id)) {
-    list->push_back(id);
-  }
-}
-
 }  // namespace
 
-Steering::Steering(TimePoint now,
-                   DomainId domain,
-                   Roster* roster,
-                   const RouteBook* routes,
-                   SteeringLimits limits,
-                   PlacementPolicy policy)
+FlowDirector::FlowDirector(TimePoint now,
+                           DomainId domain,
+                           Roster* roster,
+                           const RouteBook* routes,
+                           DirectorLimits limits,
+                           PlacementPolicy policy)
     : m_started(now),
       m_domain(domain),
       m_roster(roster),
@@ -37,9 +28,9 @@
       m_limits(limits),
       m_policy(std::move(policy)) {}
 
-SteerDecision Steering::OnCallerPacket(TimePoint now,
-                                       const FlowPacket& packet,
-                                       ByteView raw) {
+SteerDecision FlowDirector::OnCallerPacket(TimePoint now,
+                                           const FlowPacket& packet,
+                                           ByteView raw) {
   const SteerRoute* route = m_routes->Find(packet.flow.route);
   if (route == nullptr) {
     return OnUnrouted(packet);
@@ -48,7 +39,7 @@
                     : OnLater(now, *route, packet);
 }
 
-SteerDecision Steering::OnUnrouted(const FlowPacket& packet) {
+SteerDecision FlowDirector::OnUnrouted(const FlowPacket& packet) {
   m_flows.erase(packet.flow);
   // Without targets nothing is known yet; a later copy may be served.
   const bool knows = m_routes->Revision() != 0;
@@ -59,10 +50,10 @@
       ErrorKind::kUnknownAddress);
 }
 
-SteerDecision Steering::OnOpening(TimePoint now,
-                                  const SteerRoute& route,
-                                  const FlowPacket& packet,
-                                  ByteView raw) {
+SteerDecision FlowDirector::OnOpening(TimePoint now,
+                                      const SteerRoute& route,
+                                      const FlowPacket& packet,
+                                      ByteView raw) {
   const auto found = m_flows.find(packet.flow);
   const bool is_copy = found != m_flows.end() &&
                        found->second.syn_sequence == packet.sequence &&
@@ -89,10 +80,10 @@
   return decision;
 }
 
-SteerDecision Steering::Place(TimePoint now,
-                              const SteerRoute& route,
-                              const FlowKey& key,
-                              Flow* flow) {
+SteerDecision FlowDirector::Place(TimePoint now,
+                                  const SteerRoute& route,
+                                  const FlowKey& key,
+                                  Flow* flow) {
   const uint64_t hash = HashFlow(key);
   const ServiceId service = RouteBook::ServiceFor(route, hash);
   std::vector<PlacementCandidate> candidates =
@@ -103,7 +94,8 @@
     std::vector<PlacementCandidate> all = Candidates(now, service, {});
     all.erase(std::remove_if(all.begin(), all.end(),
                              [&](const PlacementCandidate& candidate) {
-                               return !Contains(flow->busy, candidate.id);
+                               return !detail::Contains(flow->busy,
+                                                        candidate.id);
                              }),
               all.end());
     if (!all.empty()) {
@@ -127,7 +119,7 @@
   return Forward(route, *flow);
 }
 
-std::vector<PlacementCandidate> Steering::Candidates(
+std::vector<PlacementCandidate> FlowDirector::Candidates(
     TimePoint now,
     ServiceId service,
     const std::vector<MemberId>& excluded) const {
@@ -138,7 +130,8 @@
                           member.service == service && !entry.leaving &&
                           (member.state == AgentState::kReady ||
                            member.state == AgentState::kJoining);
-    if (!may_take || !m_roster->IsHeard(now, entry) || Contains(excluded, id)) {
+    if (!may_take || !m_roster->IsHeard(now, entry) ||
+        detail::Contains(excluded, id)) {
       continue;
     }
     PlacementCandidate candidate;
@@ -153,9 +146,9 @@
   return candidates;
 }
 
-SteerDecision Steering::OnLater(TimePoint now,
-                                const SteerRoute& route,
-                                const FlowPacket& packet) {
+SteerDecision FlowDirector::OnLater(TimePoint now,
+                                    const SteerRoute& route,
+                                    const FlowPacket& packet) {
   const auto [found, is_new] = m_flows.try_emplace(packet.flow);
   Flow& flow = found->second;
   if (is_new && packet.rst) {
@@ -178,7 +171,7 @@
   if (flow.phase == Phase::kSearching) {
     const bool mute = now - flow.asked_at >= m_limits.search_answer;
     if (mute || lost) {
-      AddOnce(lost ? &flow.tried : &flow.mute, flow.agent);
+      detail::AddOnce(lost ? &flow.tried : &flow.mute, flow.agent);
       return SearchNext(now, packet.flow, &flow);
     }
     return Forward(route, flow);
@@ -193,11 +186,11 @@
   return Forward(route, flow);
 }
 
-SteerDecision Steering::OnReturned(TimePoint now,
-                                   MemberId from,
-                                   ReturnReason reason,
-                                   MemberId owner,
-                                   const FlowPacket& packet) {
+SteerDecision FlowDirector::OnReturned(TimePoint now,
+                                       MemberId from,
+                                       ReturnReason reason,
+                                       MemberId owner,
+                                       const FlowPacket& packet) {
   const SteerRoute* route = m_routes->Find(packet.flow.route);
   if (route == nullptr) {
     return OnUnrouted(packet);
@@ -222,35 +215,35 @@
     BeginSearch(&flow);
   }
   if (reason == ReturnReason::kMoved) {
-    const bool usable =
-        m_roster->Find(owner) != nullptr && !Contains(flow.tried, owner);
+    const bool usable = m_roster->Find(owner) != nullptr &&
+                        !detail::Contains(flow.tried, owner);
     flow.use_pointer = false;
     if (usable && flow.agent == from) {
       Ask(now, owner, &flow);
       return Forward(*route, flow);
     }
   } else {
-    AddOnce(&flow.tried, from);
+    detail::AddOnce(&flow.tried, from);
   }
   if (flow.agent != from && flow.agent.IsSet() &&
-      !Contains(flow.tried, flow.agent)) {
+      !detail::Contains(flow.tried, flow.agent)) {
     return Forward(*route, flow);
   }
   return SearchNext(now, packet.flow, &flow);
 }
 
-SteerDecision Steering::OnReturnedOpening(TimePoint now,
-                                          const SteerRoute& route,
-                                          MemberId from,
-                                          ReturnReason reason,
-                                          FlowMap::iterator found) {
+SteerDecision FlowDirector::OnReturnedOpening(TimePoint now,
+                                              const SteerRoute& route,
+                                              MemberId from,
+                                              ReturnReason reason,
+                                              FlowMap::iterator found) {
   Flow& flow = found->second;
   const FlowKey key = found->first;
   const bool current = flow.agent == from;
-  AddOnce(&flow.tried, from);
+  detail::AddOnce(&flow.tried, from);
   if (reason == ReturnReason::kBusy) {
     ++m_counters.busy_returns;
-    AddOnce(&flow.busy, from);
+    detail::AddOnce(&flow.busy, from);
   } else {
     flow.busy.erase(std::remove(flow.busy.begin(), flow.busy.end(), from),
                     flow.busy.end());
@@ -268,88 +261,13 @@
   return decision;
 }
 
-void Steering::BeginSearch(Flow* flow) {
-  for (const MemberId asked : flow->tried) {
-    AddOnce(&flow->likely, asked);
-  }
-  AddOnce(&flow->likely, flow->agent);
-  // Agents that left an opening packet unanswered may hold the flow.
-  flow->tried.clear();
-  flow->mute.clear();
-  flow->syn = std::string();
-  flow->phase = Phase::kSearching;
-  ++m_counters.searches;
-}
-
-void Steering::Ask(TimePoint now, MemberId agent, Flow* flow) {
-  ++m_counters.search_steps;
-  flow->agent = agent;
-  flow->service = m_roster->Find(agent)->member.service;
-  flow->asked_at = now;
-}
-
-SteerDecision Steering::SearchNext(TimePoint now,
-                                   const FlowKey& key,
-                                   Flow* flow) {
-  std::optional<MemberId> next = NextToAsk(now, key, *flow);
-  if (!next.has_value() && !flow->mute.empty()) {
-    // One of those that did not answer has it: they are asked again.
-    flow->mute.clear();
-    next = NextToAsk(now, key, *flow);
-  }
-  if (next.has_value()) {
-    Ask(now, *next, flow);
-    return Forward(*m_routes->Find(key.route), *flow);
-  }
-  // A newcomer may not have heard of the owner yet.
-  const bool settled = now - m_started >= m_limits.settle &&
-                       now - m_roster->LastNewAgent() >= m_limits.quiet_news &&
-                       m_roster->CountHeard(now, MemberRole::kAgent) > 0;
-  m_flows.erase(key);
-  // Every server that could hold the flow was asked and does not.
-  return Reject(
-      settled ? SteerDecision::Kind::kReset : SteerDecision::Kind::kDrop,
-      settled ? ErrorKind::kFlowUnknown : ErrorKind::kMaybeElsewhere);
-}
-
-std::optional<MemberId> Steering::NextToAsk(TimePoint now,
-                                            const FlowKey& key,
-                                            const Flow& flow) const {
-  const std::vector<ServiceId> services = m_routes->ServicesOf(key.route);
-  const uint64_t hash = HashFlow(key);
-  std::optional<MemberId> best;
-  uint64_t best_rank = 0;
-  for (const auto& [id, entry] : m_roster->Entries()) {
-    const auto service =
-        std::find(services.begin(), services.end(), entry.member.service);
-    const bool skip = entry.member.role != MemberRole::kAgent ||
-                      service == services.end() || Contains(flow.tried, id) ||
-                      Contains(flow.mute, id) || m_roster->IsLost(now, entry);
-    if (skip) {
-      continue;
-    }
-    // Those that were given the flow first, silent ones last: the search stops
-    // at a silent one, which may be the owner.
-    const uint64_t rank =
-        (Contains(flow.likely, id) ? 1ULL << 63U : 0) |
-        (m_roster->IsHeard(now, entry) ? 1ULL << 62U : 0) |
-        (entry.member.state != AgentState::kGone ? 1ULL << 61U : 0) |
-        (MixHash(hash, id.value) >> 3U);
-    if (!best.has_value() || rank > best_rank) {
-      best = id;
-      best_rank = rank;
-    }
-  }
-  return best;
-}
-
-void Steering::OnHeld(TimePoint now, MemberId from, const FlowKey& key) {
+void FlowDirector::OnHeld(TimePoint now, MemberId from, const FlowKey& key) {
   const auto found = m_flows.find(key);
   if (found == m_flows.end()) {
     return;
   }
   Flow& flow = found->second;
-  AddOnce(&flow.likely, from);
+  detail::AddOnce(&flow.likely, from);
   if (flow.phase != Phase::kHeld) {
     flow.agent = from;
     flow.phase = Phase::kHeld;
@@ -361,7 +279,7 @@
   }
 }
 
-std::vector<SteerResend> Steering::OnTick(TimePoint now) {
+std::vector<SteerResend> FlowDirector::OnTick(TimePoint now) {
   std::vector<SteerResend> resends;
   while (!m_opening.empty() && m_opening.front().first <= now) {
     const auto [deadline, key] = m_opening.front();
@@ -377,7 +295,7 @@
     Flow& flow = found->second;
     ++flow.late;
     ++m_counters.late_openings;
-    AddOnce(&flow.tried, flow.agent);
+    detail::AddOnce(&flow.tried, flow.agent);
     RosterEntry* silent = m_roster->Find(flow.agent);
     if (silent != nullptr) {
       silent->avoid_until = now + kAvoid;
@@ -394,12 +312,12 @@
   return resends;
 }
 
-std::optional<TimePoint> Steering::NextDeadline() const {
+std::optional<TimePoint> FlowDirector::NextDeadline() const {
   return m_opening.empty() ? std::nullopt
                            : std::make_optional(m_opening.front().first);
 }
 
-bool Steering::CanServe(TimePoint now) const {
+bool FlowDirector::CanServe(TimePoint now) const {
   const bool isolated = now - m_roster->LastHeard() > m_limits.isolated;
   if (m_routes->Revision() == 0 || isolated) {
     return false;
@@ -415,7 +333,7 @@
   return false;
 }
 
-SteerDecision Steering::Forward(const SteerRoute& route, const Flow& flow) {
+SteerDecision FlowDirector::Forward(const SteerRoute& route, const Flow& flow) {
   ++m_counters.forwarded;
   SteerDecision decision;
   decision.kind = SteerDecision::Kind::kForward;
@@ -429,7 +347,7 @@
   return decision;
 }
 
-SteerDecision Steering::Reject(SteerDecision::Kind kind, ErrorKind error) {
+SteerDecision FlowDirector::Reject(SteerDecision::Kind kind, ErrorKind error) {
   ++m_counters.rejected[static_cast<size_t>(error)];
   SteerDecision decision;
   decision.kind = kind;
@@ -437,33 +355,12 @@
   return decision;
 }
 
-Duration Steering::IdleTimeout() const {
+Duration FlowDirector::IdleTimeout() const {
   const uint32_t stated = m_routes->Table().idle_timeout_ms;
   return stated == 0 ? m_limits.idle : Milliseconds(stated) + Seconds(1);
 }
 
-void Steering::PointTo(TimePoint now, const FlowKey& key, Flow* flow) {
-  flow->pointed = true;
-  // The first that a balancer without this entry would ask.
-  const std::optional<MemberId> home = NextToAsk(now, key, Flow());
-  if (home.has_value() && *home != flow->agent) {
-    m_pointers.push_back({*home, key, flow->agent});
-  }
-}
-
-void Steering::PointToAll(TimePoint now) {
-  for (auto& [key, flow] : m_flows) {
-    if (flow.phase == Phase::kHeld && !flow.pointed) {
-      PointTo(now, key, &flow);
-    }
-  }
-}
-
-std::vector<SteerPointer> Steering::TakePointers() {
-  return std::exchange(m_pointers, {});
-}
-
-void Steering::Sweep(TimePoint now) {
+void FlowDirector::Sweep(TimePoint now) {
   for (auto it = m_flows.begin(); it != m_flows.end();) {
     Flow& flow = it->second;
     const bool lasts = flow.phase == Phase::kHeld && !flow.pointed &&
--- a/src/steer/steering.h
+++ b/src/steer/flow_director.h
@@ -1,10 +1,10 @@
-// @file steering.h A balancer's decisions about callers' packets.
+// @file flow_director.h A balancer's decisions about callers' packets.
 //
 // The balancer remembers where it sent a flow, but nothing depends on that: a
 // backend server returns what it does not hold, so a flow that this balancer
 // does not know is found by asking one server after the other.
-#ifndef MEDLARGAUGE_STEER_STEERING_H_
-#define MEDLARGAUGE_STEER_STEERING_H_
+#ifndef MEDLARGAUGE_STEER_FLOW_DIRECTOR_H_
+#define MEDLARGAUGE_STEER_FLOW_DIRECTOR_H_
 
 #include <array>
 #include <deque>
@@ -20,7 +20,7 @@
 namespace medlargauge {
 
 /// Timeouts of a balancer's table.
-struct SteeringLimits {
+struct DirectorLimits {
   /// Without a word from the agent by then, another one gets the opening
   /// packet: before the caller's first copy after 200 ms.
   Duration opening_answer = Milliseconds(90);
@@ -65,7 +65,7 @@
 };
 
 /// Counters that only grow.
-struct SteeringCounters {
+struct DirectorCounters {
   uint64_t opened = 0;         ///< New flows placed.
   uint64_t forwarded = 0;      ///< Packets sent to agents.
   uint64_t searches = 0;       ///< Flows that had to be found.
@@ -77,16 +77,16 @@
 
 /// State machine of a balancer: (now, event) -> decision. Reads no clock, no
 /// randomness. Not thread-safe.
-class Steering {
+class FlowDirector {
  public:
   /// @param now time of the start
   /// @param roster, routes owned by the caller; must live longer
-  Steering(TimePoint now,
-           DomainId domain,
-           Roster* roster,
-           const RouteBook* routes,
-           SteeringLimits limits,
-           PlacementPolicy policy);
+  FlowDirector(TimePoint now,
+               DomainId domain,
+               Roster* roster,
+               const RouteBook* routes,
+               DirectorLimits limits,
+               PlacementPolicy policy);
 
   /// Decides about a packet of a caller.
   /// @param raw its bytes; kept for a while if it opens a flow
@@ -123,7 +123,7 @@
   bool CanServe(TimePoint now) const;
 
   /// Returns the counters.
-  const SteeringCounters& Counters() const { return m_counters; }
+  const DirectorCounters& Counters() const { return m_counters; }
   /// Returns the number of remembered flows.
   size_t FlowCount() const { return m_flows.size(); }
 
@@ -189,15 +189,15 @@
   DomainId m_domain;          ///< Own failure domain.
   Roster* m_roster;           ///< Members; load reports are kept there.
   const RouteBook* m_routes;  ///< Targets in force.
-  SteeringLimits m_limits;    ///< Timeouts.
+  DirectorLimits m_limits;    ///< Timeouts.
   PlacementPolicy m_policy;   ///< Places new flows.
   FlowMap m_flows;            ///< Remembered flows.
   std::deque<std::pair<TimePoint, FlowKey>> m_opening;  ///< By deadline.
   std::vector<SteerPointer> m_pointers;                 ///< To be sent.
   TimePoint m_sweep_deadline;   ///< Next look for old entries.
-  SteeringCounters m_counters;  ///< Only grow.
+  DirectorCounters m_counters;  ///< Only grow.
 };
 
 }  // namespace medlargauge
 
-#endif  // MEDLARGAUGE_STEER_STEERING_H_
+#endif  // MEDLARGAUGE_STEER_FLOW_DIRECTOR_H_
--- a/src/steer/steering_test.cc
+++ b/src/steer/flow_director_test.cc
@@ -1,7 +1,7 @@
-// @file steering_test.cc Tests of a balancer's decisions.
+// @file flow_director_test.cc Tests of a balancer's decisions.
 #include <doctest/doctest.h>
 
-#include "src/steer/steering.h"
+#include "src/steer/flow_director.h"
 
 namespace medlargauge {
 namespace {
@@ -48,8 +48,8 @@
   TimePoint now{Seconds(100)};
   Roster roster{MemberId{1}, RosterTimeouts()};
   RouteBook routes;
-  Steering steering{now,     DomainId{1},      &roster,
-                    &routes, SteeringLimits(), &PlaceByExpectedAnswer};
+  FlowDirector director{now,     DomainId{1},      &roster,
+                        &routes, DirectorLimits(), &PlaceByExpectedAnswer};
   std::string raw = "packet";
   uint32_t sequence = 0;
 
@@ -92,7 +92,7 @@
   }
 
   SteerDecision Send(const FlowPacket& packet) {
-    return steering.OnCallerPacket(
+    return director.OnCallerPacket(
         now, packet,
         {reinterpret_cast<const uint8_t*>(raw.data()), raw.size()});
   }
@@ -100,7 +100,7 @@
   SteerDecision Return(const SteerDecision& sent,
                        ReturnReason reason,
                        const FlowPacket& packet) {
-    return steering.OnReturned(now, sent.agent, reason, MemberId(), packet);
+    return director.OnReturned(now, sent.agent, reason, MemberId(), packet);
   }
 };
 
@@ -151,37 +151,37 @@
   const SteerDecision first = bed.Send(Opening(1));
   const SteerDecision copy = bed.Send(Opening(1));
   CHECK(copy.agent == first.agent);
-  CHECK(bed.steering.Counters().opened == 1);
+  CHECK(bed.director.Counters().opened == 1);
 }
 
 TEST_CASE("a port that is used again opens a new flow") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
-  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.director.OnHeld(bed.now, first.agent, Opening(1).flow);
   bed.Send(Opening(1, 999));
-  CHECK(bed.steering.Counters().opened == 2);
+  CHECK(bed.director.Counters().opened == 2);
 }
 
 TEST_CASE("an unanswered opening packet goes to another agent in time") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
   bed.now += Milliseconds(80);
-  CHECK(bed.steering.OnTick(bed.now).empty());
+  CHECK(bed.director.OnTick(bed.now).empty());
   bed.now += Milliseconds(20);
-  const std::vector<SteerResend> resends = bed.steering.OnTick(bed.now);
+  const std::vector<SteerResend> resends = bed.director.OnTick(bed.now);
   REQUIRE(resends.size() == 1);
   CHECK(resends[0].decision.agent != first.agent);
   CHECK(resends[0].packet == bed.raw);
   // Before the caller's copy after 200 ms.
-  CHECK(SteeringLimits().opening_answer < Milliseconds(200));
+  CHECK(DirectorLimits().opening_answer < Milliseconds(200));
 }
 
 TEST_CASE("an answered opening packet is not sent again") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
-  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.director.OnHeld(bed.now, first.agent, Opening(1).flow);
   bed.now += Milliseconds(200);
-  CHECK(bed.steering.OnTick(bed.now).empty());
+  CHECK(bed.director.OnTick(bed.now).empty());
 }
 
 TEST_CASE("busy agents are asked in turn, the last must take the flow") {
@@ -210,8 +210,8 @@
   CHECK(bed.Send(packet).kind == SteerDecision::Kind::kDrop);
 
   RouteBook empty;
-  Steering fresh(bed.now, DomainId{1}, &bed.roster, &empty, SteeringLimits(),
-                 &PlaceByExpectedAnswer);
+  FlowDirector fresh(bed.now, DomainId{1}, &bed.roster, &empty,
+                     DirectorLimits(), &PlaceByExpectedAnswer);
   CHECK(fresh.OnCallerPacket(bed.now, Opening(1), {}).kind ==
         SteerDecision::Kind::kDrop);
   CHECK_FALSE(fresh.CanServe(bed.now));
@@ -220,7 +220,7 @@
 TEST_CASE("an open flow of a dropped route is reset, others stay") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
-  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.director.OnHeld(bed.now, first.agent, Opening(1).flow);
   bed.routes.Adopt(
       TableOf(2, {RouteTo(kRoute, "stock"), RouteTo(kOtherRoute, "media")}));
   CHECK(bed.Send(Later(1)).agent == first.agent);
@@ -277,7 +277,7 @@
 TEST_CASE("a search ends where an agent says that it holds the flow") {
   Bed bed;
   bed.Send(Later(1));
-  bed.steering.OnHeld(bed.now, MemberId{12}, Later(1).flow);
+  bed.director.OnHeld(bed.now, MemberId{12}, Later(1).flow);
   const SteerDecision decision = bed.Send(Later(1));
   CHECK(decision.agent == MemberId{12});
   CHECK_FALSE(decision.header.search);
@@ -287,7 +287,7 @@
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
   bed.now += Milliseconds(100);
-  const std::vector<SteerResend> resends = bed.steering.OnTick(bed.now);
+  const std::vector<SteerResend> resends = bed.director.OnTick(bed.now);
   REQUIRE(resends.size() == 1);
   // The first agent's word was lost, but its server has the flow.
   SteerDecision decision = bed.Send(Later(1));
@@ -309,7 +309,7 @@
   CHECK(first.header.use_pointer);
   const MemberId owner =
       first.agent == MemberId{11} ? MemberId{12} : MemberId{11};
-  SteerDecision decision = bed.steering.OnReturned(
+  SteerDecision decision = bed.director.OnReturned(
       bed.now, first.agent, ReturnReason::kMoved, owner, Later(1));
   CHECK(decision.agent == owner);
   CHECK_FALSE(decision.header.use_pointer);
@@ -326,24 +326,24 @@
   const SteerDecision home = bed.Send(Later(7));
   const MemberId owner =
       home.agent == MemberId{11} ? MemberId{12} : MemberId{11};
-  bed.steering.OnHeld(bed.now, owner, Later(7).flow);
-  bed.steering.OnTick(bed.now);
-  CHECK(bed.steering.TakePointers().empty());
+  bed.director.OnHeld(bed.now, owner, Later(7).flow);
+  bed.director.OnTick(bed.now);
+  CHECK(bed.director.TakePointers().empty());
   bed.now += Milliseconds(1100);
   bed.HearAll();
-  bed.steering.OnTick(bed.now);
-  const std::vector<SteerPointer> pointers = bed.steering.TakePointers();
+  bed.director.OnTick(bed.now);
+  const std::vector<SteerPointer> pointers = bed.director.TakePointers();
   REQUIRE(pointers.size() == 1);
   CHECK(pointers[0].home == home.agent);
   CHECK(pointers[0].owner == owner);
-  bed.steering.PointToAll(bed.now);
-  CHECK(bed.steering.TakePointers().empty());
+  bed.director.PointToAll(bed.now);
+  CHECK(bed.director.TakePointers().empty());
 }
 
 TEST_CASE("a newcomer resets nothing before it knows the agents") {
   Bed bed;
-  Steering fresh(bed.now, DomainId{1}, &bed.roster, &bed.routes,
-                 SteeringLimits(), &PlaceByExpectedAnswer);
+  FlowDirector fresh(bed.now, DomainId{1}, &bed.roster, &bed.routes,
+                     DirectorLimits(), &PlaceByExpectedAnswer);
   SteerDecision decision = fresh.OnCallerPacket(bed.now, Later(1), {});
   while (decision.kind == SteerDecision::Kind::kForward) {
     decision = fresh.OnReturned(bed.now, decision.agent, ReturnReason::kBounced,
@@ -365,7 +365,7 @@
 TEST_CASE("flows of a lost agent are reset, those of a silent one are not") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
-  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.director.OnHeld(bed.now, first.agent, Opening(1).flow);
   const auto others = [&] {
     for (const uint64_t id : {11, 12, 13}) {
       if (MemberId{id} != first.agent) {
@@ -396,7 +396,7 @@
     route.repeatable = repeatable;
     bed.routes.Adopt(TableOf(2, {route}));
     const SteerDecision first = bed.Send(Opening(1));
-    bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+    bed.director.OnHeld(bed.now, first.agent, Opening(1).flow);
     if (leaving) {
       bed.Hear(first.agent.value, "stock", AgentState::kReady, 0, true);
     }
@@ -417,26 +417,26 @@
 
 TEST_CASE("a balancer that hears nobody leaves the rotation and returns") {
   Bed bed;
-  CHECK(bed.steering.CanServe(bed.now));
+  CHECK(bed.director.CanServe(bed.now));
   bed.now += Milliseconds(600);
-  CHECK_FALSE(bed.steering.CanServe(bed.now));
+  CHECK_FALSE(bed.director.CanServe(bed.now));
   bed.Hear(11, "stock");
-  CHECK(bed.steering.CanServe(bed.now));
+  CHECK(bed.director.CanServe(bed.now));
 }
 
 TEST_CASE("a balancer that hears no agent resets no open flow") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
-  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.director.OnHeld(bed.now, first.agent, Opening(1).flow);
   bed.now += Seconds(8);
   CHECK(bed.Send(Later(1)).kind == SteerDecision::Kind::kForward);
-  CHECK_FALSE(bed.steering.CanServe(bed.now));
+  CHECK_FALSE(bed.director.CanServe(bed.now));
 }
 
 TEST_CASE("an agent of another service is asked for the flow's own service") {
   Bed bed;
   const SteerDecision first = bed.Send(Opening(1));
-  bed.steering.OnHeld(bed.now, first.agent, Opening(1).flow);
+  bed.director.OnHeld(bed.now, first.agent, Opening(1).flow);
   bed.Hear(first.agent.value, "media");
   const SteerDecision decision = bed.Send(Later(1));
   CHECK(decision.header.service == ServiceIdOf("stock"));
@@ -447,10 +447,10 @@
 
 TEST_CASE("the table of flows is bounded") {
   Bed bed;
-  SteeringLimits limits;
+  DirectorLimits limits;
   limits.max_flows = 2;
-  Steering small(bed.now, DomainId{1}, &bed.roster, &bed.routes, limits,
-                 &PlaceByExpectedAnswer);
+  FlowDirector small(bed.now, DomainId{1}, &bed.roster, &bed.routes, limits,
+                     &PlaceByExpectedAnswer);
   small.OnCallerPacket(bed.now, Opening(1), {});
   small.OnCallerPacket(bed.now, Opening(2), {});
   const SteerDecision third = small.OnCallerPacket(bed.now, Opening(3), {});
--- /dev/null
+++ b/src/steer/member_list.h
@@ -0,0 +1,26 @@
+// @file member_list.h Short lists of members without repetition.
+#ifndef MEDLARGAUGE_STEER_MEMBER_LIST_H_
+#define MEDLARGAUGE_STEER_MEMBER_LIST_H_
+
+#include <algorithm>
+#include <vector>
+
+#include "src/core/ids_type.h"
+
+namespace medlargauge::detail {
+
+/// Returns whether `id` is in the list. Thread-safe for a constant list.
+inline bool Contains(const std::vector<MemberId>& list, MemberId id) {
+  return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+/// Appends `id` unless it is unset or there already. Not thread-safe.
+inline void AddOnce(std::vector<MemberId>* list, MemberId id) {
+  if (id.IsSet() && !Contains(*list, id)) {
+    list->push_back(id);
+  }
+}
+
+}  // namespace medlargauge::detail
+
+#endif  // MEDLARGAUGE_STEER_MEMBER_LIST_H_
--- a/src/steer/server_gate.h
+++ b/src/steer/server_gate.h
@@ -37,7 +37,7 @@
   Duration opening = Seconds(2);  ///< Callers give up opening after 1.4 s.
   /// An opened flow counts as a request to come for this long.
   Duration reserve = Milliseconds(400);
-  Duration work = Seconds(10);    ///< Longest time limit of a caller.
+  Duration work = Seconds(10);    ///< Callers give up before.
   Duration closing = Seconds(3);  ///< Last acknowledgements.
   Duration idle = Seconds(60);    ///< Longest life of a flow.
   /// A server that leaves an opening packet unanswered this long and sends
--- a/src/steer/steer_type.h
+++ b/src/steer/steer_type.h
@@ -1,4 +1,4 @@
-// @file steer_type.h Packets, members and loads as steering sees them.
+// @file steer_type.h Packets, members and loads as the decisions see them.
 #ifndef MEDLARGAUGE_STEER_STEER_TYPE_H_
 #define MEDLARGAUGE_STEER_STEER_TYPE_H_
 
