Fix: A member that starts at another one's address takes it over

Cause: entries were kept by id only, so a replaced host and its successor both answered to one address, and returned packets could be laid to the wrong one. Change: one entry an address and role, found by an index instead of a walk over all members for each returned packet. Tests first: the new case failed before.

--- a/src/steer/roster.cc
+++ b/src/steer/roster.cc
@@ -16,6 +16,9 @@
   if (!member.id.IsSet() || member.id == m_self) {
     return false;
   }
+  if (!TakeAddress(now, member)) {
+    return false;  // From before its address was given to another one.
+  }
   NoteContact(now);
   RosterEntry& entry = m_entries[member.id];
   const bool is_new = entry.heard == TimePoint() ||
@@ -40,16 +43,36 @@
   return is_new;
 }
 
+bool Roster::TakeAddress(TimePoint now, const SteerMember& member) {
+  const RosterEntry* other = FindByAddress(member.ip, member.role);
+  if (other != nullptr && other->member.id != member.id) {
+    // Incarnations come from clocks that may be wrong.
+    if (IsHeard(now, *other) &&
+        other->member.incarnation > member.incarnation) {
+      return false;
+    }
+    m_entries.erase(other->member.id);
+  }
+  const RosterEntry* before = Find(member.id);
+  if (before != nullptr) {
+    m_by_address.erase({before->member.ip, before->member.role});
+  }
+  m_by_address[{member.ip, member.role}] = member.id;
+  return true;
+}
+
 void Roster::Learn(TimePoint now, const SteerMember& member) {
-  if (!member.id.IsSet() || member.id == m_self) {
+  const bool useless = !member.id.IsSet() || member.id == m_self ||
+                       m_entries.count(member.id) > 0 ||
+                       FindByAddress(member.ip, member.role) != nullptr;
+  if (useless) {
     return;
   }
-  const auto [found, is_new] = m_entries.try_emplace(member.id);
-  if (is_new) {
-    found->second.member = member;
-    found->second.learnt = now;
-    NoteNew(now, member);
-  }
+  m_by_address[{member.ip, member.role}] = member.id;
+  RosterEntry& entry = m_entries[member.id];
+  entry.member = member;
+  entry.learnt = now;
+  NoteNew(now, member);
 }
 
 void Roster::NoteContact(TimePoint now) {
@@ -86,6 +109,7 @@
       continue;
     }
     forgotten.push_back(it->second.member);
+    m_by_address.erase({it->second.member.ip, it->second.member.role});
     it = m_entries.erase(it);
   }
   return forgotten;
@@ -102,14 +126,8 @@
 }
 
 RosterEntry* Roster::FindByAddress(uint32_t ip, MemberRole role) {
-  RosterEntry* best = nullptr;
-  for (auto& [id, entry] : m_entries) {
-    const bool fits = entry.member.ip == ip && entry.member.role == role;
-    if (fits && (best == nullptr || entry.heard > best->heard)) {
-      best = &entry;
-    }
-  }
-  return best;
+  const auto found = m_by_address.find({ip, role});
+  return found == m_by_address.end() ? nullptr : Find(found->second);
 }
 
 bool Roster::IsHeard(TimePoint now, const RosterEntry& entry) const {
--- a/src/steer/roster.h
+++ b/src/steer/roster.h
@@ -3,6 +3,7 @@
 #define MEDLARGAUGE_STEER_ROSTER_H_
 
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "src/steer/peer.pb.h"
@@ -40,11 +41,14 @@
   Roster(MemberId self, RosterTimeouts timeouts)
       : m_self(self), m_timeouts(timeouts) {}
 
-  /// Takes in a status that came from the member itself.
+  /// Takes in a status that came from the member itself. Another one at its
+  /// address that started earlier or fell silent is forgotten: its host was
+  /// replaced.
   /// @return whether the member is new or has restarted
   bool OnStatus(TimePoint now, const proto::PeerStatus& status);
 
-  /// Takes in a member that somebody else named. Known ones are left alone.
+  /// Takes in a member that somebody else named. Known ones, and those at a
+  /// known one's address, are left alone.
   void Learn(TimePoint now, const SteerMember& member);
 
   /// Takes in a load report of an agent.
@@ -84,12 +88,16 @@
   const std::map<MemberId, RosterEntry>& Entries() const { return m_entries; }
 
  private:
+  using Address = std::pair<uint32_t, MemberRole>;
+
+  bool TakeAddress(TimePoint now, const SteerMember& member);
   void NoteNew(TimePoint now, const SteerMember& member);
   void NoteContact(TimePoint now);
 
   MemberId m_self;                            ///< Own id; never an entry.
   RosterTimeouts m_timeouts;                  ///< As constructed.
   std::map<MemberId, RosterEntry> m_entries;  ///< Others.
+  std::map<Address, MemberId> m_by_address;   ///< Newest start at each.
   TimePoint m_last_heard;      ///< Any member was last heard then.
   TimePoint m_contact_since;   ///< Since then some member was always heard.
   TimePoint m_last_new_agent;  ///< See LastNewAgent.
--- a/src/steer/roster_test.cc
+++ b/src/steer/roster_test.cc
@@ -47,6 +47,36 @@
   CHECK(roster.Find(MemberId{2}) == nullptr);
 }
 
+TEST_CASE("a member that starts at another one's address takes it over") {
+  const TimePoint now{Seconds(100)};
+  Roster roster(MemberId{1}, RosterTimeouts());
+  const auto status = [now](uint64_t id, uint64_t incarnation) {
+    proto::PeerStatus message = StatusOf(now, id, MemberRole::kAgent, 1);
+    message.mutable_self()->set_ip(7);
+    message.mutable_self()->set_incarnation(incarnation);
+    return message;
+  };
+  roster.OnStatus(now, status(2, 10));
+  CHECK(roster.OnStatus(now, status(3, 20)));
+  CHECK(roster.Find(MemberId{2}) == nullptr);
+  CHECK(roster.FindByAddress(7, MemberRole::kAgent) ==
+        roster.Find(MemberId{3}));
+  // News of the earlier one, direct or not, is late.
+  CHECK_FALSE(roster.OnStatus(now, status(2, 10)));
+  roster.Learn(now, DecodeMember(now, status(2, 10).self()));
+  CHECK(roster.Find(MemberId{2}) == nullptr);
+  CHECK(roster.FindByAddress(7, MemberRole::kAgent)->member.id == MemberId{3});
+  CHECK(roster.FindByAddress(7, MemberRole::kBalancer) == nullptr);
+  // A member that moves leaves its address to others.
+  proto::PeerStatus moved = status(3, 30);
+  moved.mutable_self()->set_ip(8);
+  roster.OnStatus(now, moved);
+  CHECK(roster.FindByAddress(7, MemberRole::kAgent) == nullptr);
+  roster.OnStatus(now, status(4, 5));
+  CHECK(roster.FindByAddress(8, MemberRole::kAgent)->member.id == MemberId{3});
+  CHECK(roster.FindByAddress(7, MemberRole::kAgent)->member.id == MemberId{4});
+}
+
 TEST_CASE("nobody is lost right after this host was cut off") {
   TimePoint now{Seconds(100)};
   Roster roster(MemberId{1}, RosterTimeouts());
