Fix: A store that keeps no history was asked in a circle

Cause: each watch that ended with "history gone" was followed by a read at once, the read cleared the count of failures, and the next watch came at once. Change: from the second such watch in a row the reader backs off as after other failures.

--- a/src/steer/roster_test.cc
+++ b/src/steer/roster_test.cc
@@ -297,5 +297,27 @@
   CHECK_FALSE(PlaceBySample(now, 1, {}).has_value());
 }
 
+TEST_CASE("a store that forgets its history is not asked in a circle") {
+  TimePoint now{Seconds(100)};
+  Roster roster(MemberId{1}, RosterTimeouts());
+  TargetReader reader(now, 7, TargetReaderLimits());
+  uint32_t calls = 0;
+  for (const TimePoint end = now + Seconds(10); now < end;
+       now += Milliseconds(5)) {
+    const ReadAction action = reader.Next(now, MemberId{1}, roster, 1);
+    calls += action == ReadAction::kNothing ? 0 : 1;
+    if (action == ReadAction::kRead) {
+      reader.OnRead(now, StoreResult::kOk, 50);
+    } else if (action == ReadAction::kWatch) {
+      reader.OnWatch(now, StoreResult::kHistoryGone, 0);
+    }
+  }
+  CHECK(calls >= 10);  // Targets stay in force within their bound.
+  CHECK(calls <= 40);
+  reader.OnWatch(now, StoreResult::kOk, 60);
+  CHECK(reader.Next(now + Seconds(2), MemberId{1}, roster, 1) !=
+        ReadAction::kNothing);
+}
+
 }  // namespace
 }  // namespace medlargauge
--- a/src/steer/target_reader.cc
+++ b/src/steer/target_reader.cc
@@ -74,11 +74,18 @@
   m_busy = false;
   if (result == StoreResult::kHistoryGone) {
     m_must_read = true;
+    // The first time a read mends it; a store that keeps no history at all
+    // would be asked in a circle.
+    if (m_gone > 0) {
+      BackOff(now, m_gone - 1);
+    }
+    ++m_gone;
     return;
   }
   NoteResult(now, result);
   if (result == StoreResult::kOk) {
     m_position = position;
+    m_gone = 0;
   } else {
     // A cut watch may have missed something that is no longer in the history.
     m_must_read = true;
@@ -92,12 +99,16 @@
     return;
   }
   m_checked = TimePoint();
-  const uint32_t doublings = std::min(m_failures, kMaxDoublings);
+  BackOff(now, m_failures);
   ++m_failures;
+}
+
+void TargetReader::BackOff(TimePoint now, uint32_t earlier) {
+  const uint32_t doublings = std::min(earlier, kMaxDoublings);
   const Duration full =
       std::min(m_limits.backoff * (1U << doublings), m_limits.backoff_limit);
   // Between half and all of it, so that processes do not retry in step.
-  const uint64_t part = MixHash(m_seed, m_failures) % 512;
+  const uint64_t part = MixHash(m_seed, earlier + 1) % 512;
   m_retry_at = now + full / 2 + full * static_cast<int64_t>(part) / 1024;
 }
 
--- a/src/steer/target_reader.h
+++ b/src/steer/target_reader.h
@@ -66,6 +66,7 @@
  private:
   bool ShouldRead(TimePoint now, MemberId self, const Roster& roster) const;
   void NoteResult(TimePoint now, StoreResult result);
+  void BackOff(TimePoint now, uint32_t earlier);
 
   TargetReaderLimits m_limits;  ///< As constructed.
   uint64_t m_seed;              ///< Spreads retries.
@@ -74,6 +75,7 @@
   TimePoint m_checked;          ///< See Checked.
   uint64_t m_position = 0;      ///< See Position.
   uint32_t m_failures = 0;      ///< In a row.
+  uint32_t m_gone = 0;          ///< Watches in a row without their history.
   bool m_must_read = true;      ///< A watch would miss something.
   bool m_busy = false;          ///< An action has not ended.
 };
