Fix: A dead server's half-open flows were reset by another server's numbers

Cause: an agent whose server had died reset every flow it had seen, also those that the server had never accepted; the number of the reset came from packets that belong to the server that did. Change: only flows that the caller accepted here are reset by its numbers, the others with zero, which a caller ignores on an open flow. Test first: one check failed before.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -141,6 +141,9 @@
   }
   Flow& flow = found->second;
   if (packet->rst) {
+    if (flow.stream != nullptr && !flow.stream->Concerns(packet->sequence)) {
+      return;
+    }
     OnReset(found, !platform::standin::IsGenuine(view));
     return;
   }
@@ -163,10 +166,9 @@
   if (flow.stream == nullptr) {
     return;
   }
-  const std::string_view data(
-      reinterpret_cast<const char*>(datagram.data) +
-          (datagram.size - packet->data_length),
-      packet->data_length);
+  const std::string_view data(reinterpret_cast<const char*>(datagram.data) +
+                                  (datagram.size - packet->data_length),
+                              packet->data_length);
   flow.received += flow.stream->OnPacket(SteadyTime(), *packet, data);
   const std::optional<WorkAnswer> answer = TakeAnswer(&flow.received);
   if (answer.has_value()) {
@@ -195,11 +197,12 @@
     m_referee->OnBadAnswer(found->first, request);
   }
   flow.request = 0;
-  const bool stays = (*m_classes)[flow.class_index].long_flows &&
-                     !flow.stream->PeerFinished();
+  const bool stays =
+      (*m_classes)[flow.class_index].long_flows && !flow.stream->PeerFinished();
   if (stays) {
-    flow.idle_until = SteadyTime() + Milliseconds(static_cast<int64_t>(
-                                         100 + m_random() % 1500));
+    flow.idle_until =
+        SteadyTime() +
+        Milliseconds(static_cast<int64_t>(100 + m_random() % 1500));
   } else {
     EndFlow(found);
   }
@@ -216,8 +219,7 @@
     return;
   }
   const bool repeatable = (*m_classes)[found->second.class_index].repeatable;
-  if (found->second.attempts >= kMaxAttempts ||
-      (may_have_run && !repeatable)) {
+  if (found->second.attempts >= kMaxAttempts || (may_have_run && !repeatable)) {
     EndRequest(number, false);
     return;
   }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -40,13 +40,13 @@
   struct Flow {
     size_t class_index = 0;
     size_t socket = 0;
-    uint32_t first = 0;           ///< Number of the opening packet.
-    int copies = 0;               ///< Opening packets sent.
-    TimePoint opened_at;          ///< First opening packet.
-    uint64_t request = 0;         ///< Being asked; 0: idle.
+    uint32_t first = 0;    ///< Number of the opening packet.
+    int copies = 0;        ///< Opening packets sent.
+    TimePoint opened_at;   ///< First opening packet.
+    uint64_t request = 0;  ///< Being asked; 0: idle.
     std::unique_ptr<platform::standin::Stream> stream;  ///< Once open.
-    std::string received;         ///< Not yet read.
-    TimePoint idle_until;         ///< Long flows pause.
+    std::string received;                               ///< Not yet read.
+    TimePoint idle_until;                               ///< Long flows pause.
   };
   using FlowMap = std::map<FlowKey, Flow>;
 
@@ -54,7 +54,9 @@
   void Attempt(uint64_t request);
   void SendOpening(const FlowKey& key, Flow* flow);
   void SendRequest(const FlowKey& key, Flow* flow);
-  void Send(const FlowKey& key, const FlowPacket& packet, std::string_view data,
+  void Send(const FlowKey& key,
+            const FlowPacket& packet,
+            std::string_view data,
             size_t socket);
   void OnDatagram(size_t socket, ByteSpan datagram);
   void OnReset(FlowMap::iterator found, bool by_system);
--- a/soak/faults.cc
+++ b/soak/faults.cc
@@ -39,9 +39,7 @@
 }
 
 Faults::Faults(FaultTargets targets, uint64_t seed)
-    : m_targets(std::move(targets)),
-      m_random(seed),
-      m_began(SteadyTime()) {}
+    : m_targets(std::move(targets)), m_random(seed), m_began(SteadyTime()) {}
 
 void Faults::Start(TimePoint until) {
   m_until = until;
--- a/soak/processes.cc
+++ b/soak/processes.cc
@@ -160,9 +160,8 @@
   const bool in_time = SteadyTime() - daemon->stop_asked <= kGrace;
   if (!daemon->stopping || !clean || !in_time) {
     m_report("process " + daemon->name + " ended" +
-             (daemon->stopping ? " on request" : " by itself") +
-             ", status " + std::to_string(status) +
-             (in_time ? "" : ", too late"));
+             (daemon->stopping ? " on request" : " by itself") + ", status " +
+             std::to_string(status) + (in_time ? "" : ", too late"));
   }
   const auto planned =
       std::find_if(m_planned.begin(), m_planned.end(),
@@ -207,10 +206,10 @@
            SteadyTime() < deadline) {
       std::this_thread::sleep_for(kStopPoll);
     }
-    const bool ended =
-        daemon.pid == 0 || kill(daemon.pid, 0) != 0;  // Reaped.
-    clean = clean && ended && (daemon.pid == 0 || (WIFEXITED(status) &&
-                                                   WEXITSTATUS(status) == 0));
+    const bool ended = daemon.pid == 0 || kill(daemon.pid, 0) != 0;  // Reaped.
+    clean =
+        clean && ended &&
+        (daemon.pid == 0 || (WIFEXITED(status) && WEXITSTATUS(status) == 0));
     daemon.pid = ended ? 0 : daemon.pid;
   }
   return clean;
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -76,13 +76,13 @@
   void OnEnded(Daemon* daemon, int status);
   void WatchMemory();
 
-  EventLoop* m_loop;           ///< Runs the timers.
-  std::string m_program;       ///< Executable.
-  std::string m_directory;     ///< Settings and logs.
-  ReportHook m_report;         ///< See ReportHook.
-  std::vector<Daemon> m_all;   ///< Balancers, then agents.
+  EventLoop* m_loop;          ///< Runs the timers.
+  std::string m_program;      ///< Executable.
+  std::string m_directory;    ///< Settings and logs.
+  ReportHook m_report;        ///< See ReportHook.
+  std::vector<Daemon> m_all;  ///< Balancers, then agents.
   std::vector<std::pair<pid_t, Duration>> m_planned;  ///< Start again after.
-  uint64_t m_peak_kb = 0;      ///< See PeakMemoryKb.
+  uint64_t m_peak_kb = 0;                             ///< See PeakMemoryKb.
 };
 
 }  // namespace medlargauge::soak
--- a/soak/router.cc
+++ b/soak/router.cc
@@ -32,7 +32,8 @@
       continue;
     }
     m_targets[i].check->Send(
-        "GET", "/readyz", "", kCheckAnswer, [this, i](const HttpAnswer& answer) {
+        "GET", "/readyz", "", kCheckAnswer,
+        [this, i](const HttpAnswer& answer) {
           Target& target = m_targets[i];
           target.misses = answer.status == 200 ? 0 : target.misses + 1;
           target.used = target.misses <= kMissesAllowed &&
--- a/soak/router.h
+++ b/soak/router.h
@@ -16,7 +16,9 @@
 /// thread-safe.
 class Router {
  public:
-  Router(EventLoop* loop, const std::vector<uint32_t>& balancers, uint64_t seed);
+  Router(EventLoop* loop,
+         const std::vector<uint32_t>& balancers,
+         uint64_t seed);
 
   /// Returns the balancer for a packet of this flow.
   SocketAddress4 Choose(const FlowKey& flow) const;
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -43,12 +43,15 @@
 
 std::vector<WorkClass> MakeClasses() {
   std::vector<WorkClass> classes(3);
-  classes[0] = {"check", "stock", {kRouteIp, kRouteFirstPort}, true, true,
-                60 * FLAGS_load, 3000, Seconds(3)};
-  classes[1] = {"reserve", "stock", {kRouteIp, kRouteFirstPort + 1}, false,
-                false, 30 * FLAGS_load, 500, Seconds(3)};
-  classes[2] = {"pack", "media", {kRouteIp, kRouteFirstPort + 2}, true, false,
-                10 * FLAGS_load, 60000, Seconds(4)};
+  classes[0] = {"check", "stock",   {kRouteIp, kRouteFirstPort},
+                true,    true,      60 * FLAGS_load,
+                3000,    Seconds(3)};
+  classes[1] = {"reserve", "stock",   {kRouteIp, kRouteFirstPort + 1},
+                false,     false,     30 * FLAGS_load,
+                500,       Seconds(3)};
+  classes[2] = {"pack", "media",   {kRouteIp, kRouteFirstPort + 2},
+                true,   false,     10 * FLAGS_load,
+                60000,  Seconds(4)};
   return classes;
 }
 
@@ -60,7 +63,9 @@
 class Soak {
  public:
   Soak()
-      : m_processes(&m_loop, FLAGS_program, FLAGS_directory,
+      : m_processes(&m_loop,
+                    FLAGS_program,
+                    FLAGS_directory,
                     [this](const std::string& text) {
                       m_referee.Report("PROCESS " + text);
                     }),
@@ -72,9 +77,11 @@
 
  private:
   bool ChooseNet(Error* reason);
-  std::string SettingsOf(const std::string& name, uint32_t ip,
+  std::string SettingsOf(const std::string& name,
+                         uint32_t ip,
                          const std::string& domain) const;
-  std::string AgentSettings(const std::string& name, uint32_t ip,
+  std::string AgentSettings(const std::string& name,
+                            uint32_t ip,
                             const std::string& domain,
                             const std::string& service) const;
   bool AddServer(uint32_t index, const std::string& service, Error* reason);
@@ -123,8 +130,8 @@
                {"data_address", host + std::to_string(kPacketPort)},
                {"control_address", host + std::to_string(kControlPort)},
                {"admin_address", host + std::to_string(kAdminPort)},
-               {"store_address", FormatIp(m_net.Store()) + ":" +
-                                     std::to_string(kStorePort)},
+               {"store_address",
+                FormatIp(m_net.Store()) + ":" + std::to_string(kStorePort)},
                {"stop_grace_ms", ToMilliseconds(kGrace)},
                {"seeds", seeds}})
       .dump(2);
@@ -216,15 +223,15 @@
   m_version += 1 + m_version % 3;
   json routes = json::array();
   for (const WorkClass& work : m_classes) {
-    routes.push_back({{"name", work.name},
-                      {"host", FormatIp(work.route.ip)},
-                      {"prefix", "/" + std::to_string(work.route.port) + "/"},
-                      {"type", work.repeatable ? "idempotent"
-                                               : "non_idempotent"},
-                      {"timeoutMs", ToMilliseconds(work.limit)},
-                      {"goalMs", 400 + m_version % 5},
-                      {"priority", 1},
-                      {"service", work.service}});
+    routes.push_back(
+        {{"name", work.name},
+         {"host", FormatIp(work.route.ip)},
+         {"prefix", "/" + std::to_string(work.route.port) + "/"},
+         {"type", work.repeatable ? "idempotent" : "non_idempotent"},
+         {"timeoutMs", ToMilliseconds(work.limit)},
+         {"goalMs", 400 + m_version % 5},
+         {"priority", 1},
+         {"service", work.service}});
   }
   // Routes without traffic come and go.
   for (uint32_t i = 0; i < m_version % kExtraRoutes; ++i) {
@@ -248,15 +255,15 @@
       continue;
     }
     const uint64_t start = balancer->starts;
-    m_polls[i]->Send(
-        "GET", "/targets", "", kPollAnswer,
-        [this, balancer, start](const HttpAnswer& answer) {
-          if (answer.status == 200 && start == balancer->starts) {
-            m_referee.OnInForce(SteadyTime(), *balancer,
-                                std::strtoull(answer.body.c_str(), nullptr, 10),
-                                m_router->IsUsed(balancer->ip));
-          }
-        });
+    m_polls[i]->Send("GET", "/targets", "", kPollAnswer,
+                     [this, balancer, start](const HttpAnswer& answer) {
+                       if (answer.status == 200 && start == balancer->starts) {
+                         m_referee.OnInForce(
+                             SteadyTime(), *balancer,
+                             std::strtoull(answer.body.c_str(), nullptr, 10),
+                             m_router->IsUsed(balancer->ip));
+                       }
+                     });
   }
 }
 
@@ -269,8 +276,7 @@
   const TimePoint began = SteadyTime() + kWarmup;
   const TimePoint faults_end = began + Seconds(FLAGS_seconds);
   const TimePoint calm = FLAGS_calm ? began : faults_end + kRecovery;
-  const TimePoint calm_end =
-      (FLAGS_calm ? faults_end : calm + kCalmEnd);
+  const TimePoint calm_end = (FLAGS_calm ? faults_end : calm + kCalmEnd);
   m_loop.After(kWarmup, [this, faults_end] {
     m_callers->Start();
     if (!FLAGS_calm) {
@@ -311,8 +317,8 @@
             << " clean_stop=" << clean
             << " peak_kb=" << m_processes.PeakMemoryKb()
             << " processor_ms=" << m_processes.ProcessorMs()
-            << " store_calls=" << m_store.Calls()
-            << " logs=" << FLAGS_directory << '\n';
+            << " store_calls=" << m_store.Calls() << " logs=" << FLAGS_directory
+            << '\n';
 }
 
 }  // namespace
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -19,22 +19,22 @@
 inline constexpr uint16_t kStorePort = 7100;     ///< Of the store.
 
 /// Bounds that operators state for the platform.
-inline constexpr Duration kTargetBound = Seconds(5);   ///< In force by then.
-inline constexpr Duration kContact = Seconds(5);       ///< Excuse of a fault.
-inline constexpr Duration kAstray = Seconds(2);        ///< Packets elsewhere.
-inline constexpr Duration kRecovery = Seconds(15);     ///< After any trouble.
-inline constexpr Duration kGrace = Seconds(6);         ///< Of a planned stop.
+inline constexpr Duration kTargetBound = Seconds(5);  ///< In force by then.
+inline constexpr Duration kContact = Seconds(5);      ///< Excuse of a fault.
+inline constexpr Duration kAstray = Seconds(2);       ///< Packets elsewhere.
+inline constexpr Duration kRecovery = Seconds(15);    ///< After any trouble.
+inline constexpr Duration kGrace = Seconds(6);        ///< Of a planned stop.
 
 /// One class of work.
 struct WorkClass {
-  std::string name;            ///< Of its target.
-  std::string service;         ///< Must do the work.
-  SocketAddress4 route;        ///< Callers' address.
-  bool repeatable = true;      ///< Callers repeat after any failure.
-  bool long_flows = false;     ///< Many requests a flow, with pauses.
-  double per_second = 20;      ///< Arrivals.
-  uint32_t answer_bytes = 0;   ///< Of an answer's body.
-  Duration limit = Seconds(3); ///< Callers give up.
+  std::string name;             ///< Of its target.
+  std::string service;          ///< Must do the work.
+  SocketAddress4 route;         ///< Callers' address.
+  bool repeatable = true;       ///< Callers repeat after any failure.
+  bool long_flows = false;      ///< Many requests a flow, with pauses.
+  double per_second = 20;       ///< Arrivals.
+  uint32_t answer_bytes = 0;    ///< Of an answer's body.
+  Duration limit = Seconds(3);  ///< Callers give up.
 };
 
 /// The addresses of a run; several runs do not meet.
--- a/src/steer/server_gate.cc
+++ b/src/steer/server_gate.cc
@@ -313,8 +313,10 @@
   std::vector<GateReset> resets;
   for (auto& [key, flow] : m_flows) {
     if (flow.stage != Stage::kUnsure) {
+      // Callers that have accepted another server's answer ignore a zero.
+      const bool held = flow.stage == Stage::kHeld;
       resets.push_back({key, flow.working ? flow.request_id : std::string(),
-                        flow.acknowledged});
+                        held ? flow.acknowledged : 0});
       ++m_counters.resets;
     }
   }
--- a/src/steer/server_gate.h
+++ b/src/steer/server_gate.h
@@ -72,7 +72,7 @@
 struct GateReset {
   FlowKey flow;               ///< The flow.
   std::string request_id;     ///< Of its request under way, if known.
-  uint32_t acknowledged = 0;  ///< The caller's last acknowledgement.
+  uint32_t acknowledged = 0;  ///< The caller's last; 0 if it may be another's.
 };
 
 /// Answer to a heartbeat.
--- a/src/steer/server_gate_test.cc
+++ b/src/steer/server_gate_test.cc
@@ -136,6 +136,23 @@
   CHECK_FALSE(bed.Accept(2, 500).confirm);
 }
 
+TEST_CASE("a dead server's half-open flow is not reset by another's numbers") {
+  Bed bed;
+  bed.Forward(Packet(1, true));
+  FlowPacket other = Packet(1, false, 50);  // Of a flow that others accepted.
+  other.acknowledged = 7777;
+  bed.Forward(other);
+  bed.Forward(Packet(2, true));
+  bed.FromServer(2);
+  FlowPacket own = Packet(2, false, 50);
+  own.acknowledged = 8888;
+  bed.Forward(own);
+  for (const GateReset& reset : bed.gate.OnServerDown(bed.now)) {
+    const bool held = reset.flow == own.flow;
+    CHECK(reset.acknowledged == (held ? 8888 : 0));
+  }
+}
+
 TEST_CASE("requests are counted from their arrival to their first answer") {
   Bed bed;
   bed.Ask(1);
