Fix: In fleets of more than 140 members everybody seemed silent by turns

Cause: statuses grow rarer with the fleet, but the silence after which a member counts as unheard, mute or lost did not; the call that should set it had never been made. At 300 machines agents speak every 1.9 s and counted as unheard after 0.9 s and as mute after 1.8 s, so their callers were reset; balancers searched everywhere. Change: StatusPace (interval, phase by id, no rounding up); the roster derives silent, mute, lost and forgotten from the interval. Own contact is judged apart.

--- a/soak/router.cc
+++ b/soak/router.cc
@@ -38,6 +38,9 @@
           target.misses = answer.status == 200 ? 0 : target.misses + 1;
           target.used = target.misses <= kMissesAllowed &&
                         (target.used || answer.status == 200);
+          if (target.misses > 0 && m_on_miss) {
+            m_on_miss(target.ip);
+          }
         });
   }
 }
--- a/soak/router.h
+++ b/soak/router.h
@@ -28,6 +28,10 @@
   /// Returns how often the next packet arrives: mostly once.
   int Arrivals();
 
+  /// Calls `hook` whenever a balancer does not say that it is ready.
+  void OnMiss(std::function<void(uint32_t ip)> hook) {
+    m_on_miss = std::move(hook);
+  }
   /// Returns whether a balancer is in rotation.
   bool IsUsed(uint32_t ip) const;
 
@@ -43,6 +47,7 @@
 
   std::vector<Target> m_targets;  ///< In the order of the balancers.
   std::mt19937_64 m_random;       ///< Loss and doubling.
+  std::function<void(uint32_t ip)> m_on_miss;  ///< See OnMiss.
   double m_lost = 0;
   double m_doubled = 0;
 };
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -33,6 +33,7 @@
 constexpr uint32_t kDomains = 3;
 constexpr uint32_t kCallerHosts = 4;
 constexpr Duration kWarmup = Seconds(4);
+constexpr Duration kSettled = Milliseconds(1500);  ///< After the first start.
 constexpr Duration kTargetPoll = Milliseconds(250);
 constexpr Duration kPollAnswer = Milliseconds(200);
 constexpr Duration kCalmEnd = Seconds(6);      ///< Watched after recovery.
@@ -277,6 +278,14 @@
   const TimePoint faults_end = began + Seconds(FLAGS_seconds);
   const TimePoint calm = FLAGS_calm ? began : faults_end + kRecovery;
   const TimePoint calm_end = (FLAGS_calm ? faults_end : calm + kCalmEnd);
+  const TimePoint settled = SteadyTime() + kSettled;
+  m_router->OnMiss([this, settled, calm](uint32_t ip) {
+    const TimePoint now = SteadyTime();
+    if (now >= calm || (FLAGS_calm && now >= settled)) {
+      m_referee.Report("READY " + m_processes.At(ip)->name +
+                       " is not ready although nothing is wrong");
+    }
+  });
   m_loop.After(kWarmup, [this, faults_end] {
     m_callers->Start();
     if (!FLAGS_calm) {
--- a/src/runtime/fleet.cc
+++ b/src/runtime/fleet.cc
@@ -12,13 +12,9 @@
 namespace {
 
 constexpr Duration kTick = Milliseconds(100);
-/// Three of an agent's statuses fit into the silence timeout of the roster.
+/// In a small fleet; three fit into the silence timeout of the roster.
 constexpr Duration kAgentStatus = Milliseconds(300);
 constexpr Duration kBalancerStatus = Milliseconds(450);
-/// With more members than this the interval grows in proportion, so that a
-/// process sends and gets a bounded number of statuses a second.
-constexpr int kStatusesToMiss = 2;  ///< Before a member counts as silent.
-constexpr size_t kStatusMembers = 48;
 /// About 50 bytes each: fits the largest datagram that is read.
 constexpr int kMembersPerDatagram = 24;
 constexpr Duration kJoinFast = Milliseconds(250);   ///< Nobody heard yet.
@@ -66,6 +62,9 @@
       m_self(MakeSelf(settings, role)),
       m_peer_address(*ParseAddress4(settings.control_address)),
       m_roster(m_self.id, RosterTimeouts()),
+      m_pace(role == MemberRole::kAgent ? kAgentStatus : kBalancerStatus,
+             kTick,
+             m_self.id.value),
       m_reader(SteadyTime(), m_self.id.value, TargetReaderLimits()),
       m_server(loop,
                [this](const HttpRequest& request) { return Serve(request); }),
@@ -201,11 +200,9 @@
       SendStatus(entry.member.ip, status);
     }
   }
-  const Duration base =
-      m_self.role == MemberRole::kAgent ? kAgentStatus : kBalancerStatus;
-  const size_t members = std::max(m_roster.Entries().size(), kStatusMembers);
-  m_status_deadline = now + base * static_cast<int64_t>(members) /
-                                static_cast<int64_t>(kStatusMembers);
+  const size_t members = m_roster.Entries().size();
+  m_pace.OnSent(now, members);
+  m_roster.SetStatusInterval(StatusInterval(kAgentStatus, members));
 }
 
 void Fleet::StartLeaving() {
@@ -223,7 +220,7 @@
   }
   m_suspended = suspended;
   RemoveForgotten(now, m_roster.OnTick(now));
-  if (now >= m_status_deadline) {
+  if (m_pace.IsDue(now)) {
     Announce();
   }
   if (now >= m_join_deadline) {
--- a/src/runtime/fleet.h
+++ b/src/runtime/fleet.h
@@ -16,6 +16,7 @@
 #include "src/runtime/udp_socket.h"
 #include "src/steer/roster.h"
 #include "src/steer/route_book.h"
+#include "src/steer/status_pace.h"
 #include "src/steer/target_reader.h"
 
 namespace medlargauge {
@@ -90,6 +91,7 @@
   SocketAddress4 m_peer_address;        ///< Own, for other processes.
   std::vector<uint32_t> m_seeds;        ///< Addresses to join through.
   Roster m_roster;                      ///< Others.
+  StatusPace m_pace;                    ///< Of own statuses to everybody.
   RouteBook m_routes;                   ///< Targets in force.
   StoredTargets m_stored;               ///< Their bytes, for peers.
   TargetReader m_reader;                ///< Decides when to read.
@@ -103,7 +105,6 @@
   bool m_store_lost = false;            ///< The last call failed; for the log.
   LatencyHistogram m_store_latency;     ///< Calls that do not wait.
   uint64_t m_store_calls = 0;           ///< Only grows.
-  TimePoint m_status_deadline;          ///< Next status to everybody.
   TimePoint m_join_deadline;            ///< Next request for members.
   TimePoint m_list_deadline;            ///< Next question to the store.
   TimePoint m_register_deadline;        ///< Next entry in the store.
--- a/src/steer/flow_director.cc
+++ b/src/steer/flow_director.cc
@@ -10,7 +10,7 @@
 
 constexpr Duration kSweepInterval = Seconds(1);
 /// An agent that left an opening packet unanswered is avoided until it is
-/// heard again, at most this long.
+/// heard again, at most this long, or two of its statuses.
 constexpr Duration kAvoid = Milliseconds(600);
 
 }  // namespace
@@ -304,7 +304,8 @@
     detail::AddOnce(&flow.tried, flow.agent);
     RosterEntry* silent = m_roster->Find(flow.agent);
     if (silent != nullptr) {
-      silent->avoid_until = now + kAvoid;
+      silent->avoid_until =
+          now + std::max(kAvoid, 2 * m_roster->GetStatusInterval());
     }
     SteerResend resend{key, flow.syn, Place(now, *route, key, &flow)};
     if (resend.decision.kind == SteerDecision::Kind::kForward) {
--- a/src/steer/roster.cc
+++ b/src/steer/roster.cc
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr uint32_t kWholeFailing = 1000;
+constexpr int kStatusesToMiss = 2;        ///< Before a member counts as silent.
+constexpr int kSilencesToMute = 2;        ///< Before its callers try elsewhere.
+constexpr int kSilencesToLose = 3;        ///< Before its flows are given up.
+constexpr int kSilencesToForget = 6;      ///< Before it leaves the list.
 constexpr uint32_t kMaxWarmupMs = 60000;  ///< Longer ones are malformed.
 
 }  // namespace
@@ -75,8 +79,14 @@
   NoteNew(now, member);
 }
 
+void Roster::SetStatusInterval(Duration interval) {
+  m_interval = interval;
+  m_silent =
+      std::max(m_timeouts.silent, kStatusesToMiss * interval + m_timeouts.late);
+}
+
 void Roster::NoteContact(TimePoint now) {
-  if (now - m_last_heard > m_timeouts.silent) {
+  if (now - m_last_heard > m_timeouts.cut_off) {
     m_contact_since = now;
   }
   m_last_heard = now;
@@ -104,7 +114,8 @@
   std::vector<SteerMember> forgotten;
   for (auto it = m_entries.begin(); it != m_entries.end();) {
     const TimePoint last = std::max(it->second.heard, it->second.learnt);
-    if (now - last <= m_timeouts.forget) {
+    if (now - last <=
+        std::max(m_timeouts.forget, kSilencesToForget * m_silent)) {
       ++it;
       continue;
     }
@@ -131,13 +142,13 @@
 }
 
 bool Roster::IsHeard(TimePoint now, const RosterEntry& entry) const {
-  return entry.heard != TimePoint() && now - entry.heard <= m_timeouts.silent;
+  return entry.heard != TimePoint() && now - entry.heard <= m_silent;
 }
 
 bool Roster::IsMute(TimePoint now, const RosterEntry& entry) const {
   const TimePoint since =
       std::max({entry.heard, entry.learnt, m_contact_since});
-  const Duration limit = std::max(m_timeouts.mute, 2 * m_timeouts.silent);
+  const Duration limit = std::max(m_timeouts.mute, kSilencesToMute * m_silent);
   return !entry.leaving && entry.heard != TimePoint() && now - since > limit;
 }
 
@@ -145,7 +156,7 @@
   // Silence from everybody at once was this host's own.
   const TimePoint since =
       std::max({entry.heard, entry.learnt, m_contact_since});
-  return now - since > m_timeouts.lost;
+  return now - since > std::max(m_timeouts.lost, kSilencesToLose * m_silent);
 }
 
 size_t Roster::CountHeard(TimePoint now, MemberRole role) const {
--- a/src/steer/roster.h
+++ b/src/steer/roster.h
@@ -11,9 +11,12 @@
 
 namespace medlargauge {
 
-/// Silence after which members count as unreachable or are forgotten.
+/// Silence after which members count as unreachable or are forgotten. In a
+/// large fleet statuses are rare, and all but the first grow with them.
 struct RosterTimeouts {
-  Duration silent = Milliseconds(900);  ///< Three lost statuses of an agent.
+  Duration cut_off = Milliseconds(900);  ///< Of everybody: own contact ended.
+  Duration silent = Milliseconds(900);   ///< Three lost statuses of an agent.
+  Duration late = Milliseconds(200);     ///< Above two intervals: silent.
   /// An unplanned restart of an agent takes less; repeatable requests at it
   /// are better tried elsewhere.
   Duration mute = Milliseconds(1300);
@@ -39,7 +42,7 @@
 class Roster {
  public:
   Roster(MemberId self, RosterTimeouts timeouts)
-      : m_self(self), m_timeouts(timeouts) {}
+      : m_self(self), m_timeouts(timeouts), m_silent(timeouts.silent) {}
 
   /// Takes in a status that came from the member itself. Another one at its
   /// address that started earlier or fell silent is forgotten: its host was
@@ -74,8 +77,10 @@
   /// Returns how many members of a role are heard.
   size_t CountHeard(TimePoint now, MemberRole role) const;
 
-  /// Sets the silence after which a member is not heard any more.
-  void SetSilence(Duration silence) { m_timeouts.silent = silence; }
+  /// Sets how often agents say that they live.
+  void SetStatusInterval(Duration interval);
+  /// Returns how often agents say that they live.
+  Duration GetStatusInterval() const { return m_interval; }
 
   /// Returns when any member was last heard; zero if none was.
   TimePoint LastHeard() const { return m_last_heard; }
@@ -95,7 +100,9 @@
   void NoteContact(TimePoint now);
 
   MemberId m_self;                            ///< Own id; never an entry.
-  RosterTimeouts m_timeouts;                  ///< As constructed.
+  RosterTimeouts m_timeouts;                  ///< Of a small fleet.
+  Duration m_interval{};                      ///< Between agents' statuses.
+  Duration m_silent;                          ///< For the present interval.
   std::map<MemberId, RosterEntry> m_entries;  ///< Others.
   std::map<Address, MemberId> m_by_address;   ///< Newest start at each.
   TimePoint m_last_heard;      ///< Any member was last heard then.
--- a/src/steer/roster_test.cc
+++ b/src/steer/roster_test.cc
@@ -3,6 +3,7 @@
 
 #include "src/steer/placement.h"
 #include "src/steer/roster.h"
+#include "src/steer/status_pace.h"
 #include "src/steer/target_reader.h"
 
 namespace medlargauge {
@@ -77,6 +78,55 @@
   CHECK(roster.FindByAddress(7, MemberRole::kAgent)->member.id == MemberId{4});
 }
 
+TEST_CASE("members that start together do not speak together") {
+  for (const size_t members : {9, 82, 300}) {
+    std::vector<StatusPace> paces;
+    for (uint64_t id = 0; id < members; ++id) {
+      paces.emplace_back(Milliseconds(300), Milliseconds(100), MixHash(77, id));
+    }
+    const TimePoint start{Seconds(100)};
+    const Duration interval = StatusInterval(Milliseconds(300), members);
+    TimePoint last = start;
+    Duration longest{};
+    uint64_t sent = 0;
+    for (TimePoint now = start; now < start + 20 * interval;
+         now += Milliseconds(100)) {
+      for (StatusPace& pace : paces) {
+        if (pace.IsDue(now)) {
+          pace.OnSent(now, members);
+          longest = now - start > 2 * interval ? std::max(longest, now - last)
+                                               : Duration();
+          last = now;
+          ++sent;
+        }
+      }
+    }
+    CAPTURE(members);
+    CHECK(longest <= Milliseconds(300));  // Balancers leave after 350 ms.
+    CHECK(sent <= 22 * members);
+    CHECK(sent >= 17 * members);
+  }
+}
+
+TEST_CASE("in a large fleet a member between two statuses is not silent") {
+  TimePoint now{Seconds(100)};
+  Roster roster(MemberId{1}, RosterTimeouts());
+  const Duration interval = StatusInterval(Milliseconds(300), 1800);
+  roster.SetStatusInterval(interval);
+  roster.OnStatus(now, StatusOf(now, 2, MemberRole::kAgent, 1));
+  uint32_t sequence = 1;
+  for (const TimePoint end = now + 2 * interval; now < end;
+       now += Milliseconds(100)) {
+    roster.OnStatus(now, StatusOf(now, 3, MemberRole::kAgent, ++sequence));
+    const RosterEntry& entry = *roster.Find(MemberId{2});
+    CHECK(roster.IsHeard(now, entry));
+    CHECK_FALSE(roster.IsMute(now, entry));
+    CHECK_FALSE(roster.IsLost(now, entry));
+  }
+  roster.SetStatusInterval(Milliseconds(300));
+  CHECK_FALSE(roster.IsHeard(now, *roster.Find(MemberId{2})));
+}
+
 TEST_CASE("nobody is lost right after this host was cut off") {
   TimePoint now{Seconds(100)};
   Roster roster(MemberId{1}, RosterTimeouts());
