Fix: Members of a large fleet spoke in step, heard nobody between, asked anew

Cause: balancers that learnt of each other together then spoke together every 2.8 s; agents that know only balancers took the interval of a smaller fleet for theirs, heard nobody between, and asked the seeds and the store for the list each time. Change: each status says how many members its sender counts; silence is derived for each member from that; agents take the fleet's size from balancers; a member whose interval grows draws a new phase. Agents are told of balancers only; whoever hears nobody asks ever less often. A search that ended before all agents were known is not begun anew: those that returned the packet are not asked again.

--- a/src/runtime/fleet.cc
+++ b/src/runtime/fleet.cc
@@ -12,12 +12,8 @@
 namespace {
 
 constexpr Duration kTick = Milliseconds(100);
-/// In a small fleet; three fit into the silence timeout of the roster.
-constexpr Duration kAgentStatus = Milliseconds(300);
-constexpr Duration kBalancerStatus = Milliseconds(450);
 /// About 50 bytes each: fits the largest datagram that is read.
 constexpr int kMembersPerDatagram = 24;
-constexpr Duration kJoinFast = Milliseconds(250);   ///< Nobody heard yet.
 constexpr Duration kJoinSlow = Seconds(5);          ///< Repairs lost news.
 constexpr Duration kStoreGrace = Milliseconds(60);  ///< Seeds come first.
 /// Serving comes before being found by those who start later.
@@ -62,9 +58,7 @@
       m_self(MakeSelf(settings, role)),
       m_peer_address(*ParseAddress4(settings.control_address)),
       m_roster(m_self.id, RosterTimeouts()),
-      m_pace(role == MemberRole::kAgent ? kAgentStatus : kBalancerStatus,
-             kTick,
-             m_self.id.value),
+      m_pace(role, kTick, m_self.id.value),
       m_reader(SteadyTime(), m_self.id.value, TargetReaderLimits()),
       m_server(loop,
                [this](const HttpRequest& request) { return Serve(request); }),
@@ -151,19 +145,21 @@
     }
   }
   if (is_new || status.wants_members()) {
-    SendKnown(now, from.ip, status.wants_members());
+    SendKnown(now, from.ip, sender->member.role, status.wants_members());
   }
 }
 
-void Fleet::SendKnown(TimePoint now, uint32_t ip, bool with_members) {
+void Fleet::SendKnown(TimePoint now,
+                      uint32_t ip,
+                      MemberRole role,
+                      bool with_members) {
   proto::PeerStatus answer = MakeStatus(now);
-  for (const auto& [id, entry] : m_roster.Entries()) {
-    const bool named = with_members && entry.heard != TimePoint() &&
-                       !m_roster.IsLost(now, entry);
-    if (!named) {
-      continue;
-    }
-    *answer.add_known() = EncodeMember(now, entry.member);
+  std::vector<const SteerMember*> named;
+  if (with_members) {
+    named = m_roster.ListFor(now, role);
+  }
+  for (const SteerMember* member : named) {
+    *answer.add_known() = EncodeMember(now, *member);
     if (answer.known_size() == kMembersPerDatagram) {
       SendStatus(ip, answer);
       answer = MakeStatus(now);
@@ -179,6 +175,7 @@
   *status.mutable_self() = EncodeMember(now, m_self);
   status.set_sequence(++m_sequence);
   status.set_leaving(m_leaving);
+  status.set_members(static_cast<uint32_t>(m_roster.FleetSize(m_self.role)));
   if (m_reader.Checked() != TimePoint()) {
     status.set_checked_ms(
         static_cast<uint32_t>(ToMilliseconds(now - m_reader.Checked())) + 1);
@@ -200,9 +197,7 @@
       SendStatus(entry.member.ip, status);
     }
   }
-  const size_t members = m_roster.Entries().size();
-  m_pace.OnSent(now, members);
-  m_roster.SetStatusInterval(StatusInterval(kAgentStatus, members));
+  m_pace.OnSent(now, m_roster.FleetSize(m_self.role));
 }
 
 void Fleet::StartLeaving() {
@@ -237,7 +232,8 @@
 
 void Fleet::Join(TimePoint now) {
   const bool alone = m_roster.CountHeard(now, MemberRole::kBalancer) == 0;
-  m_join_deadline = now + (alone ? kJoinFast : kJoinSlow);
+  m_join_attempts = alone ? m_join_attempts + 1 : 0;
+  m_join_deadline = now + (alone ? JoinRetry(m_join_attempts) : kJoinSlow);
   proto::PeerStatus status = MakeStatus(now);
   status.set_wants_members(true);
   if (alone) {
--- a/src/runtime/fleet.h
+++ b/src/runtime/fleet.h
@@ -69,7 +69,10 @@
   void OnDatagram(SocketAddress4 from, ByteSpan datagram);
   void OnStatus(TimePoint now, SocketAddress4 from, ByteView message);
   proto::PeerStatus MakeStatus(TimePoint now);
-  void SendKnown(TimePoint now, uint32_t ip, bool with_members);
+  void SendKnown(TimePoint now,
+                 uint32_t ip,
+                 MemberRole role,
+                 bool with_members);
   void SendStatus(uint32_t ip, const proto::PeerStatus& status);
   void Tick();
   void Join(TimePoint now);
@@ -106,6 +109,7 @@
   LatencyHistogram m_store_latency;     ///< Calls that do not wait.
   uint64_t m_store_calls = 0;           ///< Only grows.
   TimePoint m_join_deadline;            ///< Next request for members.
+  uint32_t m_join_attempts = 0;         ///< In a row, hearing nobody.
   TimePoint m_list_deadline;            ///< Next question to the store.
   TimePoint m_register_deadline;        ///< Next entry in the store.
   TimePoint m_peer_heard;               ///< A balancer was last heard.
--- a/src/steer/flow_director.cc
+++ b/src/steer/flow_director.cc
@@ -171,7 +171,7 @@
   if (flow.phase == Phase::kSearching) {
     const bool mute = now - flow.asked_at >= m_limits.search_answer;
     if (mute || lost) {
-      detail::AddOnce(lost ? &flow.tried : &flow.mute, flow.agent);
+      detail::AddOnce(&flow.mute, flow.agent);
       return SearchNext(now, packet.flow, &flow);
     }
     return Forward(route, flow);
@@ -305,7 +305,7 @@
     RosterEntry* silent = m_roster->Find(flow.agent);
     if (silent != nullptr) {
       silent->avoid_until =
-          now + std::max(kAvoid, 2 * m_roster->GetStatusInterval());
+          now + std::max(kAvoid, 2 * Roster::IntervalOf(*silent));
     }
     SteerResend resend{key, flow.syn, Place(now, *route, key, &flow)};
     if (resend.decision.kind == SteerDecision::Kind::kForward) {
--- a/src/steer/flow_director_test.cc
+++ b/src/steer/flow_director_test.cc
@@ -349,6 +349,29 @@
   CHECK(bed.director.TakePointers().empty());
 }
 
+TEST_CASE("a search that ends too early goes on where it ended") {
+  Bed bed;
+  bed.Hear(14, "stock");  // News: not everybody may be known yet.
+  const auto walk = [&bed] {
+    std::vector<MemberId> asked;
+    SteerDecision decision = bed.Send(Later(1));
+    while (decision.kind == SteerDecision::Kind::kForward) {
+      asked.push_back(decision.agent);
+      REQUIRE(asked.size() < 10);
+      decision = bed.Return(decision, ReturnReason::kBounced, Later(1));
+    }
+    CHECK(decision.kind == SteerDecision::Kind::kDrop);
+    return asked;
+  };
+  CHECK(walk().size() == 4);
+  CHECK(walk().empty());
+  bed.Hear(15, "stock");
+  CHECK(walk() == std::vector<MemberId>{MemberId{15}});
+  bed.now += Milliseconds(1100);
+  bed.HearAll();
+  CHECK(bed.Send(Later(1)).kind == SteerDecision::Kind::kReset);
+}
+
 TEST_CASE("a newcomer resets nothing before it knows the agents") {
   Bed bed;
   FlowDirector fresh(bed.now, DomainId{1}, &bed.roster, &bed.routes,
--- a/src/steer/flow_search.cc
+++ b/src/steer/flow_search.cc
@@ -44,11 +44,14 @@
   const bool settled = now - m_started >= m_limits.settle &&
                        now - m_roster->LastNewAgent() >= m_limits.quiet_news &&
                        m_roster->CountHeard(now, MemberRole::kAgent) > 0;
-  m_flows.erase(key);
+  if (!settled) {
+    // A flow does not move: those that do not have it are not asked again.
+    flow->agent = MemberId();
+    return Reject(SteerDecision::Kind::kDrop, ErrorKind::kMaybeElsewhere);
+  }
   // Every server that could hold the flow was asked and does not.
-  return Reject(
-      settled ? SteerDecision::Kind::kReset : SteerDecision::Kind::kDrop,
-      settled ? ErrorKind::kFlowUnknown : ErrorKind::kMaybeElsewhere);
+  m_flows.erase(key);
+  return Reject(SteerDecision::Kind::kReset, ErrorKind::kFlowUnknown);
 }
 
 std::optional<MemberId> FlowDirector::NextToAsk(TimePoint now,
--- a/src/steer/roster.cc
+++ b/src/steer/roster.cc
@@ -3,10 +3,13 @@
 
 #include <algorithm>
 
+#include "src/steer/status_pace.h"
+
 namespace medlargauge {
 namespace {
 
 constexpr uint32_t kWholeFailing = 1000;
+constexpr uint32_t kMaxMembers = 1U << 20U;  ///< More are malformed.
 constexpr int kStatusesToMiss = 2;        ///< Before a member counts as silent.
 constexpr int kSilencesToMute = 2;        ///< Before its callers try elsewhere.
 constexpr int kSilencesToLose = 3;        ///< Before its flows are given up.
@@ -41,6 +44,7 @@
   entry.pending = 0;
   entry.avoid_until = TimePoint();
   entry.leaving = status.leaving();
+  entry.fleet_size = std::min(status.members(), kMaxMembers);
   entry.store_checked = status.checked_ms() == 0
                             ? TimePoint()
                             : now - Milliseconds(status.checked_ms() - 1);
@@ -79,10 +83,23 @@
   NoteNew(now, member);
 }
 
-void Roster::SetStatusInterval(Duration interval) {
-  m_interval = interval;
-  m_silent =
-      std::max(m_timeouts.silent, kStatusesToMiss * interval + m_timeouts.late);
+size_t Roster::FleetSize(MemberRole own_role) const {
+  size_t size = m_entries.size();
+  for (const auto& [id, entry] : m_entries) {
+    const bool knows_all = own_role == MemberRole::kAgent &&
+                           entry.member.role == MemberRole::kBalancer;
+    size = std::max<size_t>(size, knows_all ? entry.fleet_size : 0);
+  }
+  return size;
+}
+
+Duration Roster::IntervalOf(const RosterEntry& entry) {
+  return StatusInterval(entry.member.role, entry.fleet_size);
+}
+
+Duration Roster::SilenceOf(const RosterEntry& entry) const {
+  return std::max(m_timeouts.silent,
+                  kStatusesToMiss * IntervalOf(entry) + m_timeouts.late);
 }
 
 void Roster::NoteContact(TimePoint now) {
@@ -114,8 +131,8 @@
   std::vector<SteerMember> forgotten;
   for (auto it = m_entries.begin(); it != m_entries.end();) {
     const TimePoint last = std::max(it->second.heard, it->second.learnt);
-    if (now - last <=
-        std::max(m_timeouts.forget, kSilencesToForget * m_silent)) {
+    if (now - last <= std::max(m_timeouts.forget,
+                               kSilencesToForget * SilenceOf(it->second))) {
       ++it;
       continue;
     }
@@ -141,14 +158,28 @@
   return found == m_by_address.end() ? nullptr : Find(found->second);
 }
 
+std::vector<const SteerMember*> Roster::ListFor(TimePoint now,
+                                                MemberRole role) const {
+  std::vector<const SteerMember*> list;
+  for (const auto& [id, entry] : m_entries) {
+    const bool wanted = role == MemberRole::kBalancer ||
+                        entry.member.role == MemberRole::kBalancer;
+    if (wanted && entry.heard != TimePoint() && !IsLost(now, entry)) {
+      list.push_back(&entry.member);
+    }
+  }
+  return list;
+}
+
 bool Roster::IsHeard(TimePoint now, const RosterEntry& entry) const {
-  return entry.heard != TimePoint() && now - entry.heard <= m_silent;
+  return entry.heard != TimePoint() && now - entry.heard <= SilenceOf(entry);
 }
 
 bool Roster::IsMute(TimePoint now, const RosterEntry& entry) const {
   const TimePoint since =
       std::max({entry.heard, entry.learnt, m_contact_since});
-  const Duration limit = std::max(m_timeouts.mute, kSilencesToMute * m_silent);
+  const Duration limit =
+      std::max(m_timeouts.mute, kSilencesToMute * SilenceOf(entry));
   return !entry.leaving && entry.heard != TimePoint() && now - since > limit;
 }
 
@@ -156,7 +187,8 @@
   // Silence from everybody at once was this host's own.
   const TimePoint since =
       std::max({entry.heard, entry.learnt, m_contact_since});
-  return now - since > std::max(m_timeouts.lost, kSilencesToLose * m_silent);
+  return now - since >
+         std::max(m_timeouts.lost, kSilencesToLose * SilenceOf(entry));
 }
 
 size_t Roster::CountHeard(TimePoint now, MemberRole role) const {
--- a/src/steer/roster.h
+++ b/src/steer/roster.h
@@ -34,6 +34,7 @@
   TimePoint avoid_until;    ///< It left a packet unanswered; prefer others.
   uint32_t sequence = 0;    ///< Of its newest status.
   uint32_t pending = 0;     ///< Own new flows since its last load report.
+  uint32_t fleet_size = 0;  ///< As it counts the others.
   bool leaving = false;     ///< A planned stop has begun there.
   TimePoint store_checked;  ///< Its last word from the store.
 };
@@ -42,7 +43,7 @@
 class Roster {
  public:
   Roster(MemberId self, RosterTimeouts timeouts)
-      : m_self(self), m_timeouts(timeouts), m_silent(timeouts.silent) {}
+      : m_self(self), m_timeouts(timeouts) {}
 
   /// Takes in a status that came from the member itself. Another one at its
   /// address that started earlier or fell silent is forgotten: its host was
@@ -67,6 +68,10 @@
   /// Returns the entry of an address and role, or null.
   RosterEntry* FindByAddress(uint32_t ip, MemberRole role);
 
+  /// Returns the members to name to a newcomer of this role: those heard that
+  /// are not lost, and for an agent only balancers, as it speaks to no other.
+  std::vector<const SteerMember*> ListFor(TimePoint now, MemberRole role) const;
+
   /// Returns whether the member was heard within the silence timeout.
   bool IsHeard(TimePoint now, const RosterEntry& entry) const;
   /// Returns whether the member has been silent for longer than a restart
@@ -77,10 +82,11 @@
   /// Returns how many members of a role are heard.
   size_t CountHeard(TimePoint now, MemberRole role) const;
 
-  /// Sets how often agents say that they live.
-  void SetStatusInterval(Duration interval);
-  /// Returns how often agents say that they live.
-  Duration GetStatusInterval() const { return m_interval; }
+  /// Returns the number of others in the fleet: balancers know all of them,
+  /// agents are told.
+  size_t FleetSize(MemberRole own_role) const;
+  /// Returns how often the member says that it lives.
+  static Duration IntervalOf(const RosterEntry& entry);
 
   /// Returns when any member was last heard; zero if none was.
   TimePoint LastHeard() const { return m_last_heard; }
@@ -96,13 +102,12 @@
   using Address = std::pair<uint32_t, MemberRole>;
 
   bool TakeAddress(TimePoint now, const SteerMember& member);
+  Duration SilenceOf(const RosterEntry& entry) const;
   void NoteNew(TimePoint now, const SteerMember& member);
   void NoteContact(TimePoint now);
 
   MemberId m_self;                            ///< Own id; never an entry.
   RosterTimeouts m_timeouts;                  ///< Of a small fleet.
-  Duration m_interval{};                      ///< Between agents' statuses.
-  Duration m_silent;                          ///< For the present interval.
   std::map<MemberId, RosterEntry> m_entries;  ///< Others.
   std::map<Address, MemberId> m_by_address;   ///< Newest start at each.
   TimePoint m_last_heard;      ///< Any member was last heard then.
--- a/src/steer/status_pace.h
+++ b/src/steer/status_pace.h
@@ -7,6 +7,7 @@
 
 #include "src/core/hash.h"
 #include "src/core/time_type.h"
+#include "src/steer/steer_type.h"
 
 namespace medlargauge {
 
@@ -15,20 +16,31 @@
 inline constexpr size_t kPaceMembers = 48;
 
 /// Returns the interval between the statuses of one member. Thread-safe.
-/// @param base interval of a small fleet; @param members others in the fleet
-inline Duration StatusInterval(Duration base, size_t members) {
-  return base * static_cast<int64_t>(std::max(members, kPaceMembers)) /
+/// @param members others in the fleet
+inline Duration StatusInterval(MemberRole role, size_t members) {
+  // In a small fleet; three of an agent fit into the silence of the roster.
+  constexpr Duration kAgent = Milliseconds(300);
+  constexpr Duration kBalancer = Milliseconds(450);
+  return (role == MemberRole::kAgent ? kAgent : kBalancer) *
+         static_cast<int64_t>(std::max(members, kPaceMembers)) /
          static_cast<int64_t>(kPaceMembers);
 }
 
+/// Returns how long a member that hears nobody waits before it asks again: the
+/// answers are long in a large fleet that starts at once. Thread-safe.
+/// @param attempts made so far, at least one
+inline Duration JoinRetry(uint32_t attempts) {
+  constexpr uint32_t kMaxDoublings = 3;
+  return Milliseconds(250) * (1 << std::min(attempts - 1, kMaxDoublings));
+}
+
 /// When the next status to everybody is due. Not thread-safe.
 class StatusPace {
  public:
-  /// @param base see StatusInterval
   /// @param tick IsDue is asked this often; half of it does not delay a status
   /// @param seed keeps members that start together from speaking together
-  StatusPace(Duration base, Duration tick, uint64_t seed)
-      : m_base(base), m_tick(tick), m_seed(seed) {}
+  StatusPace(MemberRole role, Duration tick, uint64_t seed)
+      : m_role(role), m_tick(tick), m_seed(seed) {}
 
   /// Returns whether a status is due.
   bool IsDue(TimePoint now) const { return now >= m_deadline; }
@@ -36,18 +48,22 @@
   /// A status was sent to everybody.
   void OnSent(TimePoint now, size_t members) {
     constexpr int64_t kParts = 256;
-    const Duration interval = StatusInterval(m_base, members);
-    const auto part = static_cast<int64_t>(MixHash(m_seed, 0) % kParts);
-    const Duration first = interval * part / kParts;
-    m_deadline = now + (m_spoke ? interval : first) - m_tick / 2;
-    m_spoke = true;
+    const Duration interval = StatusInterval(m_role, members);
+    // Whoever started together or learnt of many others together must not
+    // speak together from then on.
+    const bool alike = interval <= m_interval * 5 / 4;
+    const auto part = static_cast<int64_t>(MixHash(m_seed, ++m_sent) % kParts);
+    m_deadline =
+        now + (alike ? interval : interval * part / kParts) - m_tick / 2;
+    m_interval = interval;
   }
 
  private:
-  Duration m_base;         ///< As constructed.
+  MemberRole m_role;       ///< As constructed.
   Duration m_tick;         ///< As constructed.
   uint64_t m_seed;         ///< As constructed.
-  bool m_spoke = false;    ///< A first status was sent.
+  uint64_t m_sent = 0;     ///< Statuses so far.
+  Duration m_interval{};   ///< After the last.
   TimePoint m_deadline{};  ///< Of the next.
 };
 
