--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -80,7 +80,7 @@
                       !flow.stream->PeerFinished() && now >= flow.idle_until;
     if (idle) {
       flow.request = number;
-      SendRequest(key, &flow);
+      SendRequest(&flow);
       return;
     }
   }
@@ -107,13 +107,12 @@
   Send(key, packet, {}, flow->socket);
 }
 
-void Callers::SendRequest(const FlowKey& key, Flow* flow) {
+void Callers::SendRequest(Flow* flow) {
   const WorkClass& work = (*m_classes)[flow->class_index];
   platform::standin::WorkRequest request;
   request.id = flow->request;
   request.answer_bytes = work.answer_bytes;
   flow->stream->Write(SteadyTime(), WriteRequest(request));
-  (void)key;
 }
 
 void Callers::Send(const FlowKey& key,
@@ -159,7 +158,7 @@
                                              std::string_view data) {
             Send(key, out, data, socket);
           });
-      SendRequest(packet->flow, &flow);
+      SendRequest(&flow);
     }
     return;
   }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -53,7 +53,7 @@
   void ScheduleArrival(size_t class_index);
   void Attempt(uint64_t request);
   void SendOpening(const FlowKey& key, Flow* flow);
-  void SendRequest(const FlowKey& key, Flow* flow);
+  void SendRequest(Flow* flow);
   void Send(const FlowKey& key,
             const FlowPacket& packet,
             std::string_view data,
--- a/soak/router.cc
+++ b/soak/router.cc
@@ -46,18 +46,18 @@
 }
 
 SocketAddress4 Router::Choose(const FlowKey& flow) const {
-  const Target* best = nullptr;
+  uint32_t best = 0;
   uint64_t best_rank = 0;
   for (const Target& target : m_targets) {
     // Those in rotation first; if there are none, all are used.
     const uint64_t rank = (target.used ? 1ULL << 63U : 0) |
                           (MixHash(HashFlow(flow), target.ip) >> 1U);
-    if (best == nullptr || rank > best_rank) {
-      best = &target;
+    if (rank >= best_rank) {
+      best = target.ip;
       best_rank = rank;
     }
   }
-  return {best->ip, kPacketPort};
+  return {best, kPacketPort};
 }
 
 void Router::SetTrouble(double lost, double doubled) {
