--- a/src/core/event_log.cc
+++ b/src/core/event_log.cc
@@ -6,12 +6,18 @@
 namespace medlargauge {
 namespace {
 
+constexpr size_t kUsualLine = 200;  ///< Bytes; longer ones grow.
+
 /// Null while lines go to standard error.
 EventSink& CurrentSink() {
   static EventSink sink;
   return sink;
 }
 
+bool IsPlainLogValue(std::string_view value) {
+  return !value.empty() && value.find_first_of(" \"=\n\t") == value.npos;
+}
+
 }  // namespace
 
 void SetEventSink(EventSink sink) {
@@ -19,9 +25,7 @@
 }
 
 std::string QuoteLogValue(std::string_view value) {
-  const bool plain =
-      !value.empty() && value.find_first_of(" \"=\n\t") == value.npos;
-  if (plain) {
+  if (IsPlainLogValue(value)) {
     return std::string(value);
   }
   std::string quoted = "\"";
@@ -52,12 +56,18 @@
 }
 
 void EventLine::Append(std::string_view key, std::string_view value) {
-  if (!m_line.empty()) {
+  if (m_line.empty()) {
+    m_line.reserve(kUsualLine);
+  } else {
     m_line += ' ';
   }
   m_line += key;
   m_line += '=';
-  m_line += QuoteLogValue(value);
+  if (IsPlainLogValue(value)) {
+    m_line += value;
+  } else {
+    m_line += QuoteLogValue(value);
+  }
 }
 
 }  // namespace medlargauge
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -2,10 +2,14 @@
 #ifndef MEDLARGAUGE_CORE_EVENT_LOG_H_
 #define MEDLARGAUGE_CORE_EVENT_LOG_H_
 
+#include <array>
+#include <charconv>
+#include <cstdint>
 #include <functional>
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 #include "src/core/error_type.h"
 
@@ -31,9 +35,23 @@
   /// Appends one pair; values with spaces or quotes are quoted.
   template <typename Value>
   EventLine& With(std::string_view key, const Value& value) {
-    std::ostringstream text;
-    text << value;
-    Append(key, text.str());
+    if constexpr (std::is_convertible_v<const Value&, std::string_view>) {
+      Append(key, value);
+    } else if constexpr (std::is_integral_v<Value>) {
+      // Streams would cost more than all else that a line needs.
+      std::array<char, 24> digits;
+      const auto end =
+          std::to_chars(
+              digits.data(), digits.data() + digits.size(),
+              static_cast<std::conditional_t<std::is_signed_v<Value>, int64_t,
+                                             uint64_t>>(value))
+              .ptr;
+      Append(key, std::string_view(digits.data(), end - digits.data()));
+    } else {
+      std::ostringstream text;
+      text << value;
+      Append(key, text.str());
+    }
     return *this;
   }
 
