--- /dev/null
+++ b/scenario/world_hosts.cc
@@ -0,0 +1,200 @@
+// @file world_hosts.cc Agents and backend servers of the world, and their ends.
+#include <algorithm>
+
+#include "scenario/world.h"
+#include "src/core/hash.h"
+
+namespace medlargauge {
+namespace {
+
+/// Membership travels by gossip; a fake of its delay.
+constexpr int64_t kMinGossipMs = 20;
+constexpr int64_t kMaxGossipMs = 300;
+
+}  // namespace
+
+void World::AddServer(std::string_view name,
+                      std::string_view service,
+                      std::string_view version,
+                      std::string_view domain) {
+  auto host = std::make_unique<AgentHost>();
+  host->name = std::string(name);
+  host->service = std::string(service);
+  host->version = std::string(version);
+  host->domain = std::string(domain);
+  host->server.service = host->service;
+  m_agent_index[MemberIdOf(name)] = host.get();
+  m_agents.push_back(std::move(host));
+  StartAgentProcess(m_agents.back().get(), StartKind::kFresh);
+}
+
+void World::StartAgentProcess(AgentHost* host, StartKind kind) {
+  host->incarnation = NewIncarnation();
+  ++host->epoch;
+  host->leave_when_drained = false;
+  host->drain_started = TimePoint();
+  AgentConfig config;
+  config.service = ServiceIdOf(host->service);
+  config.self.id = MemberIdOf(host->name);
+  config.self.incarnation = host->incarnation;
+  config.self.version = VersionIdOf(host->version);
+  config.self.domain = DomainIdOf(host->domain);
+  config.limits = m_options.limits;
+  config.timeouts = m_options.timeouts;
+  config.policy = m_options.policy;
+  config.start = kind;
+  config.faulty = m_options.faulty;
+  host->agent = std::make_unique<Agent>(m_events.Now(), std::move(config));
+  for (const ClassTarget& target : m_targets.All()) {
+    host->book.Merge(target);
+  }
+  ApplyTargets(host);
+  Announce(*host);
+  NoteChange();
+}
+
+uint64_t World::NewIncarnation() const {
+  // The time of the start, as in the daemon, which keeps nothing on its host.
+  return ToMilliseconds(m_events.Now().time_since_epoch());
+}
+
+void World::StopAgentProcess(AgentHost* host) {
+  host->agent = nullptr;
+  host->backlog.clear();
+  host->paused_until = TimePoint();
+  ++host->epoch;
+  NoteChange();
+}
+
+void World::Announce(const AgentHost& host) {
+  const AgentFacts facts = host.agent->ServiceGroup().Self();
+  const ServiceId service = ServiceIdOf(host.service);
+  const auto gossip_delay = [this] {
+    return Milliseconds(
+        kMinGossipMs +
+        static_cast<int64_t>(Uniform() * (kMaxGossipMs - kMinGossipMs)));
+  };
+  for (const auto& other : m_agents) {
+    if (other.get() == &host || other->service != host.service) {
+      continue;
+    }
+    AgentHost* to = other.get();
+    m_events.After(gossip_delay(), [this, to, facts] {
+      WhenRunning(to, [this, to, facts] {
+        to->agent->LearnMember(m_events.Now(), facts, false);
+      });
+    });
+    if (other->agent != nullptr) {
+      AgentHost* newcomer = m_agent_index[facts.id];
+      const AgentFacts known = other->agent->ServiceGroup().Self();
+      m_events.After(gossip_delay(), [this, newcomer, known] {
+        WhenRunning(newcomer, [this, newcomer, known] {
+          newcomer->agent->LearnMember(m_events.Now(), known, false);
+        });
+      });
+    }
+  }
+  for (const auto& balancer : m_balancers) {
+    BalancerHost* to = balancer.get();
+    const Duration lag = Duration(static_cast<int64_t>(
+        Uniform() *
+        static_cast<double>(m_options.faults.balancer_lag.count())));
+    m_events.After(gossip_delay() + lag, [this, to, facts, service] {
+      if (to->balancer != nullptr) {
+        to->balancer->LearnMember(m_events.Now(), service, facts);
+      }
+    });
+    if (to->balancer != nullptr) {
+      AgentFacts observer;
+      observer.id = MemberIdOf(to->name);
+      observer.incarnation = to->incarnation;
+      observer.state = AgentState::kReady;
+      host.agent->LearnMember(m_events.Now(), observer, true);
+    }
+  }
+}
+
+void World::Drain(std::string_view name, Duration deadline) {
+  AgentHost& host = FindAgent(name);
+  WhenRunning(&host, [this, &host, deadline] {
+    host.drain_started = m_events.Now();
+    host.drain_deadline = m_events.Now() + deadline;
+    host.leave_when_drained = true;
+    host.agent->StartDrain(m_events.Now(), m_events.Now() + deadline);
+    SendGroupMessages(MemberIdOf(host.name), host.agent->TakeOutgoing());
+    NoteChange();
+  });
+}
+
+void World::FinishDrains(AgentHost* host) {
+  // Baselines have no flow table at the agent, so they wait for the server.
+  const bool drained =
+      m_options.path == PathKind::kHome
+          ? host->agent->IsDrained(m_events.Now())
+          : host->server.open == 0 || m_events.Now() >= host->drain_deadline;
+  const bool done = host->leave_when_drained && drained;
+  if (!done) {
+    return;
+  }
+  host->agent->Leave(m_events.Now());
+  SendGroupMessages(MemberIdOf(host->name), host->agent->TakeOutgoing());
+  StopAgentProcess(host);
+  host->server.alive = false;
+}
+
+void World::StartServer(std::string_view name) {
+  AgentHost& host = FindAgent(name);
+  host.server.alive = true;
+  host.server.open = 0;
+  host.server.connections.clear();
+  StartAgentProcess(&host, StartKind::kFresh);
+}
+
+void World::CrashAgent(std::string_view name) {
+  AgentHost& host = FindAgent(name);
+  if (host.agent != nullptr) {
+    StopAgentProcess(&host);
+  }
+}
+
+void World::RecoverAgent(std::string_view name) {
+  AgentHost& host = FindAgent(name);
+  if (host.agent == nullptr && host.server.alive) {
+    StartAgentProcess(&host, StartKind::kRecovering);
+  }
+}
+
+void World::UpgradeAgent(std::string_view name, Duration away) {
+  AgentHost& host = FindAgent(name);
+  const HandoverState state = host.agent->MakeHandover();
+  StopAgentProcess(&host);
+  m_events.After(away, [this, &host, state] {
+    StartAgentProcess(&host, StartKind::kSuccessor);
+    host.agent->TakeOver(m_events.Now(), state);
+  });
+}
+
+void World::CrashServer(std::string_view name) {
+  CrashAgent(name);
+  AgentHost& host = FindAgent(name);
+  host.server.alive = false;
+}
+
+void World::PauseAgent(std::string_view name, Duration length) {
+  AgentHost& host = FindAgent(name);
+  host.paused_until = m_events.Now() + length;
+  const uint64_t epoch = host.epoch;
+  NoteChange();
+  m_events.After(length, [&host, epoch] {
+    if (host.epoch != epoch) {
+      return;
+    }
+    std::vector<std::function<void()>> backlog;
+    backlog.swap(host.backlog);
+    for (const std::function<void()>& action : backlog) {
+      action();
+    }
+  });
+}
+
+}  // namespace medlargauge
--- a/src/daemon/agent_process.cc
+++ b/src/daemon/agent_process.cc
@@ -12,6 +12,7 @@
 #include "src/core/event_log.h"
 #include "src/core/hash.h"
 #include "src/daemon/address.h"
+#include "src/daemon/agent_report.h"
 #include "src/daemon/handover_codec.h"
 #include "src/daemon/load_probe.h"
 #include "src/daemon/packet_path.h"
@@ -353,38 +354,8 @@
     if (m_agent == nullptr) {
       return;
     }
-    const AgentCounters& counters = m_agent->Counters();
-    Metrics& gauges = m_process.Gauges();
-    uint64_t delivered = 0;
-    for (const uint64_t count : counters.delivered) {
-      delivered += count;
-    }
-    const auto rejected = [&counters](ErrorKind kind) {
-      return counters.rejected[static_cast<size_t>(kind)];
-    };
-    gauges.Set(Metric::packets_received, m_received);
-    gauges.Set(Metric::packets_delivered, delivered);
-    gauges.Set(Metric::packets_forwarded, counters.forwarded);
-    gauges.Set(Metric::flows_open, m_agent->OpenFlows());
-    gauges.Set(Metric::flow_entries, m_agent->Flows().Size());
-    gauges.Set(Metric::flows_handed_over, counters.handed_over);
-    gauges.Set(Metric::flows_consulted, counters.consulted);
-    gauges.Set(Metric::flows_searched, counters.searched);
-    gauges.Set(Metric::flows_recovered,
-               counters.delivered[static_cast<size_t>(Admission::kRecovered)]);
-    gauges.Set(Metric::flows_taken_back, counters.flows_taken_back);
-    gauges.Set(Metric::backups_skipped, counters.backups_skipped);
-    gauges.Set(Metric::broken_flow_suspicions,
-               rejected(ErrorKind::kFlowUnknown));
-    gauges.Set(Metric::refusals, rejected(ErrorKind::kOverloaded));
-    gauges.Set(Metric::invariant_violations,
-               counters.admissions_while_draining +
-                   counters.admissions_of_other_service +
-                   counters.flows_with_two_owners);
-    for (size_t i = 0; i < kErrorKindCount; ++i) {
-      gauges.SetRejected(static_cast<ErrorKind>(i),
-                         counters.rejected[i] + m_malformed[i]);
-    }
+    SetAgentMetrics(*m_agent, m_malformed, &m_process.Gauges());
+    m_process.Gauges().Set(Metric::packets_received, m_received);
   }
 
   std::string Status() {
@@ -396,17 +367,7 @@
       status["state"] = "discovering";
       return status.dump();
     }
-    const AgentCounters& counters = m_agent->Counters();
-    status["state"] = NameOf(m_agent->ServiceGroup().Self().state);
-    status["open_flows"] = m_agent->OpenFlows();
-    status["index_complete"] = m_agent->ServiceGroup().IsIndexComplete();
-    status["handed_over"] = counters.handed_over;
-    status["forwarded"] = counters.forwarded;
-    status["invariant_violations"] = counters.admissions_while_draining +
-                                     counters.admissions_of_other_service +
-                                     counters.flows_with_two_owners;
-    status["broken_flow_suspicions"] =
-        counters.rejected[static_cast<size_t>(ErrorKind::kFlowUnknown)];
+    AddAgentStatus(*m_agent, &status);
     return status.dump();
   }
 
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -104,11 +104,7 @@
     proto::FlowPointer pointer;
     if (pointer.ParseFromArray(frame.message.data(),
                                static_cast<int>(frame.message.size()))) {
-      m_gate.OnPointer(
-          now,
-          {{pointer.caller_ip(), static_cast<uint16_t>(pointer.caller_port())},
-           {pointer.route_ip(), static_cast<uint16_t>(pointer.route_port())}},
-          MemberId{pointer.owner()});
+      m_gate.OnPointer(now, FlowOf(pointer), MemberId{pointer.owner()});
     }
     return;
   }
@@ -167,10 +163,7 @@
     return;
   }
   proto::FlowNote note;
-  note.set_caller_ip(flow.caller.ip);
-  note.set_caller_port(flow.caller.port);
-  note.set_route_ip(flow.route.ip);
-  note.set_route_port(flow.route.port);
+  SetFlow(flow, &note);
   *note.mutable_load() = EncodeLoad(now, m_gate.Load(now));
   note.set_proven(decision.proven);
   m_fleet.Send(decision.balancer_ip,
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -95,11 +95,8 @@
                              static_cast<int>(frame.message.size()))) {
       return;
     }
-    const FlowKey flow{
-        {note.caller_ip(), static_cast<uint16_t>(note.caller_port())},
-        {note.route_ip(), static_cast<uint16_t>(note.route_port())}};
     m_fleet.Members().OnLoad(now, id, DecodeLoad(now, note.load()));
-    m_director.OnHeld(now, id, flow, note.proven());
+    m_director.OnHeld(now, id, FlowOf(note), note.proven());
   } else if (frame.kind == PeerKind::kReturn) {
     m_fleet.Members().OnLoad(now, id, frame.load);
     const ByteView raw = ToView(frame.packet);
@@ -216,10 +213,7 @@
       continue;
     }
     proto::FlowPointer message;
-    message.set_caller_ip(pointer.flow.caller.ip);
-    message.set_caller_port(pointer.flow.caller.port);
-    message.set_route_ip(pointer.flow.route.ip);
-    message.set_route_port(pointer.flow.route.port);
+    SetFlow(pointer.flow, &message);
     message.set_owner(pointer.owner.value);
     m_fleet.Send(home->member.ip,
                  m_fleet.Writer().Message(PeerKind::kPointer, message));
--- a/src/runtime/fleet.h
+++ b/src/runtime/fleet.h
@@ -59,13 +59,12 @@
   Roster& Members() { return m_roster; }
   const RouteBook& Routes() const { return m_routes; }
   PeerWriter& Writer() { return m_writer; }
-  UdpSocket& PeerSocket() { return m_socket; }
   const TargetReader& Reader() const { return m_reader; }
   const SteerMember& Self() const { return m_self; }
-  /// Returns the number of calls made to the store.
-  uint64_t StoreCalls() const { return m_store_calls; }
 
  private:
+  static constexpr std::string_view kTargetsPath = "/targets";
+
   void OnDatagram(SocketAddress4 from, ByteSpan datagram);
   void OnStatus(TimePoint now, SocketAddress4 from, ByteView message);
   proto::PeerStatus MakeStatus(TimePoint now);
--- a/src/runtime/peer_wire.h
+++ b/src/runtime/peer_wire.h
@@ -51,6 +51,22 @@
 /// Takes a datagram apart; nullopt if it is malformed. Thread-safe.
 std::optional<PeerFrame> ReadPeerFrame(TimePoint now, ByteSpan datagram);
 
+/// Returns the flow that a note or pointer is about. Thread-safe.
+template <typename Message>
+FlowKey FlowOf(const Message& message) {
+  return {{message.caller_ip(), static_cast<uint16_t>(message.caller_port())},
+          {message.route_ip(), static_cast<uint16_t>(message.route_port())}};
+}
+
+/// Makes a note or pointer be about this flow.
+template <typename Message>
+void SetFlow(const FlowKey& flow, Message* message) {
+  message->set_caller_ip(flow.caller.ip);
+  message->set_caller_port(flow.caller.port);
+  message->set_route_ip(flow.route.ip);
+  message->set_route_port(flow.route.port);
+}
+
 }  // namespace medlargauge
 
 #endif  // MEDLARGAUGE_RUNTIME_PEER_WIRE_H_
