Fix: The soak took the addresses of a demo that ran beside it

Change: soaks use 127.100 to 127.199; the demos have 127.10 and 127.20. Tests only, no product code.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -105,8 +105,9 @@
 };
 
 bool Soak::ChooseNet(Error* reason) {
-  constexpr uint8_t kFirstOctet = 20;
-  constexpr uint8_t kLastOctet = 250;
+  // The demo's deployments have lower ones, a test of the fleet has 200.
+  constexpr uint8_t kFirstOctet = 100;
+  constexpr uint8_t kLastOctet = 200;
   for (uint8_t octet = kFirstOctet; octet < kLastOctet; ++octet) {
     m_net.octet = octet;
     if (m_store.Listen({m_net.Store(), kStorePort}, reason)) {
--- a/soak/soak_type.h
+++ b/soak/soak_type.h
@@ -39,7 +39,7 @@
 
 /// The addresses of a run; several runs do not meet.
 struct SoakNet {
-  uint8_t octet = 20;  ///< Second byte of all loopback addresses.
+  uint8_t octet = 0;  ///< Second byte of all loopback addresses.
 
   uint32_t Ip(uint8_t kind, uint32_t index) const {
     return 0x7F000000U | (static_cast<uint32_t>(octet) << 16U) |
