Fix: Agents count only the work that their servers have

Lines for each answer showed four reasons: a request whose caller had left (the server then sends a FIN without an answer) stayed active for 10 s; a new flow held a slot for 400 ms although its caller had left; a packet of a search counted as a request until the server returned it; and flows without a request counted as requests ahead, so that measured service times shrank to 3 ms, and the warm-up was added to times that already contained it. Change: a FIN ends the request; a new flow holds its slot for as long as callers usually take to answer (RFC 6298, 20 to 400 ms); searched packets of unknown flows are no load; only requests count as ahead; the warm-up factor applies where no time was measured, and a new server starts without one.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -36,7 +36,8 @@
     : m_service(std::move(service)),
       m_service_id(ServiceIdOf(m_service)),
       m_address(address),
-      m_limits(limits) {}
+      m_limits(limits),
+      m_caller_round_trip(limits.min_reserve, limits.max_reserve) {}
 
 ForwarderDecision AgentForwarder::OnForwarded(TimePoint now,
                                               uint32_t balancer_ip,
@@ -79,14 +80,20 @@
   }
   Flow& flow = m_flows[packet.flow];
   flow.balancer_ip = balancer_ip;
-  flow.stage =
-      flow.stage == Stage::kAccepted ? Stage::kEstablished : flow.stage;
+  if (flow.stage == Stage::kAccepted) {
+    flow.stage = Stage::kEstablished;
+    if (flow.accepted_once) {
+      m_caller_round_trip.Add(now - flow.accepted_at);
+    }
+  }
   decision.proven = flow.stage == Stage::kEstablished;
   decision.confirm = header.search && decision.proven;
   decision.balancer_ip = balancer_ip;
   flow.confirm_search =
       (flow.confirm_search || header.search) && !decision.proven;
-  TrackCallerPacket(now, packet, &flow);
+  // During a search, the server most likely returns the packet.
+  const bool is_unlikely = header.search && flow.stage == Stage::kUnverified;
+  TrackCallerPacket(now, packet, !is_unlikely, &flow);
   return decision;
 }
 
@@ -135,7 +142,7 @@
     flow.caller_next_sequence = packet.sequence + 1;
     flow.started_at = now;
     flow.expires = now + m_limits.opening;
-    MarkActive(now + m_limits.reserve, &flow);
+    MarkActive(now + m_limits.max_reserve, &flow);
   }
   flow.balancer_ip = balancer_ip;
   flow.confirm_opening = true;
@@ -157,6 +164,7 @@
 
 void AgentForwarder::TrackCallerPacket(TimePoint now,
                                        const FlowPacket& packet,
+                                       bool counts,
                                        Flow* flow) {
   const bool is_closing = packet.fin;
   flow->acknowledged = packet.acknowledged;
@@ -171,12 +179,12 @@
     return;  // Retransmission.
   }
   flow->caller_next_sequence = end;
-  if (!flow->request_pending) {
+  if (counts && !flow->request_pending) {
     flow->request_pending = true;
     flow->request_id = packet.request_id;
     flow->started_at = now;
+    flow->requests_ahead = m_pending++;
     MarkActive(now + m_limits.request_timeout, flow);
-    flow->requests_ahead = m_active - 1;
   }
 }
 
@@ -217,6 +225,9 @@
   }
   if (packet.data_length > 0) {
     RecordResponse(now, packet.answer, &flow);
+  } else if (packet.fin) {
+    // The server drops the request, because its caller has left.
+    EndRequest(&flow);
   }
   flow.expires = now + (packet.fin ? m_limits.closing : m_limits.idle);
   return decision;
@@ -225,9 +236,12 @@
 void AgentForwarder::UpdateStage(TimePoint now,
                                  const FlowPacket& packet,
                                  Flow* flow) {
+  flow->accepted_once = flow->stage == Stage::kOpening;
   if (flow->stage == Stage::kOpening) {
     ++m_counters.opened;
     m_counters.opening.Add(now - flow->started_at);
+    flow->accepted_at = now;
+    flow->active_until = now + m_caller_round_trip.Timeout();
   }
   if (!packet.syn_ack) {
     flow->stage = Stage::kEstablished;
@@ -256,8 +270,8 @@
   if (flow->request_pending && answer == AnswerKind::kRefused) {
     m_refused_load = std::max(m_active - 1, Load(now).slots);
     m_refused_load_expires = now + m_limits.refusal_memory;
-    // The time until a refusal is not a sample of the service time.
-    flow->request_pending = false;
+    EndRequest(
+        flow);  // The time to a refusal is no sample of the service time.
   }
   if (flow->request_pending && answer != AnswerKind::kUnknown) {
     const double sample = answer == AnswerKind::kFailure ? 1.0 : 0.0;
@@ -280,8 +294,7 @@
             ? sample
             : (m_service_us * (kMeanDivisor - 1) + sample) / kMeanDivisor;
   }
-  flow->request_pending = false;
-  MarkInactive(flow);
+  EndRequest(flow);
 }
 
 ReportOutcome AgentForwarder::OnReport(TimePoint now,
@@ -298,6 +311,8 @@
     if (is_stale) {
       return ReportOutcome::kStale;
     }
+    // What was measured at the previous server does not hold for this one.
+    m_service_us = same_instance ? m_service_us : 0;
   }
   const bool has_left = !m_departed_id.empty() && report.id == m_departed_id &&
                         report.started_ms <= m_departed_start_ms;
@@ -339,6 +354,7 @@
   }
   m_flows.clear();
   m_active = 0;
+  m_pending = 0;
   m_service_us = 0;
   m_failure_rate = 0;
   m_down = true;
@@ -353,11 +369,10 @@
   for (auto it = m_flows.begin(); it != m_flows.end();) {
     Flow& flow = it->second;
     if (flow.is_active && flow.active_until <= now) {
-      flow.request_pending = false;
-      MarkInactive(&flow);
+      EndRequest(&flow);
     }
     if (flow.expires <= now) {
-      MarkInactive(&flow);
+      EndRequest(&flow);
       it = m_flows.erase(it);
     } else {
       ++it;
@@ -407,7 +422,9 @@
   flow->active_until = until;
 }
 
-void AgentForwarder::MarkInactive(Flow* flow) {
+void AgentForwarder::EndRequest(Flow* flow) {
+  m_pending -= flow->request_pending ? 1 : 0;
+  flow->request_pending = false;
   m_active -= flow->is_active ? 1 : 0;
   flow->is_active = false;
 }
@@ -415,7 +432,7 @@
 void AgentForwarder::EraseFlow(const FlowKey& key) {
   const auto found = m_flows.find(key);
   if (found != m_flows.end()) {
-    MarkInactive(&found->second);
+    EndRequest(&found->second);
     m_flows.erase(found);
   }
 }
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -17,6 +17,7 @@
 #include "src/forwarding/forwarding_type.h"
 #include "src/forwarding/latency_histogram.h"
 #include "src/forwarding/placement.h"
+#include "src/forwarding/round_trip_estimator.h"
 
 namespace medlargauge {
 
@@ -38,8 +39,9 @@
   /// Lifetime of an opening flow; callers give up after 1.4 s.
   Duration opening = Seconds(2);
   /// A new flow counts as an active request until its request arrives, but at
-  /// most for this long.
-  Duration reserve = Milliseconds(400);
+  /// most for as long as requests usually take to arrive, within these limits.
+  Duration min_reserve = Milliseconds(20);
+  Duration max_reserve = Milliseconds(400);
   /// A request counts as active for at most this long; callers give up earlier.
   Duration request_timeout = Seconds(10);
   /// Lifetime after FIN, for the last acknowledgements.
@@ -176,12 +178,14 @@
     bool confirm_search = false;   ///< The balancer waits for kEstablished.
     /// kAccepted: sequence number of the server's SYN-ACK.
     uint32_t server_initial_sequence = 0;
-    uint32_t balancer_ip = 0;           ///< Balancer of the last packet.
-    uint32_t opening_sequence = 0;      ///< Sequence number of the SYN.
+    uint32_t balancer_ip = 0;       ///< Balancer of the last packet.
+    bool accepted_once = false;     ///< kAccepted: the server sent one SYN-ACK.
+    TimePoint accepted_at;          ///< kAccepted: when it sent the first one.
+    uint32_t opening_sequence = 0;  ///< Sequence number of the SYN.
     uint32_t caller_next_sequence = 0;  ///< End of the caller's data so far.
     uint32_t acknowledged = 0;  ///< Last acknowledgement number of the caller.
     std::string request_id;     ///< Request in progress; empty if unknown.
-    uint32_t requests_ahead = 0;  ///< Active requests when this one arrived.
+    uint32_t requests_ahead = 0;  ///< Unanswered when this one arrived.
     TimePoint started_at;         ///< Arrival of the SYN, later of the request.
     TimePoint active_until;       ///< Not counted in m_active after this.
     TimePoint expires;            ///< When the entry is removed.
@@ -199,7 +203,11 @@
                                     const ForwardHeader& header,
                                     const FlowPacket& packet);
   /// Updates a flow from a packet of its caller.
-  void TrackCallerPacket(TimePoint now, const FlowPacket& packet, Flow* flow);
+  /// @param counts whether a request in it counts as active
+  void TrackCallerPacket(TimePoint now,
+                         const FlowPacket& packet,
+                         bool counts,
+                         Flow* flow);
   /// Returns whether the packet acknowledges data of another server, whose
   /// SYN-ACK the caller accepted instead.
   static bool AcknowledgesOtherServer(const FlowPacket& packet,
@@ -208,8 +216,9 @@
   void UpdateStage(TimePoint now, const FlowPacket& packet, Flow* flow);
   /// Counts the flow in m_active until `until`.
   void MarkActive(TimePoint until, Flow* flow);
-  /// Stops counting the flow in m_active.
-  void MarkInactive(Flow* flow);
+  /// Ends the request of the flow, if it has one, and stops counting the flow
+  /// in m_active and m_pending.
+  void EndRequest(Flow* flow);
   void EraseFlow(const FlowKey& key);
   /// Updates counters, service time and failure rate from an answer.
   void RecordResponse(TimePoint now, AnswerKind answer, Flow* flow);
@@ -235,6 +244,7 @@
   bool m_down = false;               ///< Nothing listens at m_address.
   bool m_leaving = false;            ///< This agent is stopping.
   uint32_t m_active = 0;             ///< Number of active flows.
+  uint32_t m_pending = 0;            ///< Of these: a request has arrived.
   double m_failure_rate = 0;         ///< Failure rate at m_failure_rate_at.
   TimePoint m_failure_rate_at;       ///< Last update of m_failure_rate.
   /// Number of active requests when the server last refused one, at least the
@@ -242,6 +252,8 @@
   uint32_t m_refused_load = 0;
   TimePoint m_refused_load_expires;  ///< m_refused_load is valid until then.
   uint64_t m_service_us = 0;         ///< Moving average of the service time.
+  /// From the server's SYN-ACK to the next packet of the caller.
+  RoundTripEstimator m_caller_round_trip;
   std::unordered_map<FlowKey, Flow, FlowKeyHash> m_flows;  ///< Flow table.
   /// Pointers to owners of flows that are searched here first.
   std::unordered_map<FlowKey, Pointer, FlowKeyHash> m_pointers;
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -172,6 +172,64 @@
   CHECK(fixture.forwarder.Load(fixture.now).service_us == 40000);
 }
 
+TEST_CASE(
+    "a request that the server drops, as its caller left, is not active") {
+  ForwarderFixture fixture;
+  fixture.OpenAndRequest(1);
+  fixture.OpenAndRequest(2);
+  CHECK(fixture.Forward(MakePacket(3, true)).reason == ReturnReason::kBusy);
+  FlowPacket fin = MakePacket(1, false);
+  fin.from_caller = false;
+  fin.fin = true;
+  fixture.forwarder.OnServerPacket(fixture.now, fin);
+  CHECK(fixture.forwarder.ActiveRequests() == 1);
+  CHECK(fixture.Forward(MakePacket(3, true)).kind ==
+        ForwarderDecision::Kind::kDeliver);
+}
+
+TEST_CASE("new flows without a request do not shorten the service time") {
+  ForwarderFixture fixture;
+  for (uint16_t port = 10; port < 30; ++port) {
+    fixture.Forward(MakePacket(port, true), true, 0);
+  }
+  fixture.OpenAndRequest(1);
+  fixture.now += Milliseconds(40);
+  fixture.SendFromServer(1, 500);
+  CHECK(fixture.forwarder.Load(fixture.now).service_us == 40000);
+}
+
+TEST_CASE("a searched packet is no load before the server shows its flow") {
+  ForwarderFixture fixture;
+  for (uint16_t port = 1; port <= 9; ++port) {
+    fixture.Forward(MakePacket(port, false, 50), false, 200, true);
+  }
+  CHECK(fixture.forwarder.ActiveRequests() == 0);
+  fixture.SendFromServer(1, 500);
+  FlowPacket next = MakePacket(1, false, 50);
+  next.sequence += 50;
+  fixture.Forward(next);
+  CHECK(fixture.forwarder.ActiveRequests() == 1);
+}
+
+TEST_CASE("a caller that left while its flow opened is soon no load") {
+  ForwarderFixture fixture;
+  for (uint16_t port = 1; port <= 20; ++port) {
+    fixture.Forward(MakePacket(port, true), true, 0);
+    fixture.SendSynAck(port, 5000);
+    fixture.now += Milliseconds(6);
+    FlowPacket request = MakePacket(port, false, 50);
+    request.acknowledged = 5001;
+    fixture.Forward(request);
+    fixture.SendFromServer(port, 500);
+  }
+  fixture.Forward(MakePacket(30, true), true, 0);
+  fixture.SendSynAck(30, 5000);
+  CHECK(fixture.forwarder.ActiveRequests() == 1);
+  fixture.now += Milliseconds(25);
+  fixture.forwarder.OnTick(fixture.now);
+  CHECK(fixture.forwarder.ActiveRequests() == 0);
+}
+
 TEST_CASE("an open flow without a request is active for a short time only") {
   ForwarderFixture fixture;
   fixture.Forward(MakePacket(1, true));
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -31,11 +31,12 @@
 uint64_t ExpectedResponseTimeUs(TimePoint now,
                                 const ServerLoad& load,
                                 uint32_t pending) {
-  uint64_t service_us =
-      load.service_us == 0 ? kDefaultServiceUs : load.service_us;
-  if (load.warmup_ends_at > now) {
-    service_us = service_us * kWarmupPercent / 100;
-  }
+  // A measured time includes the effect of the warm-up.
+  const uint64_t unmeasured_us = load.warmup_ends_at > now
+                                     ? kDefaultServiceUs * kWarmupPercent / 100
+                                     : kDefaultServiceUs;
+  const uint64_t service_us =
+      load.service_us == 0 ? unmeasured_us : load.service_us;
   const uint64_t slots = std::max(load.slots, 1U);
   const uint64_t requests_ahead = static_cast<uint64_t>(load.active) + pending;
   const uint64_t waiting =
