Feature: A balancer that starts reads the registered agents and introduces itself

Cause: after a loss of all power the members of a fleet find each other late. Join requests were 250, 500 and 1,000 ms apart, and a failed list of balancers was repeated after 3 s. Change: agents register in the store as balancers do, and leave it when their server deregisters. A list that is longer than one answer counts as none. Join requests start at 100 ms and double with every second attempt; a failed list is repeated after 200 ms.

--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -45,6 +45,9 @@
   }
   entry.member = member;
   entry.heard = now;
+  if (member.role == MemberRole::kAgent) {
+    m_unheard_agents.erase(member.ip);
+  }
   entry.sequence = status.sequence();
   entry.pending = 0;
   entry.avoid_until = TimePoint();
@@ -99,6 +102,26 @@
   return size;
 }
 
+void MembershipTable::SetRegisteredAgents(std::vector<uint32_t> ips) {
+  m_has_registered_agents = true;
+  for (const uint32_t ip : ips) {
+    const MemberEntry* entry = FindByAddress(ip, MemberRole::kAgent);
+    if (entry == nullptr || entry->heard == TimePoint()) {
+      m_unheard_agents.insert(ip);
+    }
+  }
+}
+
+size_t MembershipTable::LargestReportedSize(TimePoint now) const {
+  size_t size = 0;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.member.role == MemberRole::kBalancer && IsReachable(now, entry)) {
+      size = std::max<size_t>(size, entry.fleet_size);
+    }
+  }
+  return size;
+}
+
 Duration MembershipTable::StatusIntervalOf(const MemberEntry& entry) {
   return StatusInterval(entry.member.role, entry.fleet_size);
 }
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -3,6 +3,7 @@
 #define MEDLARGAUGE_FORWARDING_MEMBERSHIP_TABLE_H_
 
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -91,6 +92,12 @@
   /// Returns whether the member has been silent for so long, although others
   /// were heard, that its flows have to be given up.
   bool IsPresumedDead(TimePoint now, const MemberEntry& entry) const;
+  /// Returns whether the agent's server had stopped when the agent was last
+  /// heard, and the agent has left as well, so that no flow is left there.
+  bool HasLeftStopped(TimePoint now, const MemberEntry& entry) const {
+    return entry.heard != TimePoint() &&
+           entry.member.state == AgentState::kGone && !IsReachable(now, entry);
+  }
   /// Returns the number of reachable members of a role.
   size_t CountReachable(TimePoint now, MemberRole role) const;
 
@@ -98,6 +105,20 @@
   /// entries; an agent, which knows only balancers, takes the largest count
   /// that a balancer reports.
   size_t FleetSize(MemberRole own_role) const;
+  /// Returns the largest number of other members that a reachable balancer
+  /// counts; 0 if none is reachable.
+  size_t LargestReportedSize(TimePoint now) const;
+  /// Sets the addresses of the agents that were registered when this process
+  /// started.
+  void SetRegisteredAgents(std::vector<uint32_t> ips);
+  /// Returns the registered agents that have not been heard yet.
+  const std::set<uint32_t>& UnheardRegisteredAgents() const {
+    return m_unheard_agents;
+  }
+  /// Returns whether the registered agents are known and each has been heard.
+  bool HasHeardRegisteredAgents() const {
+    return m_has_registered_agents && m_unheard_agents.empty();
+  }
   /// Returns the interval at which the member sends statuses.
   static Duration StatusIntervalOf(const MemberEntry& entry);
 
@@ -128,6 +149,8 @@
   TimePoint m_last_contact;                   ///< See LastContact.
   TimePoint m_contact_since;                  ///< Start of unbroken contact.
   TimePoint m_last_agent_discovery;           ///< See LastAgentDiscovery.
+  bool m_has_registered_agents = false;  ///< SetRegisteredAgents was called.
+  std::set<uint32_t> m_unheard_agents;   ///< Registered, but not heard yet.
 };
 
 /// Converts a member to its wire message. Thread-safe.
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -313,6 +313,35 @@
   CHECK(first_delays.front() != first_delays.back());
 }
 
+TEST_CASE("registered agents are unheard until each has sent a status") {
+  const TimePoint now{Seconds(100)};
+  MembershipTable members(MemberId{1}, MembershipTimeouts());
+  const auto hear = [&](uint64_t id, uint32_t ip) {
+    FleetMember member;
+    member.id = MemberId{id};
+    member.role = MemberRole::kAgent;
+    member.ip = ip;
+    member.incarnation = 1;
+    proto::PeerStatus status;
+    *status.mutable_self() = EncodeMember(now, member);
+    status.set_sequence(1);
+    members.OnStatus(now, status);
+  };
+  hear(11, 101);
+  CHECK_FALSE(members.HasHeardRegisteredAgents());  // The list is missing.
+  members.SetRegisteredAgents({101, 102});
+  CHECK(members.UnheardRegisteredAgents() == std::set<uint32_t>{102});
+  CHECK_FALSE(members.HasHeardRegisteredAgents());
+  FleetMember mentioned;
+  mentioned.id = MemberId{12};
+  mentioned.role = MemberRole::kAgent;
+  mentioned.ip = 102;
+  members.Learn(now, mentioned);
+  CHECK_FALSE(members.HasHeardRegisteredAgents());
+  hear(12, 102);
+  CHECK(members.HasHeardRegisteredAgents());
+}
+
 TEST_CASE(
     "the expected response time grows with queue, warm-up and service time") {
   const TimePoint now{Seconds(100)};
--- a/src/forwarding/status_schedule.h
+++ b/src/forwarding/status_schedule.h
@@ -28,12 +28,13 @@
 }
 
 /// Returns the delay before a member that reaches nobody repeats its join
-/// request. It doubles up to 2 s, because the answers, which list all
-/// members, are a heavy load when a large fleet starts at once. Thread-safe.
+/// request. It doubles with every second attempt up to 1.6 s, because the
+/// answers, which list all members, are a heavy load when a large fleet starts
+/// at once. Thread-safe.
 /// @param attempts number of requests sent so far, at least one
 inline Duration JoinRetryDelay(uint32_t attempts) {
-  constexpr uint32_t kMaxDoublings = 3;
-  return Milliseconds(250) * (1 << std::min(attempts - 1, kMaxDoublings));
+  constexpr uint32_t kMaxDoublings = 4;
+  return Milliseconds(100) * (1 << std::min((attempts - 1) / 2, kMaxDoublings));
 }
 
 /// Schedules the statuses that a member sends to all others. Not thread-safe.
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -235,6 +235,9 @@
     EventLine(Severity::kInfo, "server_left")
         .With("id", message->report.id)
         .With("known", known);
+    if (known) {
+      m_fleet_node.LeaveStore();
+    }
     response.status = 200;
     AnnounceStateChange(now);
     return response;
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -19,8 +19,12 @@
 /// for balancers.
 constexpr Duration kStoreDiscoveryDelay = Milliseconds(60);
 /// A balancer registers this long after its start, so that it is ready to serve
-/// by then. Only processes that start later need the registration.
+/// by then. Only processes that start later need the registration. An agent
+/// registers at once, as balancers take the list of agents for complete.
 constexpr Duration kRegistrationDelay = Milliseconds(1500);
+/// A balancer that has just started introduces itself again and again for this
+/// long, because the agents may be starting as well.
+constexpr Duration kIntroductionTime = Seconds(3);
 /// Smaller differences arise because the two clocks are not read at once.
 constexpr Duration kMinReportedSuspension = Milliseconds(200);
 constexpr std::string_view kMetricsPath = "/metrics";
@@ -63,7 +67,10 @@
                       return HandleHttpRequest(request);
                     }),
       m_next_store_discovery(SteadyTime() + kStoreDiscoveryDelay),
-      m_next_registration(SteadyTime() + kRegistrationDelay),
+      m_introductions_end(SteadyTime() + kIntroductionTime),
+      m_next_registration(SteadyTime() + (role == MemberRole::kBalancer
+                                              ? kRegistrationDelay
+                                              : Duration())),
       m_last_suspended_time(SuspendedTime()) {
   SetSeeds(settings.seeds);
 }
@@ -215,14 +222,18 @@
     m_target_reader.OnSuspended();
   }
   m_last_suspended_time = suspended_time;
-  DeregisterForgottenBalancers(now, m_members.OnTick(now));
+  DeregisterForgottenMembers(now, m_members.OnTick(now));
   if (m_status_schedule.IsDue(now)) {
     BroadcastStatus();
   }
   if (now >= m_next_member_request) {
     RequestMembers(now);
   }
-  if (!m_balancer_call_pending && !m_leaving) {
+  if (now < m_introductions_end) {
+    IntroduceToAgents();
+  }
+  if (!m_leaving) {
+    ListAgentsInStore(now);
     DiscoverBalancersInStore(now);
     RegisterInStore(now);
   }
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -59,6 +59,9 @@
   /// that this process is leaving.
   void StartLeaving();
 
+  /// Removes this process from the store, as its host will not be used again.
+  void LeaveStore();
+
   /// Replaces the addresses of the processes to join through. Invalid addresses
   /// and the own one are ignored.
   void SetSeeds(const std::vector<std::string>& seeds);
@@ -99,12 +102,18 @@
   /// Requests member lists from the balancers in the store, if this process has
   /// heard no balancer for some time.
   void DiscoverBalancersInStore(TimePoint now);
-  /// Adds this balancer to the store when that is due.
+  /// Reads once which agents the store lists, so that a balancer that starts
+  /// knows which ones it has yet to hear.
+  void ListAgentsInStore(TimePoint now);
+  /// Sends a status to each registered agent that has not been heard yet. An
+  /// agent answers the first one of a balancer.
+  void IntroduceToAgents();
+  /// Adds this process to the store when that is due.
   void RegisterInStore(TimePoint now);
-  /// Removes balancers that the membership table has forgotten from the store.
+  /// Removes members that the membership table has forgotten from the store.
   /// Only one of the remaining balancers, chosen by hash, does so.
-  void DeregisterForgottenBalancers(TimePoint now,
-                                    const std::vector<FleetMember>& forgotten);
+  void DeregisterForgottenMembers(TimePoint now,
+                                  const std::vector<FleetMember>& forgotten);
   /// Starts the read or watch of the targets that is due, if any.
   void ReadTargets(TimePoint now);
   /// Puts targets in force if they are valid and newer, and broadcasts that.
@@ -136,8 +145,9 @@
   std::unique_ptr<HttpClient> m_target_client;
   uint32_t m_status_sequence = 0;  ///< Sequence number of the last status.
   bool m_leaving = false;          ///< A planned stop has begun.
-  /// A call to the store that lists or changes balancers is in flight.
-  bool m_balancer_call_pending = false;
+  /// A call to the store that lists or changes members is in flight.
+  bool m_member_call_pending = false;
+  bool m_agents_listed = false;      ///< ListAgentsInStore has succeeded.
   bool m_store_unreachable = false;  ///< The last call to the store failed.
   LatencyHistogram m_store_latency;  ///< Of reads, not of watches.
   uint64_t m_store_calls = 0;        ///< Calls to the store since the start.
@@ -146,6 +156,8 @@
   uint32_t m_join_attempts = 0;
   /// When the store may next be asked for balancers.
   TimePoint m_next_store_discovery;
+  TimePoint m_introductions_end;     ///< Until then IntroduceToAgents repeats.
+  TimePoint m_next_agent_list;       ///< When ListAgentsInStore is due.
   TimePoint m_next_registration;     ///< When RegisterInStore is due.
   TimePoint m_balancer_heard_at;     ///< Last status of a balancer.
   Duration m_last_suspended_time{};  ///< SuspendedTime at the last tick.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -14,6 +14,8 @@
 /// while this host was cut off.
 constexpr Duration kRegistrationInterval = Seconds(600);
 constexpr Duration kStoreRetryInterval = Seconds(3);
+/// The same while a process that has just started waits for a list of members.
+constexpr Duration kFailedStoreRetryInterval = Milliseconds(200);
 /// If no balancer was heard for this long, the store is asked for balancers.
 constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
 constexpr Duration kTargetFetchTimeout = Milliseconds(800);
@@ -25,17 +27,22 @@
   const bool needs_discovery =
       m_members.CountReachable(now, MemberRole::kBalancer) == 0 &&
       (never_heard || now - m_balancer_heard_at >= kBalancerSilenceLimit);
-  if (!needs_discovery || now < m_next_store_discovery) {
+  if (!needs_discovery || m_member_call_pending ||
+      now < m_next_store_discovery) {
     return;
   }
-  m_balancer_call_pending = true;
+  m_member_call_pending = true;
   m_next_store_discovery = now + kStoreRetryInterval;
   ++m_store_calls;
-  m_platform->list_balancers(
+  m_platform->list_members(
+      MemberRole::kBalancer,
       [this](StoreResult result, const std::vector<uint32_t>& ips) {
-        m_balancer_call_pending = false;
+        m_member_call_pending = false;
         LogStoreTransition(result, "list_balancers");
         const TimePoint completed_at = SteadyTime();
+        if (m_store_unreachable) {
+          m_next_store_discovery = completed_at + kFailedStoreRetryInterval;
+        }
         proto::PeerStatus status = MakeStatus(completed_at);
         status.set_wants_members(true);
         for (const uint32_t ip : ips) {
@@ -46,25 +53,68 @@
       });
 }
 
-void FleetNode::RegisterInStore(TimePoint now) {
+void FleetNode::ListAgentsInStore(TimePoint now) {
   const bool is_due = m_self.role == MemberRole::kBalancer &&
-                      !m_balancer_call_pending && now >= m_next_registration;
+                      !m_agents_listed && !m_member_call_pending &&
+                      now >= m_next_agent_list;
   if (!is_due) {
     return;
   }
-  m_balancer_call_pending = true;
+  m_member_call_pending = true;
+  m_next_agent_list = now + kFailedStoreRetryInterval;
+  ++m_store_calls;
+  m_platform->list_members(
+      MemberRole::kAgent,
+      [this](StoreResult result, const std::vector<uint32_t>& ips) {
+        m_member_call_pending = false;
+        LogStoreTransition(result, "list_agents");
+        if (result == StoreResult::kOk) {
+          m_agents_listed = true;
+          m_members.SetRegisteredAgents(ips);
+          IntroduceToAgents();
+          EventLine(Severity::kInfo, "agents_listed")
+              .With("registered", ips.size())
+              .With("unheard", m_members.UnheardRegisteredAgents().size());
+        }
+      });
+}
+
+void FleetNode::IntroduceToAgents() {
+  const std::set<uint32_t>& ips = m_members.UnheardRegisteredAgents();
+  if (ips.empty()) {
+    return;
+  }
+  const proto::PeerStatus status = MakeStatus(SteadyTime());
+  for (const uint32_t ip : ips) {
+    SendStatus(ip, status);
+  }
+}
+
+void FleetNode::RegisterInStore(TimePoint now) {
+  if (m_member_call_pending || now < m_next_registration) {
+    return;
+  }
+  m_member_call_pending = true;
   m_next_registration = now + kStoreRetryInterval;
   ++m_store_calls;
-  m_platform->add_balancer(m_self.ip, [this](StoreResult result) {
-    m_balancer_call_pending = false;
+  m_platform->add_member(m_self.role, m_self.ip, [this](StoreResult result) {
+    m_member_call_pending = false;
     if (result == StoreResult::kOk) {
       m_next_registration = SteadyTime() + kRegistrationInterval;
     }
-    LogStoreTransition(result, "add_balancer");
+    LogStoreTransition(result, "add_member");
+  });
+}
+
+void FleetNode::LeaveStore() {
+  m_next_registration = SteadyTime() + kRegistrationInterval;
+  ++m_store_calls;
+  m_platform->remove_member(m_self.role, m_self.ip, [this](StoreResult result) {
+    LogStoreTransition(result, "remove_member");
   });
 }
 
-void FleetNode::DeregisterForgottenBalancers(
+void FleetNode::DeregisterForgottenMembers(
     TimePoint now,
     const std::vector<FleetMember>& forgotten) {
   if (forgotten.empty() || m_self.role != MemberRole::kBalancer) {
@@ -80,16 +130,16 @@
   const bool is_responsible =
       ChooseStoreReaders(balancers, 1).front() == m_self.id;
   for (const FleetMember& member : forgotten) {
-    if (!is_responsible || m_balancer_call_pending ||
-        member.role != MemberRole::kBalancer) {
-      continue;  // A stale entry only costs each new process one datagram.
+    if (!is_responsible || m_member_call_pending) {
+      continue;  // A stale entry costs new processes a datagram or some time.
     }
-    m_balancer_call_pending = true;
+    m_member_call_pending = true;
     ++m_store_calls;
-    m_platform->remove_balancer(member.ip, [this](StoreResult result) {
-      m_balancer_call_pending = false;
-      LogStoreTransition(result, "remove_balancer");
-    });
+    m_platform->remove_member(member.role, member.ip,
+                              [this](StoreResult result) {
+                                m_member_call_pending = false;
+                                LogStoreTransition(result, "remove_member");
+                              });
   }
 }
 
--- a/src/runtime/fleet_node_test.cc
+++ b/src/runtime/fleet_node_test.cc
@@ -17,9 +17,9 @@
   PlatformHooks hooks;
   hooks.fetch_targets = [](const TargetsCallback&) {};
   hooks.watch_targets = [](uint64_t, Duration, const TargetsCallback&) {};
-  hooks.list_balancers = [](const BalancersCallback&) {};
-  hooks.add_balancer = [](uint32_t, const StoreWriteCallback&) {};
-  hooks.remove_balancer = [](uint32_t, const StoreWriteCallback&) {};
+  hooks.list_members = [](MemberRole, const MembersCallback&) {};
+  hooks.add_member = [](MemberRole, uint32_t, const StoreWriteCallback&) {};
+  hooks.remove_member = [](MemberRole, uint32_t, const StoreWriteCallback&) {};
   return hooks;
 }
 
--- a/src/runtime/platform_hooks.h
+++ b/src/runtime/platform_hooks.h
@@ -34,8 +34,9 @@
 using TargetsCallback = std::function<void(StoreResult result,
                                            std::optional<StoredTargets> targets,
                                            uint64_t position)>;
-/// Receives the addresses of the balancers in the store.
-using BalancersCallback =
+/// Receives the addresses of the members of a role in the store. A list that is
+/// too long for one answer of the store has the result kRefused.
+using MembersCallback =
     std::function<void(StoreResult result, std::vector<uint32_t> ips)>;
 /// Receives the result of a write to the store.
 using StoreWriteCallback = std::function<void(StoreResult result)>;
@@ -72,12 +73,14 @@
   /// passed.
   std::function<void(uint64_t position, Duration wait, TargetsCallback done)>
       watch_targets;
-  /// Lists the balancers in the store.
-  std::function<void(BalancersCallback done)> list_balancers;
-  /// Adds a balancer to the store; kOk also if it is already there.
-  std::function<void(uint32_t ip, StoreWriteCallback done)> add_balancer;
-  /// Removes a balancer from the store.
-  std::function<void(uint32_t ip, StoreWriteCallback done)> remove_balancer;
+  /// Lists the members of a role in the store.
+  std::function<void(MemberRole role, MembersCallback done)> list_members;
+  /// Adds a member to the store; kOk also if it is already there.
+  std::function<void(MemberRole role, uint32_t ip, StoreWriteCallback done)>
+      add_member;
+  /// Removes a member from the store.
+  std::function<void(MemberRole role, uint32_t ip, StoreWriteCallback done)>
+      remove_member;
 };
 
 }  // namespace medlargauge
