Feature: New flows wait for a slot, and packets for a decision

Searches went on only with the caller's next packet; they waited for agents whose server was not running, and every discovery started their quiet time anew. Change: opening_queue.h: a new flow that finds all servers full waits, by priority and age, for a free slot; servers that accept flows pull the next ones; who can't be served is refused at once after a second, who stops retransmitting is dropped, and who has waited for half of its limit is reset, with time for another try. held_packets.h: one packet a flow is kept, bounded, until the targets come or the search ends. Searches go on by timer and with each discovered agent. Discovery is complete when all registered agents were heard, or after two status intervals with a quiet one if no balancer knows more members. An agent that left a stopped server holds no flow; an agent that never heard its server probes it when it ignores a search. New flows are admitted up to 75 % of the goal, as the opening itself takes a part.

--- a/lab/lab_engine.h
+++ b/lab/lab_engine.h
@@ -159,6 +159,10 @@
   SimAgent* AgentAt(uint32_t ip);
   SimBalancer* BalancerAt(uint32_t ip);
 
+  /// Returns the packet as the bytes that a balancer stores.
+  static ByteView BytesOf(const SimPacket& packet) {
+    return {reinterpret_cast<const uint8_t*>(&packet), sizeof(packet)};
+  }
   /// Draws whether the next packet is lost.
   bool DrawLoss() {
     return m_loss_probability > 0 &&
--- a/lab/lab_servers.cc
+++ b/lab/lab_servers.cc
@@ -96,11 +96,11 @@
       return;
     }
     balancer->members->OnLoad(Now(), id, load);
-    ApplyDecision(
-        balancer,
-        balancer->director->OnReturned(Now(), id, decision.reason,
-                                       decision.owner, returned.header),
-        returned);
+    ApplyDecision(balancer,
+                  balancer->director->OnReturned(
+                      Now(), id, decision.reason, decision.owner,
+                      returned.header, BytesOf(returned)),
+                  returned);
   });
 }
 
--- a/lab/lab_simulation.cc
+++ b/lab/lab_simulation.cc
@@ -87,6 +87,8 @@
   balancer->routes->Adopt(MakeRouteTable());
   DirectorLimits limits;
   limits.max_busy_returns = m_policy.max_busy_returns;
+  limits.max_opening_wait = m_policy.max_opening_wait;
+  limits.max_held_bytes = m_policy.max_held_bytes;
   balancer->director = std::make_unique<FlowDirector>(
       Now(), DomainId{balancer->domain + 1}, balancer->members.get(),
       balancer->routes.get(), limits, m_policy.placement);
--- a/lab/lab_test.cc
+++ b/lab/lab_test.cc
@@ -70,6 +70,29 @@
   CHECK(present > hash);
 }
 
+TEST_CASE("under overload, flows that wait get slots that others leave") {
+  const Result present = SimulateNamed("overload", 1);
+  const Result no_waiting = SimulateNamed("overload", 1, "no-waiting");
+  CHECK(present.Worth() > no_waiting.Worth());
+  CHECK(present.Total().in_aim >= no_waiting.Total().in_aim);
+}
+
+TEST_CASE("callers that return after a loss of power get answers, not resets") {
+  ClassResult present;
+  ClassResult no_waiting;
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    const auto add = [](const ClassResult& result, ClassResult* sum) {
+      sum->failed += result.failed;
+      sum->earned_worth += result.earned_worth;
+    };
+    add(SimulateNamed("power-off-long", seed).Total(), &present);
+    add(SimulateNamed("power-off-long", seed, "no-waiting").Total(),
+        &no_waiting);
+  }
+  CHECK(present.failed * 3 < no_waiting.failed * 2);
+  CHECK(present.earned_worth > no_waiting.earned_worth);
+}
+
 TEST_CASE("servers that fail requests at once do not attract flows") {
   const Result result = SimulateNamed("failing-servers", 1);
   const ClassResult total = result.Total();
--- a/lab/lab_type.h
+++ b/lab/lab_type.h
@@ -96,6 +96,10 @@
       ForwarderLimits().response_limit_percent;  ///< See ForwarderLimits.
   uint32_t max_busy_returns =
       DirectorLimits().max_busy_returns;  ///< See DirectorLimits.
+  Duration max_opening_wait =
+      DirectorLimits().max_opening_wait;  ///< See DirectorLimits.
+  size_t max_held_bytes =
+      DirectorLimits().max_held_bytes;  ///< See DirectorLimits.
   /// Agents without a free slot return new flows, so that balancers try others.
   bool return_when_busy = true;
 };
--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -78,6 +78,9 @@
   if (m_flows.size() >= m_limits.max_flows && m_flows.count(packet.flow) == 0) {
     return decision;
   }
+  if (!m_report.has_value()) {
+    AwaitServer(now);  // It may not run, as it has sent no heartbeat.
+  }
   Flow& flow = m_flows[packet.flow];
   flow.balancer_ip = balancer_ip;
   if (flow.stage == Stage::kAccepted) {
@@ -146,10 +149,7 @@
   }
   flow.balancer_ip = balancer_ip;
   flow.confirm_opening = true;
-  if (!m_awaiting_server) {
-    m_awaiting_server = true;
-    m_unanswered_since = now;
-  }
+  AwaitServer(now);
   ++m_counters.delivered;
   ForwarderDecision decision;
   decision.kind = ForwarderDecision::Kind::kDeliver;
@@ -380,6 +380,13 @@
   }
 }
 
+void AgentForwarder::AwaitServer(TimePoint now) {
+  if (!m_awaiting_server) {
+    m_awaiting_server = true;
+    m_unanswered_since = now;
+  }
+}
+
 bool AgentForwarder::NeedsServerProbe(TimePoint now) const {
   const bool heartbeat_overdue = m_report.has_value() &&
                                  now - m_report_at > kHeartbeatTimeout &&
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -49,11 +49,12 @@
   /// Lifetime of an idle flow; the longest lifetime of a flow.
   Duration idle = Seconds(60);
   /// A server is unresponsive if it leaves an opening packet unanswered for
-  /// this long and sends nothing else meanwhile.
+  /// this long and sends nothing else meanwhile. Before its first heartbeat,
+  /// the same holds for any packet.
   Duration server_response_timeout = Milliseconds(70);
   /// A new flow is refused if its expected response time exceeds this
   /// percentage of the response limit.
-  uint32_t response_limit_percent = 100;
+  uint32_t response_limit_percent = 75;
 
   /// How long the load at which the server refused a request is remembered as
   /// its limit.
@@ -224,8 +225,9 @@
   void RecordResponse(TimePoint now, AnswerKind answer, Flow* flow);
   /// Returns the failure rate, 0 to 1, decayed to the given time.
   double FailureRate(TimePoint now) const;
-  /// Returns whether the server has left an opening packet unanswered for too
-  /// long.
+  /// Expects the server to send something soon.
+  void AwaitServer(TimePoint now);
+  /// Returns whether the server has left a packet unanswered for too long.
   bool IsServerUnresponsive(TimePoint now) const;
   /// Returns a decision to return the packet, and counts it by reason.
   ForwarderDecision Return(uint32_t balancer_ip, ReturnReason reason);
@@ -239,7 +241,7 @@
   std::string m_departed_id;         ///< Id of the last deregistered server.
   TimePoint m_report_at;             ///< Arrival of m_report.
   TimePoint m_server_seen_at;        ///< Last packet or heartbeat.
-  TimePoint m_unanswered_since;      ///< Oldest unanswered opening packet.
+  TimePoint m_unanswered_since;      ///< Oldest unanswered packet.
   bool m_awaiting_server = false;    ///< m_unanswered_since is valid.
   bool m_down = false;               ///< Nothing listens at m_address.
   bool m_leaving = false;            ///< This agent is stopping.
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -414,6 +414,24 @@
   CHECK(fixture.forwarder.State(fixture.now) == AgentState::kReady);
 }
 
+TEST_CASE("a server that was never heard is probed if it ignores a search") {
+  TimePoint now{Seconds(100)};
+  AgentForwarder forwarder("stock", kServer, ForwarderLimits());
+  ForwardHeader header;
+  header.service = ServiceIdOf("stock");
+  header.search = true;
+  const FlowPacket packet = MakePacket(1, false, 50);
+  CHECK(forwarder.OnForwarded(now, kBalancer, header, packet).kind ==
+        ForwarderDecision::Kind::kDeliver);
+  CHECK_FALSE(forwarder.NeedsServerProbe(now));
+  now += Milliseconds(100);
+  CHECK(forwarder.NeedsServerProbe(now));
+  forwarder.OnServerDown(now);  // The probe found that nothing listens.
+  CHECK(forwarder.State(now) == AgentState::kGone);
+  CHECK(forwarder.OnForwarded(now, kBalancer, header, packet).reason ==
+        ReturnReason::kServerDown);
+}
+
 TEST_CASE("a pointer is used only while a flow is searched") {
   ForwarderFixture fixture;
   fixture.forwarder.OnPointer(fixture.now, MakePacket(1, false).flow,
--- a/src/forwarding/director_fixture.h
+++ b/src/forwarding/director_fixture.h
@@ -103,18 +103,22 @@
     ReceiveStatus(20, "media");
   }
 
+  /// Returns the bytes of every packet.
+  ByteView Raw() const {
+    return {reinterpret_cast<const uint8_t*>(raw.data()), raw.size()};
+  }
+
   /// Sends a packet of a caller to the balancer.
   DirectorDecision Send(const FlowPacket& packet) {
-    return director.OnCallerPacket(
-        now, packet,
-        {reinterpret_cast<const uint8_t*>(raw.data()), raw.size()});
+    return director.OnCallerPacket(now, packet, Raw());
   }
 
   /// Returns a forwarded packet from its agent to the balancer.
   DirectorDecision Return(const DirectorDecision& sent,
                           ReturnReason reason,
                           const FlowPacket& packet) {
-    return director.OnReturned(now, sent.agent, reason, MemberId(), packet);
+    return director.OnReturned(now, sent.agent, reason, MemberId(), packet,
+                               Raw());
   }
 };
 
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -6,15 +6,6 @@
 #include "src/forwarding/member_list.h"
 
 namespace medlargauge {
-namespace {
-
-constexpr Duration kSweepInterval = Seconds(1);
-/// An agent that did not confirm an opening packet is avoided until it is heard
-/// again, but at most for this time or two of its status intervals.
-constexpr Duration kAvoidTime = Milliseconds(600);
-
-}  // namespace
-
 FlowDirector::FlowDirector(TimePoint now,
                            DomainId domain,
                            MembershipTable* members,
@@ -26,24 +17,29 @@
       m_members(members),
       m_routes(routes),
       m_limits(limits),
-      m_policy(std::move(policy)) {}
+      m_policy(std::move(policy)),
+      m_unrouted_packets(limits.max_held_bytes),
+      m_search_packets(limits.max_held_bytes) {}
 
 DirectorDecision FlowDirector::OnCallerPacket(TimePoint now,
                                               const FlowPacket& packet,
                                               ByteView raw) {
   const ServiceRoute* route = m_routes->Find(packet.flow.route);
   if (route == nullptr) {
-    return OnUnroutedPacket(packet);
+    return OnUnroutedPacket(now, packet, raw);
   }
-  return packet.syn ? OnOpeningPacket(now, *route, packet, raw)
-                    : OnLaterPacket(now, *route, packet);
+  return packet.syn ? OnOpeningPacket(now, now, *route, packet, raw)
+                    : OnLaterPacket(now, *route, packet, raw);
 }
 
-DirectorDecision FlowDirector::OnUnroutedPacket(const FlowPacket& packet) {
-  m_flows.erase(packet.flow);
-  // Before the first targets a route may still appear, so that a retransmission
-  // can be served.
+DirectorDecision FlowDirector::OnUnroutedPacket(TimePoint now,
+                                                const FlowPacket& packet,
+                                                ByteView raw) {
+  RemoveFlow(packet.flow);
   const bool has_targets = m_routes->Revision() != 0;
+  if (!has_targets && HoldUnrouted(now, packet, raw)) {
+    return Reject(DirectorDecision::Kind::kHold, ErrorKind::kUnknownAddress);
+  }
   const bool route_removed = m_routes->HadRoute(packet.flow.route);
   const bool must_reset =
       has_targets && !packet.rst && (packet.syn || route_removed);
@@ -53,6 +49,7 @@
 }
 
 DirectorDecision FlowDirector::OnOpeningPacket(TimePoint now,
+                                               TimePoint arrived,
                                                const ServiceRoute& route,
                                                const FlowPacket& packet,
                                                ByteView raw) {
@@ -60,22 +57,28 @@
   const bool is_retransmission =
       found != m_flows.end() && found->second.syn_sequence == packet.sequence &&
       found->second.phase != Phase::kSearching;
+  if (is_retransmission) {
+    found->second.copy_deadline = CopyDeadline(arrived, packet);
+  }
+  if (is_retransmission && !found->second.agent.IsSet()) {
+    return Reject(DirectorDecision::Kind::kHold, ErrorKind::kOverloaded);
+  }
   if (is_retransmission) {
     // The agent has the packet, or the retry timer will choose another one.
     return Forward(route, found->second);
   }
-  if (found != m_flows.end()) {
-    m_flows.erase(found);
-  }
+  RemoveFlow(packet.flow);
   if (m_flows.size() >= m_limits.max_flows) {
     return Reject(DirectorDecision::Kind::kReset, ErrorKind::kOverloaded);
   }
   Flow flow;
   flow.syn_sequence = packet.sequence;
   flow.syn.assign(reinterpret_cast<const char*>(raw.data()), raw.size());
+  flow.copy_deadline = CopyDeadline(arrived, packet);
+  flow.wait_deadline = OpeningDeadline(arrived, route.timeout_ms, packet);
   flow.expires = now + m_limits.opening;
   const DirectorDecision decision = PlaceFlow(now, route, packet.flow, &flow);
-  if (decision.kind == DirectorDecision::Kind::kForward) {
+  if (decision.kind != DirectorDecision::Kind::kReset) {
     ++m_counters.opened;
     m_flows[packet.flow] = std::move(flow);
   }
@@ -92,6 +95,11 @@
       Candidates(now, service, flow->tried);
   const bool busy_limit_reached =
       flow->busy.size() >= m_limits.max_busy_returns;
+  if (flow->is_queued && flow->found_full) {
+    // A flow that has waited is late already. It gets a free slot, but no place
+    // in a queue before new ones, which can still be answered in time.
+    return QueueFlow(now, route, key, flow);
+  }
   if (candidates.empty() || busy_limit_reached) {
     // No agent has a free slot: choose the shortest queue among the agents that
     // returned the packet as busy.
@@ -109,15 +117,13 @@
     }
   }
   const std::optional<size_t> chosen = m_policy(now, hash, candidates);
+  flow->service = service;
   if (!chosen.has_value()) {
-    return Reject(DirectorDecision::Kind::kReset, flow->busy.empty()
-                                                      ? ErrorKind::kNoAgent
-                                                      : ErrorKind::kOverloaded);
+    return QueueFlow(now, route, key, flow);
   }
   const bool is_only_candidate = candidates.size() == 1 && flow->busy.empty();
   flow->last_candidate = flow->last_candidate || is_only_candidate;
   flow->agent = candidates[*chosen].id;
-  flow->service = service;
   flow->answer_deadline = now + m_limits.opening_retry_delay;
   m_opening_deadlines.emplace_back(flow->answer_deadline, key);
   ++m_members->Find(flow->agent)->pending;
@@ -153,11 +159,12 @@
 
 DirectorDecision FlowDirector::OnLaterPacket(TimePoint now,
                                              const ServiceRoute& route,
-                                             const FlowPacket& packet) {
+                                             const FlowPacket& packet,
+                                             ByteView raw) {
   const auto [found, is_new] = m_flows.try_emplace(packet.flow);
   Flow& flow = found->second;
   if (is_new && packet.rst) {
-    m_flows.erase(found);
+    RemoveFlow(packet.flow);
     return Reject(DirectorDecision::Kind::kDrop, ErrorKind::kFlowUnknown);
   }
   const bool is_closing = packet.fin || packet.rst;
@@ -165,19 +172,21 @@
   if (is_new) {
     flow.phase = Phase::kSearching;
     ++m_counters.searches;
+    HoldForSearch(now, packet, raw);
     return ContinueSearch(now, packet.flow, &flow);
   }
   if (flow.phase == Phase::kOpening) {
     // The caller got an answer, but it is unknown which server accepted the
     // flow.
-    BeginSearch(&flow);
+    BeginSearch(packet.flow, &flow);
   }
   const MemberEntry* owner = m_members->Find(flow.agent);
   const bool owner_dead =
-      owner == nullptr || m_members->IsPresumedDead(now, *owner);
+      owner == nullptr || m_members->IsPresumedDead(now, *owner) ||
+      m_members->HasLeftStopped(now, *owner);
   if (flow.phase == Phase::kSearching) {
-    const bool timed_out = now - flow.asked_at >= m_limits.search_timeout;
-    if (timed_out || owner_dead) {
+    HoldForSearch(now, packet, raw);
+    if (owner_dead || now >= SearchDeadline(flow)) {
       detail::AddOnce(&flow.unresponsive, flow.agent);
       return ContinueSearch(now, packet.flow, &flow);
     }
@@ -188,7 +197,7 @@
       owner_dead || (route.repeatable && m_members->IsSuspected(now, *owner));
   if (retry_elsewhere &&
       m_members->CountReachable(now, MemberRole::kAgent) > 0) {
-    m_flows.erase(found);
+    RemoveFlow(packet.flow);
     return Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
   }
   return Forward(route, flow);
@@ -198,10 +207,11 @@
                                           MemberId from,
                                           ReturnReason reason,
                                           MemberId owner,
-                                          const FlowPacket& packet) {
+                                          const FlowPacket& packet,
+                                          ByteView raw) {
   const ServiceRoute* route = m_routes->Find(packet.flow.route);
   if (route == nullptr) {
-    return OnUnroutedPacket(packet);
+    return OnUnroutedPacket(now, packet, raw);
   }
   const auto found = m_flows.find(packet.flow);
   if (found == m_flows.end()) {
@@ -210,18 +220,19 @@
   }
   Flow& flow = found->second;
   if (packet.syn) {
-    const bool is_current_opening =
-        flow.phase == Phase::kOpening && flow.syn_sequence == packet.sequence;
+    const bool is_current_opening = flow.phase == Phase::kOpening &&
+                                    flow.syn_sequence == packet.sequence &&
+                                    flow.agent.IsSet();
     return is_current_opening
                ? OnReturnedOpening(now, *route, from, reason, found)
                : Reject(DirectorDecision::Kind::kDrop, ErrorKind::kNone);
   }
   if (packet.rst) {
-    m_flows.erase(found);
+    RemoveFlow(packet.flow);
     return Reject(DirectorDecision::Kind::kDrop, ErrorKind::kFlowUnknown);
   }
   if (flow.phase != Phase::kSearching && flow.agent == from) {
-    BeginSearch(&flow);
+    BeginSearch(packet.flow, &flow);
   }
   if (reason == ReturnReason::kMoved) {
     const bool follow_pointer = m_members->Find(owner) != nullptr &&
@@ -251,6 +262,8 @@
   const FlowKey key = found->first;
   const bool from_current_agent = flow.agent == from;
   detail::AddOnce(&flow.tried, from);
+  flow.found_full = flow.found_full || reason == ReturnReason::kBusy ||
+                    reason == ReturnReason::kFull;
   if (reason == ReturnReason::kBusy) {
     ++m_counters.busy_returns;
     detail::AddOnce(&flow.busy, from);
@@ -262,11 +275,11 @@
     return Reject(DirectorDecision::Kind::kDrop, ErrorKind::kNone);
   }
   const bool too_late = reason == ReturnReason::kFull && flow.last_candidate;
-  const DirectorDecision decision =
-      too_late ? Reject(DirectorDecision::Kind::kReset, ErrorKind::kOverloaded)
-               : PlaceFlow(now, route, key, &flow);
+  const DirectorDecision decision = too_late
+                                        ? QueueFlow(now, route, key, &flow)
+                                        : PlaceFlow(now, route, key, &flow);
   if (decision.kind == DirectorDecision::Kind::kReset) {
-    m_flows.erase(key);
+    RemoveFlow(key);
   }
   return decision;
 }
@@ -280,6 +293,10 @@
     return;
   }
   Flow& flow = found->second;
+  if (flow.phase == Phase::kOpening) {
+    m_opening_queues[flow.service].OnAccepted(now, key);
+    flow.is_queued = false;
+  }
   detail::AddOnce(&flow.likely_owners, from);
   // A server retransmits its SYN-ACK even if the caller has accepted the one of
   // another server, so an unproven confirmation is ignored during a search.
@@ -292,52 +309,10 @@
     flow.syn = std::string();
     flow.owner_since = now;
     flow.expires = now + IdleTimeout();
+    m_search_packets.Erase(key);
   }
 }
 
-std::vector<OpeningResend> FlowDirector::OnTick(TimePoint now) {
-  std::vector<OpeningResend> resends;
-  while (!m_opening_deadlines.empty() &&
-         m_opening_deadlines.front().first <= now) {
-    const auto [deadline, key] = m_opening_deadlines.front();
-    m_opening_deadlines.pop_front();
-    const auto found = m_flows.find(key);
-    const bool is_due = found != m_flows.end() &&
-                        found->second.phase == Phase::kOpening &&
-                        found->second.answer_deadline == deadline;
-    const ServiceRoute* route = m_routes->Find(key.route);
-    if (!is_due || route == nullptr ||
-        found->second.opening_retries >= m_limits.max_opening_retries) {
-      continue;
-    }
-    Flow& flow = found->second;
-    ++flow.opening_retries;
-    ++m_counters.late_openings;
-    detail::AddOnce(&flow.tried, flow.agent);
-    MemberEntry* unconfirmed_agent = m_members->Find(flow.agent);
-    if (unconfirmed_agent != nullptr) {
-      unconfirmed_agent->avoid_until =
-          now + std::max(kAvoidTime, 2 * MembershipTable::StatusIntervalOf(
-                                             *unconfirmed_agent));
-    }
-    OpeningResend resend{key, flow.syn, PlaceFlow(now, *route, key, &flow)};
-    if (resend.decision.kind == DirectorDecision::Kind::kForward) {
-      resends.push_back(std::move(resend));
-    }
-  }
-  if (now >= m_sweep_deadline) {
-    m_sweep_deadline = now + kSweepInterval;
-    SweepFlows(now);
-  }
-  return resends;
-}
-
-std::optional<TimePoint> FlowDirector::NextDeadline() const {
-  return m_opening_deadlines.empty()
-             ? std::nullopt
-             : std::make_optional(m_opening_deadlines.front().first);
-}
-
 bool FlowDirector::CanServe(TimePoint now) const {
   const bool is_isolated =
       now - m_members->LastContact() > m_limits.isolation_timeout;
@@ -385,18 +360,36 @@
                                 : Milliseconds(target_timeout_ms) + Seconds(1);
 }
 
+void FlowDirector::RemoveFlow(const FlowKey& key) {
+  const auto found = m_flows.find(key);
+  if (found != m_flows.end()) {
+    if (found->second.is_queued) {
+      m_opening_queues[found->second.service].Erase(key);
+    }
+    m_flows.erase(found);
+  }
+  m_search_packets.Erase(key);
+}
+
 void FlowDirector::SweepFlows(TimePoint now) {
-  for (auto it = m_flows.begin(); it != m_flows.end();) {
-    Flow& flow = it->second;
+  std::vector<FlowKey> expired;
+  for (auto& [key, flow] : m_flows) {
     const bool needs_pointer =
         flow.phase == Phase::kOwnerKnown && !flow.pointer_handled &&
         now - flow.owner_since >= m_limits.pointer_min_age &&
         flow.expires - now > m_limits.closing;
     if (needs_pointer) {
-      QueuePointer(now, it->first, &flow);
+      QueuePointer(now, key, &flow);
     }
-    it = it->second.expires <= now ? m_flows.erase(it) : std::next(it);
+    if (flow.expires <= now) {
+      expired.push_back(key);
+    }
+  }
+  for (const FlowKey& key : expired) {
+    RemoveFlow(key);
   }
+  m_unrouted_packets.EraseExpired(now);
+  m_search_packets.EraseExpired(now);
 }
 
 }  // namespace medlargauge
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -9,13 +9,16 @@
 
 #include <array>
 #include <deque>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "src/core/error_type.h"
 #include "src/forwarding/active_routes.h"
+#include "src/forwarding/held_packets.h"
 #include "src/forwarding/membership_table.h"
+#include "src/forwarding/opening_queue.h"
 #include "src/forwarding/placement.h"
 
 namespace medlargauge {
@@ -49,22 +52,30 @@
   /// Limit of how often an unconfirmed opening packet is sent to another agent.
   uint32_t max_opening_retries = 3;
   size_t max_flows = 200000;  ///< Table entries of about 120 bytes each.
+  /// A new flow that waits for a server is reset after this time, counted from
+  /// its first opening packet; its caller gives up after 1.4 s.
+  Duration max_opening_wait = Milliseconds(1200);
+  /// A packet of a flow whose owner is unknown is kept for at most this long.
+  Duration max_packet_hold = Seconds(2);
+  size_t max_held_bytes = 4'000'000;  ///< Limit of each buffer of packets.
 };
 
 /// What to do with a packet.
 struct DirectorDecision {
-  enum class Kind : uint8_t { kDrop, kForward, kReset };
+  /// kHold: the director keeps the packet; OnTick decides about it later.
+  enum class Kind : uint8_t { kDrop, kForward, kReset, kHold };
   Kind kind = Kind::kDrop;             ///< Action.
   MemberId agent;                      ///< kForward: destination.
   ForwardHeader header;                ///< kForward: header to send with it.
-  ErrorKind error = ErrorKind::kNone;  ///< kDrop, kReset: reason.
+  ErrorKind error = ErrorKind::kNone;  ///< Other kinds: reason.
 };
 
-/// A stored opening packet that is sent again, to another agent.
-struct OpeningResend {
-  FlowKey flow;               ///< Flow that the packet opens.
-  std::string packet;         ///< Bytes as received from the caller.
-  DirectorDecision decision;  ///< Forwards to another agent.
+/// What to do with a packet that the director stored when it arrived.
+struct DeferredDecision {
+  FlowPacket packet;          ///< Parsed header.
+  std::string raw;            ///< Bytes as received from the caller.
+  DirectorDecision decision;  ///< Forwards, drops or resets.
+  bool unanswered = false;    ///< An agent did not confirm the packet in time.
 };
 
 /// Forwarding pointer: tells the home agent of a flow, which a search asks
@@ -83,6 +94,8 @@
   uint64_t search_steps = 0;   ///< Agents asked in searches.
   uint64_t late_openings = 0;  ///< Unconfirmed opening packets sent again.
   uint64_t busy_returns = 0;   ///< Opening packets returned by busy agents.
+  uint64_t queued = 0;         ///< New flows that had to wait for a server.
+  uint64_t held = 0;           ///< Other packets that had to wait.
   std::array<uint64_t, kErrorKindCount> rejected{};  ///< By ErrorKind.
 };
 
@@ -110,11 +123,13 @@
   /// Decides what to do with a packet that an agent returned.
   /// @param from agent that returned the packet
   /// @param owner agent that owns the flow, if `reason` is kMoved
+  /// @param raw bytes of the packet, copied if it has to wait
   DirectorDecision OnReturned(TimePoint now,
                               MemberId from,
                               ReturnReason reason,
                               MemberId owner,
-                              const FlowPacket& packet);
+                              const FlowPacket& packet,
+                              ByteView raw);
 
   /// Records that the backend server of an agent has accepted a flow.
   /// @param proven whether the caller is known to have accepted that server
@@ -124,9 +139,10 @@
                        const FlowKey& flow,
                        bool proven);
 
-  /// Runs timers. Call at least every 20 ms while flows are opening.
-  /// @return opening packets to send to another agent
-  std::vector<OpeningResend> OnTick(TimePoint now);
+  /// Runs timers. Call at least every 20 ms while flows are opening or packets
+  /// are held.
+  /// @return decisions about stored packets
+  std::vector<DeferredDecision> OnTick(TimePoint now);
 
   /// Returns and clears the queued pointers. Short-lived flows get none.
   std::vector<OwnerPointer> TakePointers();
@@ -135,9 +151,8 @@
   /// stops.
   void QueueAllPointers(TimePoint now);
 
-  /// Returns the earliest deadline of an opening flow; nullopt if there is
-  /// none.
-  std::optional<TimePoint> NextDeadline() const;
+  /// Returns when OnTick has to run next; nullopt if no packet is stored.
+  std::optional<TimePoint> NextDeadline(TimePoint now) const;
 
   /// Returns whether this balancer has targets, is not isolated and reaches an
   /// agent, so that it may get new flows.
@@ -147,6 +162,8 @@
   const DirectorCounters& Counters() const { return m_counters; }
   /// Returns the number of entries in the flow table.
   size_t FlowCount() const { return m_flows.size(); }
+  /// Returns the number of packets that wait for a decision.
+  size_t HeldCount() const;
 
  private:
   /// kOpening: waits for an agent to confirm the flow; kOwnerKnown: packets go
@@ -159,7 +176,13 @@
     bool use_pointer = true;       ///< Search: no pointer was followed yet.
     bool pointer_handled = false;  ///< A pointer is queued or not needed.
     bool last_candidate = false;   ///< See ForwardHeader::last_candidate.
-    uint8_t opening_retries = 0;   ///< Opening packets left unconfirmed.
+    bool found_full = false;       ///< Opening: an agent had no room for it.
+    /// Opening: in the queue of its service; waits there while `agent` is
+    /// unset.
+    bool is_queued = false;
+    uint8_t silent_rounds =
+        0;  ///< Search: times that only silent ones remained.
+    uint8_t opening_retries = 0;  ///< Opening packets left unconfirmed.
     /// Sequence number of the SYN; a SYN with another one opens a new flow.
     uint32_t syn_sequence = 0;
     MemberId agent;     ///< Destination of packets.
@@ -173,21 +196,29 @@
     TimePoint owner_since;                ///< When the owner became known.
     std::string syn;            ///< Opening packet, until the owner is known.
     TimePoint answer_deadline;  ///< Opening: when to try another agent.
-    TimePoint expires;          ///< When the entry is removed.
+    TimePoint wait_deadline;    ///< Opening: when to give up waiting.
+    /// Opening: when the caller has given up if it has not sent the opening
+    /// packet again by then; zero: it sends it no more.
+    TimePoint copy_deadline;
+    TimePoint expires;  ///< When the entry is removed.
   };
   using FlowMap = std::unordered_map<FlowKey, Flow, FlowKeyHash>;
 
   /// Handles a packet to an address that has no route.
-  DirectorDecision OnUnroutedPacket(const FlowPacket& packet);
-  /// Handles a SYN.
+  DirectorDecision OnUnroutedPacket(TimePoint now,
+                                    const FlowPacket& packet,
+                                    ByteView raw);
+  /// Handles a SYN. @param arrived when the balancer received it
   DirectorDecision OnOpeningPacket(TimePoint now,
+                                   TimePoint arrived,
                                    const ServiceRoute& route,
                                    const FlowPacket& packet,
                                    ByteView raw);
   /// Handles a packet other than a SYN.
   DirectorDecision OnLaterPacket(TimePoint now,
                                  const ServiceRoute& route,
-                                 const FlowPacket& packet);
+                                 const FlowPacket& packet,
+                                 ByteView raw);
   /// Handles a SYN that an agent returned.
   DirectorDecision OnReturnedOpening(TimePoint now,
                                      const ServiceRoute& route,
@@ -201,7 +232,9 @@
                              const FlowKey& key,
                              Flow* flow);
   /// Puts a flow into phase kSearching, because its owner is unknown.
-  void BeginSearch(Flow* flow);
+  void BeginSearch(const FlowKey& key, Flow* flow);
+  /// Returns when the agent that the search asks now counts as silent.
+  TimePoint SearchDeadline(const Flow& flow) const;
   /// Makes `agent` the one that the search asks now.
   void SetSearchTarget(TimePoint now, MemberId agent, Flow* flow);
   /// Forwards to the next agent of the search, or ends the search.
@@ -219,7 +252,39 @@
       const std::vector<MemberId>& excluded) const;
   /// Returns a decision to forward to the agent of the flow, and counts it.
   DirectorDecision Forward(const ServiceRoute& route, const Flow& flow);
-  /// Returns a decision to drop or reset, and counts it by error.
+  /// Lets a new flow that no server takes now wait, or rejects it.
+  DirectorDecision QueueFlow(TimePoint now,
+                             const ServiceRoute& route,
+                             const FlowKey& key,
+                             Flow* flow);
+  /// Returns when to give up a new flow that waits for a server. The caller
+  /// keeps time for another try. @param arrived arrival of its opening packet
+  TimePoint OpeningDeadline(TimePoint arrived,
+                            uint32_t timeout_ms,
+                            const FlowPacket& packet) const;
+  /// Returns when the next copy of an opening packet is overdue; zero if it was
+  /// the last one. @param arrived arrival of the packet
+  static TimePoint CopyDeadline(TimePoint arrived, const FlowPacket& packet);
+  /// Keeps a packet that came before the first targets, if it may be of use.
+  bool HoldUnrouted(TimePoint now, const FlowPacket& packet, ByteView raw);
+  /// Keeps a packet that carries data while the owner of its flow is searched.
+  void HoldForSearch(TimePoint now, const FlowPacket& packet, ByteView raw);
+  /// Returns whether every agent that may hold flows is known by now.
+  bool IsDiscoveryComplete(TimePoint now) const;
+  /// Removes a flow with all that is stored for it.
+  void RemoveFlow(const FlowKey& key);
+  // Parts of OnTick; each appends to `decisions`.
+  void ResendUnansweredOpenings(TimePoint now,
+                                std::vector<DeferredDecision>* decisions);
+  void RejectExpiredFlows(TimePoint now,
+                          std::vector<DeferredDecision>* decisions);
+  void ReleaseQueuedFlows(TimePoint now,
+                          std::vector<DeferredDecision>* decisions);
+  void RouteHeldPackets(TimePoint now,
+                        std::vector<DeferredDecision>* decisions);
+  void ContinueSearches(TimePoint now,
+                        std::vector<DeferredDecision>* decisions);
+  /// Returns a decision to drop, hold or reset, and counts it by error.
   DirectorDecision Reject(DirectorDecision::Kind kind, ErrorKind error);
   /// Returns the lifetime of an idle flow.
   Duration IdleTimeout() const;
@@ -237,9 +302,15 @@
   FlowMap m_flows;               ///< Flow table.
   /// Deadlines of opening flows, earliest first.
   std::deque<std::pair<TimePoint, FlowKey>> m_opening_deadlines;
-  std::vector<OwnerPointer> m_pointers;  ///< Queued for TakePointers.
-  TimePoint m_sweep_deadline;            ///< Next run of SweepFlows.
-  DirectorCounters m_counters;           ///< See Counters.
+  std::map<ServiceId, OpeningQueue> m_opening_queues;  ///< By service.
+  HeldPackets m_unrouted_packets;  ///< Received before the first targets.
+  HeldPackets m_search_packets;    ///< Of flows in phase kSearching.
+  TimePoint m_next_hold_check;     ///< When waiting packets are next checked.
+  TimePoint m_discovery_seen;      ///< Last discovery that searches considered.
+  bool m_discovery_was_complete = false;  ///< At the last ContinueSearches.
+  std::vector<OwnerPointer> m_pointers;   ///< Queued for TakePointers.
+  TimePoint m_sweep_deadline;             ///< Next run of SweepFlows.
+  DirectorCounters m_counters;            ///< See Counters.
 };
 
 }  // namespace medlargauge
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -5,10 +5,15 @@
 
 #include "src/forwarding/flow_director.h"
 #include "src/forwarding/member_list.h"
+#include "src/forwarding/status_schedule.h"
 
 namespace medlargauge {
 
-void FlowDirector::BeginSearch(Flow* flow) {
+void FlowDirector::BeginSearch(const FlowKey& key, Flow* flow) {
+  if (flow->is_queued) {
+    m_opening_queues[flow->service].Erase(key);
+    flow->is_queued = false;
+  }
   for (const MemberId asked : flow->tried) {
     detail::AddOnce(&flow->likely_owners, asked);
   }
@@ -37,29 +42,48 @@
     // Only agents that timed out are left. One of them may own the flow, so
     // they are asked again.
     flow->unresponsive.clear();
+    flow->silent_rounds = std::min<uint8_t>(flow->silent_rounds + 1, 3);
     next = NextSearchCandidate(now, key, *flow);
   }
   if (next.has_value()) {
     SetSearchTarget(now, *next, flow);
     return Forward(*m_routes->Find(key.route), *flow);
   }
-  // A balancer that started recently, or that keeps discovering agents, may not
-  // know the owner yet.
-  const bool discovery_complete =
-      now - m_started_at >= m_limits.startup_discovery_time &&
-      now - m_members->LastAgentDiscovery() >= m_limits.discovery_quiet_time &&
-      m_members->CountReachable(now, MemberRole::kAgent) > 0;
-  if (!discovery_complete) {
+  if (!IsDiscoveryComplete(now)) {
     // Flows never move, so the agents that returned the packet stay excluded
     // when the search continues.
     flow->agent = MemberId();
-    return Reject(DirectorDecision::Kind::kDrop, ErrorKind::kMaybeElsewhere);
+    const bool is_held = m_search_packets.Find(key) != nullptr;
+    return Reject(
+        is_held ? DirectorDecision::Kind::kHold : DirectorDecision::Kind::kDrop,
+        ErrorKind::kMaybeElsewhere);
   }
   // Every server that could hold the flow has denied it.
-  m_flows.erase(key);
+  RemoveFlow(key);
   return Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
 }
 
+bool FlowDirector::IsDiscoveryComplete(TimePoint now) const {
+  if (m_members->CountReachable(now, MemberRole::kAgent) == 0) {
+    return false;
+  }
+  const Duration uptime = now - m_started_at;
+  const Duration quiet_time = now - m_members->LastAgentDiscovery();
+  if (uptime >= m_limits.startup_discovery_time &&
+      quiet_time >= m_limits.discovery_quiet_time) {
+    return true;
+  }
+  if (m_members->HasHeardRegisteredAgents()) {
+    return true;
+  }
+  // Agents that remember this balancer have sent it a status within an
+  // interval. Others have restarted, and join through any balancer.
+  const Duration interval =
+      StatusInterval(MemberRole::kAgent, m_members->Entries().size());
+  return uptime >= 2 * interval && quiet_time >= interval &&
+         m_members->Entries().size() >= m_members->LargestReportedSize(now);
+}
+
 std::optional<MemberId> FlowDirector::NextSearchCandidate(
     TimePoint now,
     const FlowKey& key,
@@ -76,7 +100,8 @@
                       service == services.end() ||
                       detail::Contains(flow.tried, id) ||
                       detail::Contains(flow.unresponsive, id) ||
-                      m_members->IsPresumedDead(now, entry);
+                      m_members->IsPresumedDead(now, entry) ||
+                      m_members->HasLeftStopped(now, entry);
     if (skip) {
       continue;
     }
--- /dev/null
+++ b/src/forwarding/flow_waiting.cc
@@ -0,0 +1,282 @@
+// @file flow_waiting.cc Decisions that FlowDirector takes later: about new
+// flows that no server takes yet, and packets whose route or owner is unknown.
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "src/forwarding/flow_director.h"
+#include "src/forwarding/member_list.h"
+
+namespace medlargauge {
+namespace {
+
+/// An agent that did not confirm an opening packet is avoided until it is heard
+/// again, but at most for this time or two of its status intervals.
+constexpr Duration kAvoidTime = Milliseconds(600);
+constexpr Duration kSweepInterval = Seconds(1);
+/// Interval of OnTick while packets are held.
+constexpr Duration kHoldPollInterval = Milliseconds(20);
+/// Time from the first transmission of a SYN to each of its transmissions.
+constexpr std::array<Duration, 3> kSynTransmissions = {
+    Milliseconds(0), Milliseconds(200), Milliseconds(600)};
+
+/// Delay allowed for a copy of an opening packet.
+constexpr Duration kCopyDelay = Milliseconds(100);
+
+/// Returns a SYN without data.
+FlowPacket MakeSyn(const FlowKey& flow, uint32_t sequence) {
+  FlowPacket packet;
+  packet.flow = flow;
+  packet.syn = true;
+  packet.sequence = sequence;
+  return packet;
+}
+
+}  // namespace
+
+TimePoint FlowDirector::OpeningDeadline(TimePoint arrived,
+                                        uint32_t timeout_ms,
+                                        const FlowPacket& packet) const {
+  const size_t transmission =
+      std::min<size_t>(packet.acknowledged, kSynTransmissions.size() - 1);
+  const Duration wait = timeout_ms == 0
+                            ? m_limits.max_opening_wait
+                            : std::min<Duration>(m_limits.max_opening_wait,
+                                                 Milliseconds(timeout_ms) / 2);
+  return arrived - kSynTransmissions[transmission] + wait;
+}
+
+TimePoint FlowDirector::CopyDeadline(TimePoint arrived,
+                                     const FlowPacket& packet) {
+  const size_t next = static_cast<size_t>(packet.acknowledged) + 1;
+  return next >= kSynTransmissions.size()
+             ? TimePoint()
+             : arrived + kSynTransmissions[next] - kSynTransmissions[next - 1] +
+                   kCopyDelay;
+}
+
+bool FlowDirector::HoldUnrouted(TimePoint now,
+                                const FlowPacket& packet,
+                                ByteView raw) {
+  const bool is_request = packet.data_length > 0 && !packet.rst;
+  if (!packet.syn && !is_request) {
+    return false;
+  }
+  const TimePoint expires = packet.syn ? OpeningDeadline(now, 0, packet)
+                                       : now + m_limits.max_packet_hold;
+  const bool held = m_unrouted_packets.Hold(now, packet, raw, expires);
+  m_counters.held += held ? 1 : 0;
+  return held;
+}
+
+void FlowDirector::HoldForSearch(TimePoint now,
+                                 const FlowPacket& packet,
+                                 ByteView raw) {
+  const bool is_request = packet.data_length > 0 && !packet.rst;
+  if (is_request &&
+      m_search_packets.Hold(now, packet, raw, now + m_limits.max_packet_hold)) {
+    ++m_counters.held;
+  }
+}
+
+DirectorDecision FlowDirector::QueueFlow(TimePoint now,
+                                         const ServiceRoute& route,
+                                         const FlowKey& key,
+                                         Flow* flow) {
+  const bool found_agents = std::exchange(flow->found_full, false);
+  const ErrorKind error =
+      found_agents ? ErrorKind::kOverloaded : ErrorKind::kNoAgent;
+  OpeningQueue& queue = m_opening_queues[flow->service];
+  if (flow->is_queued) {
+    queue.PutBack(now, key);
+  } else {
+    // Where no agent serves the service, waiting is of use only as long as some
+    // may be unknown.
+    const bool may_wait = found_agents || !IsDiscoveryComplete(now);
+    if (!may_wait ||
+        !queue.Add(now, key, route.priority, flow->wait_deadline)) {
+      return Reject(DirectorDecision::Kind::kReset, error);
+    }
+    ++m_counters.queued;
+  }
+  flow->is_queued = true;
+  flow->agent = MemberId();
+  flow->tried.clear();
+  flow->busy.clear();
+  flow->last_candidate = false;
+  flow->answer_deadline = TimePoint();
+  return Reject(DirectorDecision::Kind::kHold, error);
+}
+
+std::vector<DeferredDecision> FlowDirector::OnTick(TimePoint now) {
+  std::vector<DeferredDecision> decisions;
+  RouteHeldPackets(now, &decisions);
+  ResendUnansweredOpenings(now, &decisions);
+  if (now >= m_next_hold_check) {
+    m_next_hold_check = now + kHoldPollInterval;
+    RejectExpiredFlows(now, &decisions);
+    ContinueSearches(now, &decisions);
+  }
+  ReleaseQueuedFlows(now, &decisions);
+  if (now >= m_sweep_deadline) {
+    m_sweep_deadline = now + kSweepInterval;
+    SweepFlows(now);
+  }
+  return decisions;
+}
+
+void FlowDirector::RouteHeldPackets(TimePoint now,
+                                    std::vector<DeferredDecision>* decisions) {
+  if (m_routes->Revision() == 0) {
+    return;
+  }
+  for (HeldPacket& held : m_unrouted_packets.TakeAll()) {
+    if (held.expires <= now) {
+      continue;
+    }
+    const ByteView raw(reinterpret_cast<const uint8_t*>(held.raw.data()),
+                       held.raw.size());
+    const ServiceRoute* route = m_routes->Find(held.packet.flow.route);
+    const DirectorDecision decision =
+        route != nullptr && held.packet.syn
+            ? OnOpeningPacket(now, held.arrived, *route, held.packet, raw)
+            : OnCallerPacket(now, held.packet, raw);
+    decisions->push_back({held.packet, std::move(held.raw), decision});
+  }
+}
+
+void FlowDirector::ResendUnansweredOpenings(
+    TimePoint now,
+    std::vector<DeferredDecision>* decisions) {
+  while (!m_opening_deadlines.empty() &&
+         m_opening_deadlines.front().first <= now) {
+    const auto [deadline, key] = m_opening_deadlines.front();
+    m_opening_deadlines.pop_front();
+    const auto found = m_flows.find(key);
+    const bool is_due = found != m_flows.end() &&
+                        found->second.phase == Phase::kOpening &&
+                        found->second.answer_deadline == deadline;
+    const ServiceRoute* route = m_routes->Find(key.route);
+    if (!is_due || route == nullptr ||
+        found->second.opening_retries >= m_limits.max_opening_retries) {
+      continue;
+    }
+    Flow& flow = found->second;
+    ++flow.opening_retries;
+    ++m_counters.late_openings;
+    detail::AddOnce(&flow.tried, flow.agent);
+    MemberEntry* unconfirmed_agent = m_members->Find(flow.agent);
+    if (unconfirmed_agent != nullptr) {
+      unconfirmed_agent->avoid_until =
+          now + std::max(kAvoidTime, 2 * MembershipTable::StatusIntervalOf(
+                                             *unconfirmed_agent));
+    }
+    // The first agent may still confirm the flow, so it is not reset here.
+    const DirectorDecision decision = PlaceFlow(now, *route, key, &flow);
+    if (decision.kind == DirectorDecision::Kind::kForward) {
+      decisions->push_back(
+          {MakeSyn(key, flow.syn_sequence), flow.syn, decision, true});
+    }
+  }
+}
+
+void FlowDirector::RejectExpiredFlows(
+    TimePoint now,
+    std::vector<DeferredDecision>* decisions) {
+  for (auto& [service, queue] : m_opening_queues) {
+    for (const FlowKey& key : queue.TakeExpired(now)) {
+      const auto found = m_flows.find(key);
+      if (found == m_flows.end()) {
+        continue;
+      }
+      decisions->push_back(
+          {MakeSyn(key, found->second.syn_sequence),
+           {},
+           Reject(DirectorDecision::Kind::kReset, ErrorKind::kOverloaded)});
+      RemoveFlow(key);
+    }
+  }
+}
+
+void FlowDirector::ReleaseQueuedFlows(
+    TimePoint now,
+    std::vector<DeferredDecision>* decisions) {
+  for (auto& [service, queue] : m_opening_queues) {
+    for (const FlowKey& key : queue.Release(now)) {
+      const auto found = m_flows.find(key);
+      const ServiceRoute* route = m_routes->Find(key.route);
+      if (found == m_flows.end() || route == nullptr) {
+        queue.Erase(key);
+        continue;
+      }
+      Flow& flow = found->second;
+      if (flow.copy_deadline != TimePoint() && flow.copy_deadline <= now) {
+        RemoveFlow(key);  // Its caller has given up.
+        continue;
+      }
+      DeferredDecision deferred{MakeSyn(key, flow.syn_sequence), flow.syn,
+                                PlaceFlow(now, *route, key, &flow)};
+      if (deferred.decision.kind == DirectorDecision::Kind::kForward) {
+        decisions->push_back(std::move(deferred));
+      }
+    }
+  }
+}
+
+TimePoint FlowDirector::SearchDeadline(const Flow& flow) const {
+  return flow.asked_at + m_limits.search_timeout * (1 << flow.silent_rounds);
+}
+
+void FlowDirector::ContinueSearches(TimePoint now,
+                                    std::vector<DeferredDecision>* decisions) {
+  if (m_search_packets.IsEmpty()) {
+    return;
+  }
+  // A search that has asked all known agents goes on when more may be known.
+  const bool is_complete = IsDiscoveryComplete(now);
+  const bool knows_more = m_members->LastAgentDiscovery() != m_discovery_seen ||
+                          is_complete != m_discovery_was_complete;
+  m_discovery_seen = m_members->LastAgentDiscovery();
+  m_discovery_was_complete = is_complete;
+  for (const FlowKey& key : m_search_packets.Flows()) {
+    const HeldPacket* held = m_search_packets.Find(key);
+    const auto found = m_flows.find(key);
+    if (held->expires <= now || found == m_flows.end() ||
+        found->second.phase != Phase::kSearching ||
+        m_routes->Find(key.route) == nullptr) {
+      m_search_packets.Erase(key);
+      continue;
+    }
+    Flow& flow = found->second;
+    const bool is_due =
+        flow.agent.IsSet() ? now >= SearchDeadline(flow) : knows_more;
+    if (!is_due) {
+      continue;
+    }
+    detail::AddOnce(&flow.unresponsive, flow.agent);
+    DeferredDecision deferred{held->packet, held->raw, DirectorDecision()};
+    deferred.decision = ContinueSearch(now, key, &flow);
+    if (deferred.decision.kind != DirectorDecision::Kind::kHold) {
+      decisions->push_back(std::move(deferred));
+    }
+  }
+}
+
+std::optional<TimePoint> FlowDirector::NextDeadline(TimePoint now) const {
+  if (HeldCount() > 0) {
+    return now + kHoldPollInterval;
+  }
+  return m_opening_deadlines.empty()
+             ? std::nullopt
+             : std::make_optional(m_opening_deadlines.front().first);
+}
+
+size_t FlowDirector::HeldCount() const {
+  size_t count = m_unrouted_packets.Count() + m_search_packets.Count();
+  for (const auto& [service, queue] : m_opening_queues) {
+    count += queue.Count();
+  }
+  return count;
+}
+
+}  // namespace medlargauge
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -104,6 +104,9 @@
     }
     m_fleet_node.Members().OnLoad(now, sender_id, DecodeLoad(now, note.load()));
     m_director.OnFlowConfirmed(now, sender_id, FlowOf(note), note.proven());
+    if (m_director.HeldCount() > 0) {
+      ExecuteDeferredDecisions(now);
+    }
   } else if (frame.kind == PeerMessageKind::kReturn) {
     m_fleet_node.Members().OnLoad(now, sender_id, frame.load);
     const ByteView raw = ToView(frame.packet);
@@ -121,7 +124,7 @@
       }
       ExecuteDecision(now,
                       m_director.OnReturned(now, sender_id, frame.reason,
-                                            frame.owner, *packet),
+                                            frame.owner, *packet, raw),
                       *packet, raw);
       ArmTimer();
     }
@@ -138,11 +141,12 @@
   if (!is_logged) {
     return;
   }
-  EventLine line(Severity::kInfo,
-                 forwards ? "flow_forwarded"
-                 : decision.kind == DirectorDecision::Kind::kReset
-                     ? "flow_reset"
-                     : "packet_dropped");
+  EventLine line(
+      Severity::kInfo,
+      forwards                                          ? "flow_forwarded"
+      : decision.kind == DirectorDecision::Kind::kReset ? "flow_reset"
+      : decision.kind == DirectorDecision::Kind::kHold  ? "packet_held"
+                                                        : "packet_dropped");
   line.With("flow", FlowName(packet.flow))
       .With("caller", FormatAddress(packet.flow.caller))
       .With("route", FormatAddress(packet.flow.route))
@@ -182,12 +186,14 @@
       break;
     }
     case DirectorDecision::Kind::kDrop:
+    case DirectorDecision::Kind::kHold:
       break;
   }
 }
 
 void BalancerRuntime::ArmTimer() {
-  const std::optional<TimePoint> deadline = m_director.NextDeadline();
+  const std::optional<TimePoint> deadline =
+      m_director.NextDeadline(SteadyTime());
   if (m_timer_armed || !deadline.has_value()) {
     return;
   }
@@ -199,23 +205,23 @@
 
 void BalancerRuntime::OnTimer() {
   m_timer_armed = false;
-  const TimePoint now = SteadyTime();
-  for (const OpeningResend& resend : m_director.OnTick(now)) {
-    FlowPacket packet;
-    packet.flow = resend.flow;
-    packet.syn = true;
-    if (m_flow_log.AllowLine(now)) {
+  ExecuteDeferredDecisions(SteadyTime());
+  SendPointers();
+  ArmTimer();
+}
+
+void BalancerRuntime::ExecuteDeferredDecisions(TimePoint now) {
+  for (const DeferredDecision& deferred : m_director.OnTick(now)) {
+    if (deferred.unanswered && m_flow_log.AllowLine(now)) {
       EventLine(Severity::kWarning, "flow_unanswered")
-          .With("flow", FlowName(resend.flow))
+          .With("flow", FlowName(deferred.packet.flow))
           .With("tried_ms",
                 ToMilliseconds(DirectorLimits().opening_retry_delay));
     }
-    ExecuteDecision(now, resend.decision, packet,
-                    {reinterpret_cast<const uint8_t*>(resend.packet.data()),
-                     resend.packet.size()});
+    ExecuteDecision(now, deferred.decision, deferred.packet,
+                    {reinterpret_cast<const uint8_t*>(deferred.raw.data()),
+                     deferred.raw.size()});
   }
-  SendPointers();
-  ArmTimer();
 }
 
 void BalancerRuntime::SendPointers() {
@@ -244,6 +250,9 @@
   stats->Set(Stat::search_steps, counters.search_steps);
   stats->Set(Stat::late_openings, counters.late_openings);
   stats->Set(Stat::busy_returns, counters.busy_returns);
+  stats->Set(Stat::flows_queued, counters.queued);
+  stats->Set(Stat::packets_held, counters.held);
+  stats->Set(Stat::packets_waiting, m_director.HeldCount());
   stats->Set(Stat::resets_overload, rejected(ErrorKind::kOverloaded));
   stats->Set(Stat::resets_no_agent, rejected(ErrorKind::kNoAgent));
   stats->Set(Stat::resets_unknown, rejected(ErrorKind::kFlowUnknown));
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -46,8 +46,10 @@
   void LogDecision(TimePoint now,
                    const DirectorDecision& decision,
                    const FlowPacket& packet);
-  /// Sends opening packets again that are due, and flow pointers.
+  /// Executes deferred decisions and sends flow pointers.
   void OnTimer();
+  /// Executes the decisions about stored packets that are due.
+  void ExecuteDeferredDecisions(TimePoint now);
   /// Sends the flow pointers that FlowDirector has queued.
   void SendPointers();
   /// Schedules OnTimer for the next deadline of FlowDirector, unless it is
