Fix: An agent that leaves says whether its server has stopped

Lines for each pause of a search showed that it waited for agents which had started after the loss of power and were told to leave, as their hosts were being replaced, before their servers had sent a heartbeat: they left in state "unsure", and every search waited for them until they were presumed dead, 5 s later. Change: an agent that leaves without having heard its server probes its port once; a refused connection makes it leave as "gone", and searches skip agents that left a stopped server. A packet that the server had sent before it stopped no longer revives it (seen in the same log: a bounced packet read 1 ms after the refused probe).

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -15,6 +15,8 @@
 /// Heartbeats are due about every second. After this silence the server is
 /// probed.
 constexpr Duration kHeartbeatTimeout = Milliseconds(3000);
+/// Packets of the server may wait this long in the agent's socket.
+constexpr Duration kQueuedPacketTime = Milliseconds(200);
 /// An acknowledgement number further than this beyond the initial sequence
 /// number of the server belongs to another server's answer. The value exceeds
 /// any answer and is a small part of the sequence space.
@@ -192,7 +194,8 @@
                                                  const FlowPacket& packet) {
   m_server_seen_at = now;
   m_awaiting_server = false;
-  m_down = false;
+  // A packet that the server sent before it stopped may be read after that.
+  m_down = m_down && now - m_down_at < kQueuedPacketTime;
   const auto found = m_flows.find(packet.flow);
   if (packet.bounced) {
     const uint32_t balancer_ip = packet.tag;
@@ -339,7 +342,7 @@
   return true;
 }
 
-std::vector<FlowReset> AgentForwarder::OnServerDown(TimePoint /*now*/) {
+std::vector<FlowReset> AgentForwarder::OnServerDown(TimePoint now) {
   std::vector<FlowReset> resets;
   for (auto& [key, flow] : m_flows) {
     if (flow.stage != Stage::kUnverified) {
@@ -358,6 +361,7 @@
   m_service_us = 0;
   m_failure_rate = 0;
   m_down = true;
+  m_down_at = now;
   m_awaiting_server = false;
   return resets;
 }
@@ -391,7 +395,11 @@
   const bool heartbeat_overdue = m_report.has_value() &&
                                  now - m_report_at > kHeartbeatTimeout &&
                                  now - m_server_seen_at > kHeartbeatTimeout;
-  return !m_down && (IsServerUnresponsive(now) || heartbeat_overdue);
+  // Balancers must know whether flows remain at the server of an agent that
+  // leaves.
+  const bool is_last_chance = m_leaving && !m_report.has_value();
+  return !m_down &&
+         (IsServerUnresponsive(now) || heartbeat_overdue || is_last_chance);
 }
 
 bool AgentForwarder::IsServerUnresponsive(TimePoint now) const {
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -244,6 +244,7 @@
   TimePoint m_unanswered_since;      ///< Oldest unanswered packet.
   bool m_awaiting_server = false;    ///< m_unanswered_since is valid.
   bool m_down = false;               ///< Nothing listens at m_address.
+  TimePoint m_down_at;               ///< When OnServerDown found that.
   bool m_leaving = false;            ///< This agent is stopping.
   uint32_t m_active = 0;             ///< Number of active flows.
   uint32_t m_pending = 0;            ///< Of these: a request has arrived.
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -432,6 +432,35 @@
         ReturnReason::kServerDown);
 }
 
+TEST_CASE("an agent that leaves without having heard its server probes it") {
+  const TimePoint now{Seconds(100)};
+  AgentForwarder unheard("stock", kServer, ForwarderLimits());
+  CHECK_FALSE(unheard.NeedsServerProbe(now));
+  unheard.StartLeaving();
+  CHECK(unheard.NeedsServerProbe(now));
+  unheard.OnServerDown(now);
+  CHECK_FALSE(unheard.NeedsServerProbe(now));
+  CHECK(unheard.State(now) == AgentState::kGone);
+  ForwarderFixture heard;
+  heard.forwarder.StartLeaving();
+  CHECK_FALSE(heard.forwarder.NeedsServerProbe(heard.now));
+}
+
+TEST_CASE("a packet that a stopped server left behind does not revive it") {
+  ForwarderFixture fixture;
+  fixture.OpenAndRequest(1);
+  fixture.forwarder.OnServerDown(fixture.now);
+  fixture.now += Milliseconds(50);
+  FlowPacket bounced = MakePacket(1, false, 50);
+  bounced.bounced = true;
+  CHECK(fixture.forwarder.OnServerPacket(fixture.now, bounced).reason ==
+        ReturnReason::kBounced);
+  CHECK(fixture.forwarder.State(fixture.now) == AgentState::kGone);
+  fixture.now += Milliseconds(500);
+  fixture.SendReport();
+  CHECK(fixture.forwarder.State(fixture.now) == AgentState::kReady);
+}
+
 TEST_CASE("a pointer is used only while a flow is searched") {
   ForwarderFixture fixture;
   fixture.forwarder.OnPointer(fixture.now, MakePacket(1, false).flow,
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -181,9 +181,9 @@
     BeginSearch(packet.flow, &flow);
   }
   const MemberEntry* owner = m_members->Find(flow.agent);
-  const bool owner_dead =
-      owner == nullptr || m_members->IsPresumedDead(now, *owner) ||
-      m_members->HasLeftStopped(now, *owner);
+  const bool owner_dead = owner == nullptr ||
+                          m_members->IsPresumedDead(now, *owner) ||
+                          m_members->HasLeftStopped(now, *owner);
   if (flow.phase == Phase::kSearching) {
     HoldForSearch(now, packet, raw);
     if (owner_dead || now >= SearchDeadline(flow)) {
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -93,10 +93,11 @@
   /// were heard, that its flows have to be given up.
   bool IsPresumedDead(TimePoint now, const MemberEntry& entry) const;
   /// Returns whether the agent's server had stopped when the agent was last
-  /// heard, and the agent has left as well, so that no flow is left there.
+  /// heard, and the agent leaves as well, so that no flow remains there.
   bool HasLeftStopped(TimePoint now, const MemberEntry& entry) const {
     return entry.heard != TimePoint() &&
-           entry.member.state == AgentState::kGone && !IsReachable(now, entry);
+           entry.member.state == AgentState::kGone &&
+           (entry.leaving || !IsReachable(now, entry));
   }
   /// Returns the number of reachable members of a role.
   size_t CountReachable(TimePoint now, MemberRole role) const;
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -17,6 +17,8 @@
 
 constexpr Duration kTickInterval = Milliseconds(50);
 constexpr Duration kProbeInterval = Milliseconds(200);
+/// Time in which a probe of a port without a listener is refused and noticed.
+constexpr Duration kProbeTime = 2 * kTickInterval;
 /// A planned stop is over at the latest this long before the grace period ends.
 constexpr Duration kStopMargin = Milliseconds(1500);
 constexpr Duration kStopPollInterval = Milliseconds(20);
@@ -364,6 +366,10 @@
   m_stop_earliest = now + kStopNoticeTime;
   m_stop_deadline = now + Milliseconds(m_settings.stop_grace_ms) - kStopMargin;
   m_fleet_node.StartLeaving();
+  if (m_forwarder.NeedsServerProbe(now)) {
+    m_stop_earliest += kProbeTime;
+    ProbeServer(now);
+  }
   FinishStopIfIdle();
 }
 
