--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -102,7 +102,7 @@
   return size;
 }
 
-void MembershipTable::SetRegisteredAgents(std::vector<uint32_t> ips) {
+void MembershipTable::SetRegisteredAgents(const std::vector<uint32_t>& ips) {
   m_has_registered_agents = true;
   for (const uint32_t ip : ips) {
     const MemberEntry* entry = FindByAddress(ip, MemberRole::kAgent);
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -111,7 +111,7 @@
   size_t LargestReportedSize(TimePoint now) const;
   /// Sets the addresses of the agents that were registered when this process
   /// started.
-  void SetRegisteredAgents(std::vector<uint32_t> ips);
+  void SetRegisteredAgents(const std::vector<uint32_t>& ips);
   /// Returns the registered agents that have not been heard yet.
   const std::set<uint32_t>& UnheardRegisteredAgents() const {
     return m_unheard_agents;
