Fix: A flow whose assumed owner never got a packet is searched, not reset

By reading the code: the old packet then opened the flow at a second server, whose agent confirmed it, and when that agent's host was suspended at second 18.8, the first request through this balancer was answered with a reset. Change: a flow is reset for the silence of its owner only if the owner was heard after it had got a later packet, which its server would have returned; otherwise its owner is searched, the silent agent last. Tests: flow_director_test.cc; two older cases use the flow before its agent falls silent, as their names say ("flows of a dead agent").

--- a/src/forwarding/director_fixture.h
+++ b/src/forwarding/director_fixture.h
@@ -113,6 +113,13 @@
     return director.OnCallerPacket(now, packet, Raw());
   }
 
+  /// Sends a request on an open flow; its agent is heard after that.
+  void UseFlow(uint16_t port) {
+    Send(MakeLaterPacket(port));
+    now += Milliseconds(200);
+    ReceiveAllStatuses();
+  }
+
   /// Returns a forwarded packet from its agent to the balancer.
   DirectorDecision Return(const DirectorDecision& sent,
                           ReturnReason reason,
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -195,11 +195,23 @@
   // A reset makes the caller retry at once rather than after its own timeout.
   const bool retry_elsewhere =
       owner_dead || (route.repeatable && m_members->IsSuspected(now, *owner));
-  if (retry_elsewhere &&
-      m_members->CountReachable(now, MemberRole::kAgent) > 0) {
+  const bool reaches_agents =
+      m_members->CountReachable(now, MemberRole::kAgent) > 0;
+  if (retry_elsewhere && reaches_agents &&
+      (owner == nullptr || !IsOwnerProven(flow, *owner))) {
+    // The caller may have accepted another server, for example if a balancer
+    // that was suspended opened the flow a second time.
+    const MemberId silent_agent = flow.agent;
+    BeginSearch(packet.flow, &flow);
+    detail::AddOnce(&flow.unresponsive, silent_agent);
+    HoldForSearch(now, packet, raw);
+    return ContinueSearch(now, packet.flow, &flow);
+  }
+  if (retry_elsewhere && reaches_agents) {
     RemoveFlow(packet.flow);
     return Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
   }
+  flow.used_since = flow.used_since == TimePoint() ? now : flow.used_since;
   return Forward(route, flow);
 }
 
@@ -308,6 +320,7 @@
     flow.unresponsive.clear();
     flow.syn = std::string();
     flow.owner_since = now;
+    flow.used_since = proven ? now : TimePoint();
     flow.expires = now + IdleTimeout();
     m_search_packets.Erase(key);
   }
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -194,7 +194,8 @@
     std::vector<MemberId> unresponsive;   ///< Search: timed out.
     TimePoint asked_at;                   ///< Search: when `agent` was asked.
     TimePoint owner_since;                ///< When the owner became known.
-    std::string syn;            ///< Opening packet, until the owner is known.
+    TimePoint used_since;  ///< First later packet sent to the owner; or zero.
+    std::string syn;       ///< Opening packet, until the owner is known.
     TimePoint answer_deadline;  ///< Opening: when to try another agent.
     TimePoint wait_deadline;    ///< Opening: when to give up waiting.
     /// Opening: when the caller has given up if it has not sent the opening
@@ -252,6 +253,12 @@
       const std::vector<MemberId>& excluded) const;
   /// Returns a decision to forward to the agent of the flow, and counts it.
   DirectorDecision Forward(const ServiceRoute& route, const Flow& flow);
+  /// Returns whether the owner was heard after it had got a packet that its
+  /// server would have returned if it did not hold the flow.
+  bool IsOwnerProven(const Flow& flow, const MemberEntry& owner) const {
+    return flow.used_since != TimePoint() &&
+           owner.heard - flow.used_since >= m_limits.search_timeout;
+  }
   /// Lets a new flow that no server takes now wait, or rejects it.
   DirectorDecision QueueFlow(TimePoint now,
                              const ServiceRoute& route,
--- a/src/forwarding/flow_director_test.cc
+++ b/src/forwarding/flow_director_test.cc
@@ -148,6 +148,7 @@
   const DirectorDecision first = fixture.Send(MakeOpeningPacket(1));
   fixture.director.OnFlowConfirmed(fixture.now, first.agent,
                                    MakeOpeningPacket(1).flow, false);
+  fixture.UseFlow(1);
   const auto receive_other_statuses = [&] {
     for (const uint64_t id : {11, 12, 13}) {
       if (MemberId{id} != first.agent) {
@@ -172,6 +173,28 @@
         DirectorDecision::Kind::kReset);
 }
 
+// Seen in a hunt: a balancer that was suspended sent an old opening packet to a
+// second server; later that server's host was suspended.
+TEST_CASE(
+    "a flow is searched if its assumed owner falls silent before its use") {
+  DirectorFixture fixture;
+  const DirectorDecision first = fixture.Send(MakeOpeningPacket(1));
+  fixture.director.OnFlowConfirmed(fixture.now, first.agent,
+                                   MakeOpeningPacket(1).flow, false);
+  for (int i = 0; i < 4; ++i) {
+    fixture.now += Milliseconds(500);
+    for (const uint64_t id : {11, 12, 13}) {
+      if (MemberId{id} != first.agent) {
+        fixture.ReceiveStatus(id, "stock");
+      }
+    }
+  }
+  const DirectorDecision search = fixture.Send(MakeLaterPacket(1));
+  CHECK(search.kind == DirectorDecision::Kind::kForward);
+  CHECK(search.agent != first.agent);
+  CHECK(search.header.search);
+}
+
 TEST_CASE(
     "repeatable requests leave a suspected agent unless it stops as planned") {
   const auto kind_after_silence = [](bool repeatable, bool leaving) {
@@ -182,6 +205,7 @@
     const DirectorDecision first = fixture.Send(MakeOpeningPacket(1));
     fixture.director.OnFlowConfirmed(fixture.now, first.agent,
                                      MakeOpeningPacket(1).flow, false);
+    fixture.UseFlow(1);
     if (leaving) {
       fixture.ReceiveStatus(first.agent.value, "stock", AgentState::kReady, 0,
                             true);
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -251,6 +251,9 @@
         .With("sequence", message->report.sequence)
         .With("reason", outcome == ReportOutcome::kStale ? "late" : "foreign");
   }
+  if (outcome == ReportOutcome::kApplied) {
+    m_fleet_node.RejoinStore();
+  }
   response.status = outcome == ReportOutcome::kWrongServer ? 400 : 200;
   response.body = "{}";
   AnnounceStateChange(now);
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -22,6 +22,8 @@
 /// by then. Only processes that start later need the registration. An agent
 /// registers at once, as balancers take the list of agents for complete.
 constexpr Duration kRegistrationDelay = Milliseconds(1500);
+/// After this silence, balancers may have removed this process from the store.
+constexpr Duration kForgottenTime = MembershipTimeouts().removal;
 /// A balancer that has just started introduces itself again and again for this
 /// long, because the agents may be starting as well.
 constexpr Duration kIntroductionTime = Seconds(3);
@@ -144,6 +146,9 @@
     m_members.Learn(now, DecodeMember(now, known));
   }
   if (sender->member.role == MemberRole::kBalancer) {
+    const bool was_cut_off = m_balancer_heard_at != TimePoint() &&
+                             now - m_balancer_heard_at >= kForgottenTime;
+    m_next_registration = was_cut_off ? now : m_next_registration;
     m_balancer_heard_at = now;
     const bool is_behind = m_self.role == MemberRole::kBalancer &&
                            sender->member.revision > m_routes.Revision();
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -59,8 +59,10 @@
   /// that this process is leaving.
   void StartLeaving();
 
-  /// Removes this process from the store, as its host will not be used again.
+  /// Removes this process from the store, as its server has left.
   void LeaveStore();
+  /// Adds this process to the store again if LeaveStore has removed it.
+  void RejoinStore();
 
   /// Replaces the addresses of the processes to join through. Invalid addresses
   /// and the own one are ignored.
@@ -148,6 +150,7 @@
   /// A call to the store that lists or changes members is in flight.
   bool m_member_call_pending = false;
   bool m_agents_listed = false;      ///< ListAgentsInStore has succeeded.
+  bool m_left_store = false;         ///< LeaveStore was called.
   bool m_store_unreachable = false;  ///< The last call to the store failed.
   LatencyHistogram m_store_latency;  ///< Of reads, not of watches.
   uint64_t m_store_calls = 0;        ///< Calls to the store since the start.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -91,7 +91,7 @@
 }
 
 void FleetNode::RegisterInStore(TimePoint now) {
-  if (m_member_call_pending || now < m_next_registration) {
+  if (m_member_call_pending || m_left_store || now < m_next_registration) {
     return;
   }
   m_member_call_pending = true;
@@ -106,8 +106,15 @@
   });
 }
 
+void FleetNode::RejoinStore() {
+  if (m_left_store) {
+    m_left_store = false;
+    m_next_registration = SteadyTime();
+  }
+}
+
 void FleetNode::LeaveStore() {
-  m_next_registration = SteadyTime() + kRegistrationInterval;
+  m_left_store = true;
   ++m_store_calls;
   m_platform->remove_member(m_self.role, m_self.ip, [this](StoreResult result) {
     LogStoreTransition(result, "remove_member");
