Fix: A list of agents that is cut is asked for only during the start

Cause: read again: a balancer whose list of agents does not fit one answer, or whose store is away for long, would repeat the call every 200 ms for ever, and log the store as lost. A named limit of the search timeout.

--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -180,9 +180,10 @@
     /// Opening: in the queue of its service; waits there while `agent` is
     /// unset.
     bool is_queued = false;
-    uint8_t silent_rounds =
-        0;  ///< Search: times that only silent ones remained.
     uint8_t opening_retries = 0;  ///< Opening packets left unconfirmed.
+    /// Search: how often only silent agents were left; they are given more time
+    /// each time.
+    uint8_t silent_rounds = 0;
     /// Sequence number of the SYN; a SYN with another one opens a new flow.
     uint32_t syn_sequence = 0;
     MemberId agent;     ///< Destination of packets.
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -8,6 +8,12 @@
 #include "src/forwarding/status_schedule.h"
 
 namespace medlargauge {
+namespace {
+
+/// Limit of how often the search timeout doubles.
+constexpr uint8_t kMaxTimeoutDoublings = 3;
+
+}  // namespace
 
 void FlowDirector::BeginSearch(const FlowKey& key, Flow* flow) {
   if (flow->is_queued) {
@@ -42,7 +48,8 @@
     // Only agents that timed out are left. One of them may own the flow, so
     // they are asked again.
     flow->unresponsive.clear();
-    flow->silent_rounds = std::min<uint8_t>(flow->silent_rounds + 1, 3);
+    flow->silent_rounds =
+        std::min<uint8_t>(flow->silent_rounds + 1, kMaxTimeoutDoublings);
     next = NextSearchCandidate(now, key, *flow);
   }
   if (next.has_value()) {
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -14,7 +14,7 @@
 /// while this host was cut off.
 constexpr Duration kRegistrationInterval = Seconds(600);
 constexpr Duration kStoreRetryInterval = Seconds(3);
-/// The same while a process that has just started waits for a list of members.
+/// The same for a process that has just started and got no list of members.
 constexpr Duration kFailedStoreRetryInterval = Milliseconds(200);
 /// If no balancer was heard for this long, the store is asked for balancers.
 constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
@@ -56,7 +56,7 @@
 void FleetNode::ListAgentsInStore(TimePoint now) {
   const bool is_due = m_self.role == MemberRole::kBalancer &&
                       !m_agents_listed && !m_member_call_pending &&
-                      now >= m_next_agent_list;
+                      now >= m_next_agent_list && now < m_introductions_end;
   if (!is_due) {
     return;
   }
--- a/src/runtime/platform_hooks.h
+++ b/src/runtime/platform_hooks.h
@@ -35,7 +35,7 @@
                                            std::optional<StoredTargets> targets,
                                            uint64_t position)>;
 /// Receives the addresses of the members of a role in the store. A list that is
-/// too long for one answer of the store has the result kRefused.
+/// too long for one answer of the store has the result kNotFound.
 using MembersCallback =
     std::function<void(StoreResult result, std::vector<uint32_t> ips)>;
 /// Receives the result of a write to the store.
