Feature: The log says what the reset of an open flow rests on

What the operators saw: four broken flows, and no line about any of them. A reset did not say whom the search had asked, nor why the balancer took the agents that it knew for all.

Resets of open flows and long searches have a budget of their own, are warnings, and warnings are written at once instead of up to 200 ms later, as a killed process loses what waits. New metrics: long_searches, double_openings, resets_silence, foreign_acks. They tell the four hypotheses of the incident apart.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -60,7 +60,10 @@
       AcknowledgesOtherServer(packet, known->second)) {
     // The server is half-open and would ignore the packet, because it still
     // waits for the acknowledgement of its own SYN-ACK.
-    return Return(balancer_ip, ReturnReason::kBounced);
+    ForwarderDecision decision = Return(balancer_ip, ReturnReason::kBounced);
+    decision.foreign_ack = true;
+    ++m_counters.foreign_acks;
+    return decision;
   }
   const bool is_held =
       known != m_flows.end() && known->second.stage != Stage::kUnverified;
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -71,6 +71,7 @@
   Kind kind = Kind::kDrop;                    ///< Action.
   ReturnReason reason = ReturnReason::kNone;  ///< kReturn: reason.
   std::string request_id;    ///< kToCaller: id of a request that failed.
+  bool foreign_ack = false;  ///< kReturn: the packet accepts another server.
   bool confirm = false;      ///< Also send the balancer a confirmation.
   bool proven = false;       ///< confirm: the caller accepted this server too.
   uint32_t balancer_ip = 0;  ///< kReturn, confirm: destination.
@@ -104,6 +105,7 @@
   LatencyHistogram opening;       ///< From SYN to the server's first packet.
   LatencyHistogram first_answer;  ///< From request to the first answer byte.
   uint64_t resets = 0;            ///< Flows reset because the server died.
+  uint64_t foreign_acks = 0;      ///< Packets that accept another server.
   std::array<uint64_t, 9> returned{};  ///< By ReturnReason.
 };
 
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -170,15 +170,14 @@
   const bool is_closing = packet.fin || packet.rst;
   flow.expires = now + (is_closing ? m_limits.closing : IdleTimeout());
   if (is_new) {
-    flow.phase = Phase::kSearching;
-    ++m_counters.searches;
+    BeginSearch(now, packet.flow, &flow);
     HoldForSearch(now, packet, raw);
     return ContinueSearch(now, packet.flow, &flow);
   }
   if (flow.phase == Phase::kOpening) {
     // The caller got an answer, but it is unknown which server accepted the
     // flow.
-    BeginSearch(packet.flow, &flow);
+    BeginSearch(now, packet.flow, &flow);
   }
   const MemberEntry* owner = m_members->Find(flow.agent);
   const bool owner_dead = owner == nullptr ||
@@ -202,14 +201,19 @@
     // The caller may have accepted another server, for example if a balancer
     // that was suspended opened the flow a second time.
     const MemberId silent_agent = flow.agent;
-    BeginSearch(packet.flow, &flow);
+    BeginSearch(now, packet.flow, &flow);
     detail::AddOnce(&flow.unresponsive, silent_agent);
     HoldForSearch(now, packet, raw);
     return ContinueSearch(now, packet.flow, &flow);
   }
   if (retry_elsewhere && reaches_agents) {
+    DirectorDecision reset =
+        Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
+    reset.evidence.owner_heard = owner->heard;
+    reset.evidence.agents = CountAgents();
+    ++m_counters.silence_resets;
     RemoveFlow(packet.flow);
-    return Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
+    return reset;
   }
   flow.used_since = flow.used_since == TimePoint() ? now : flow.used_since;
   return Forward(route, flow);
@@ -244,7 +248,7 @@
     return Reject(DirectorDecision::Kind::kDrop, ErrorKind::kFlowUnknown);
   }
   if (flow.phase != Phase::kSearching && flow.agent == from) {
-    BeginSearch(packet.flow, &flow);
+    BeginSearch(now, packet.flow, &flow);
   }
   if (reason == ReturnReason::kMoved) {
     const bool follow_pointer = m_members->Find(owner) != nullptr &&
@@ -309,6 +313,8 @@
     m_opening_queues[flow.service].OnAccepted(now, key);
     flow.is_queued = false;
   }
+  m_counters.double_openings +=
+      flow.phase == Phase::kOwnerKnown && !proven && flow.agent != from ? 1 : 0;
   detail::AddOnce(&flow.likely_owners, from);
   // A server retransmits its SYN-ACK even if the caller has accepted the one of
   // another server, so an unproven confirmation is ignored during a search.
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -34,6 +34,9 @@
   Duration closing = Seconds(3);
   /// Lifetime of an idle flow until the targets state a value.
   Duration idle = Seconds(30);
+  /// A search that lasts longer is reported. Packets of an open flow may reach
+  /// other servers for 2 s.
+  Duration long_search = Seconds(1);
   /// During a search, an agent that has not answered by then is skipped.
   Duration search_timeout = Milliseconds(120);
   /// Flows that are older get a pointer at their home agent.
@@ -60,6 +63,22 @@
   size_t max_held_bytes = 4'000'000;  ///< Limit of each buffer of packets.
 };
 
+/// Why a balancer takes the agents that it knows for all agents of the fleet.
+enum class DiscoveryBasis : uint8_t {
+  kIncomplete,  ///< It does not: more agents may exist.
+  kQuiet,       ///< No agent was discovered for some time after the start.
+  kRegistered,  ///< All agents that the store listed were heard.
+  kCounted,     ///< No other member counts more members.
+};
+
+/// What the reset of an open flow rests on, for the log.
+struct ResetEvidence {
+  DiscoveryBasis discovery = DiscoveryBasis::kIncomplete;
+  uint32_t denials = 0;   ///< Agents that returned a packet of the flow.
+  uint32_t agents = 0;    ///< Agents that the balancer knows.
+  TimePoint owner_heard;  ///< Last message of a silent owner; zero: none.
+};
+
 /// What to do with a packet.
 struct DirectorDecision {
   /// kHold: the director keeps the packet; OnTick decides about it later.
@@ -68,6 +87,8 @@
   MemberId agent;                      ///< kForward: destination.
   ForwardHeader header;                ///< kForward: header to send with it.
   ErrorKind error = ErrorKind::kNone;  ///< Other kinds: reason.
+  bool long_search = false;  ///< The search of the flow has become long.
+  ResetEvidence evidence;    ///< kReset of an open flow.
 };
 
 /// What to do with a packet that the director stored when it arrived.
@@ -88,14 +109,17 @@
 
 /// Monotonic counters.
 struct DirectorCounters {
-  uint64_t opened = 0;         ///< New flows placed on an agent.
-  uint64_t forwarded = 0;      ///< Packets sent to agents.
-  uint64_t searches = 0;       ///< Searches started for the owner of a flow.
-  uint64_t search_steps = 0;   ///< Agents asked in searches.
-  uint64_t late_openings = 0;  ///< Unconfirmed opening packets sent again.
-  uint64_t busy_returns = 0;   ///< Opening packets returned by busy agents.
-  uint64_t queued = 0;         ///< New flows that had to wait for a server.
-  uint64_t held = 0;           ///< Other packets that had to wait.
+  uint64_t opened = 0;           ///< New flows placed on an agent.
+  uint64_t forwarded = 0;        ///< Packets sent to agents.
+  uint64_t searches = 0;         ///< Searches started for the owner of a flow.
+  uint64_t search_steps = 0;     ///< Agents asked in searches.
+  uint64_t long_searches = 0;    ///< Searches that took long.
+  uint64_t double_openings = 0;  ///< New flows that two servers accepted.
+  uint64_t silence_resets = 0;   ///< Open flows reset for a silent owner.
+  uint64_t late_openings = 0;    ///< Unconfirmed opening packets sent again.
+  uint64_t busy_returns = 0;     ///< Opening packets returned by busy agents.
+  uint64_t queued = 0;           ///< New flows that had to wait for a server.
+  uint64_t held = 0;             ///< Other packets that had to wait.
   std::array<uint64_t, kErrorKindCount> rejected{};  ///< By ErrorKind.
 };
 
@@ -193,8 +217,9 @@
     std::vector<MemberId> busy;           ///< Returned the packet as kBusy.
     std::vector<MemberId> likely_owners;  ///< Were sent or confirmed the flow.
     std::vector<MemberId> unresponsive;   ///< Search: timed out.
-    TimePoint asked_at;                   ///< Search: when `agent` was asked.
-    TimePoint owner_since;                ///< When the owner became known.
+    TimePoint search_report_at;  ///< Search: when it is reported; zero: done.
+    TimePoint asked_at;          ///< Search: when `agent` was asked.
+    TimePoint owner_since;       ///< When the owner became known.
     TimePoint used_since;  ///< First later packet sent to the owner; or zero.
     std::string syn;       ///< Opening packet, until the owner is known.
     TimePoint answer_deadline;  ///< Opening: when to try another agent.
@@ -234,7 +259,7 @@
                              const FlowKey& key,
                              Flow* flow);
   /// Puts a flow into phase kSearching, because its owner is unknown.
-  void BeginSearch(const FlowKey& key, Flow* flow);
+  void BeginSearch(TimePoint now, const FlowKey& key, Flow* flow);
   /// Returns when the agent that the search asks now counts as silent.
   TimePoint SearchDeadline(const Flow& flow) const;
   /// Makes `agent` the one that the search asks now.
@@ -277,8 +302,15 @@
   bool HoldUnrouted(TimePoint now, const FlowPacket& packet, ByteView raw);
   /// Keeps a packet that carries data while the owner of its flow is searched.
   void HoldForSearch(TimePoint now, const FlowPacket& packet, ByteView raw);
-  /// Returns whether every agent that may hold flows is known by now.
-  bool IsDiscoveryComplete(TimePoint now) const;
+  /// Returns whether every agent that may hold flows is known by now, and why.
+  DiscoveryBasis Discovery(TimePoint now) const;
+  bool IsDiscoveryComplete(TimePoint now) const {
+    return Discovery(now) != DiscoveryBasis::kIncomplete;
+  }
+  /// Returns whether a search has become long; true once a search.
+  bool ReportLongSearch(TimePoint now, Flow* flow);
+  /// Returns the number of agents in the membership table.
+  uint32_t CountAgents() const;
   /// Removes a flow with all that is stored for it.
   void RemoveFlow(const FlowKey& key);
   // Parts of OnTick; each appends to `decisions`.
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-void FlowDirector::BeginSearch(const FlowKey& key, Flow* flow) {
+void FlowDirector::BeginSearch(TimePoint now, const FlowKey& key, Flow* flow) {
   if (flow->is_queued) {
     m_opening_queues[flow->service].Erase(key);
     flow->is_queued = false;
@@ -30,9 +30,27 @@
   flow->unresponsive.clear();
   flow->syn = std::string();
   flow->phase = Phase::kSearching;
+  flow->search_report_at = now + m_limits.long_search;
   ++m_counters.searches;
 }
 
+bool FlowDirector::ReportLongSearch(TimePoint now, Flow* flow) {
+  const bool is_due =
+      flow->search_report_at != TimePoint() && now >= flow->search_report_at;
+  if (is_due) {
+    flow->search_report_at = TimePoint();
+    ++m_counters.long_searches;
+  }
+  return is_due;
+}
+
+uint32_t FlowDirector::CountAgents() const {
+  return std::count_if(m_members->Entries().begin(), m_members->Entries().end(),
+                       [](const auto& entry) {
+                         return entry.second.member.role == MemberRole::kAgent;
+                       });
+}
+
 void FlowDirector::SetSearchTarget(TimePoint now, MemberId agent, Flow* flow) {
   ++m_counters.search_steps;
   flow->agent = agent;
@@ -52,11 +70,15 @@
         std::min<uint8_t>(flow->silent_rounds + 1, kMaxTimeoutDoublings);
     next = NextSearchCandidate(now, key, *flow);
   }
+  const bool is_long = ReportLongSearch(now, flow);
   if (next.has_value()) {
     SetSearchTarget(now, *next, flow);
-    return Forward(*m_routes->Find(key.route), *flow);
+    DirectorDecision decision = Forward(*m_routes->Find(key.route), *flow);
+    decision.long_search = is_long;
+    return decision;
   }
-  if (!IsDiscoveryComplete(now)) {
+  const DiscoveryBasis discovery = Discovery(now);
+  if (discovery == DiscoveryBasis::kIncomplete) {
     // Flows never move, so the agents that returned the packet stay excluded
     // when the search continues.
     flow->agent = MemberId();
@@ -66,29 +88,36 @@
         ErrorKind::kMaybeElsewhere);
   }
   // Every server that could hold the flow has denied it.
+  DirectorDecision reset =
+      Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
+  reset.evidence.discovery = discovery;
+  reset.evidence.denials = static_cast<uint32_t>(flow->tried.size());
+  reset.evidence.agents = CountAgents();
   RemoveFlow(key);
-  return Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
+  return reset;
 }
 
-bool FlowDirector::IsDiscoveryComplete(TimePoint now) const {
+DiscoveryBasis FlowDirector::Discovery(TimePoint now) const {
   if (m_members->CountReachable(now, MemberRole::kAgent) == 0) {
-    return false;
+    return DiscoveryBasis::kIncomplete;
   }
   const Duration uptime = now - m_started_at;
   const Duration quiet_time = now - m_members->LastAgentDiscovery();
   if (uptime >= m_limits.startup_discovery_time &&
       quiet_time >= m_limits.discovery_quiet_time) {
-    return true;
+    return DiscoveryBasis::kQuiet;
   }
   if (m_members->HasHeardRegisteredAgents()) {
-    return true;
+    return DiscoveryBasis::kRegistered;
   }
   // Agents that remember this balancer have sent it a status within an
   // interval. Others have restarted, and join through any balancer.
   const Duration interval =
       StatusInterval(MemberRole::kAgent, m_members->Entries().size());
-  return uptime >= 2 * interval && quiet_time >= interval &&
-         m_members->Entries().size() >= m_members->LargestReportedSize(now);
+  const bool is_counted =
+      uptime >= 2 * interval && quiet_time >= interval &&
+      m_members->Entries().size() >= m_members->LargestReportedSize(now);
+  return is_counted ? DiscoveryBasis::kCounted : DiscoveryBasis::kIncomplete;
 }
 
 std::optional<MemberId> FlowDirector::NextSearchCandidate(
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -188,7 +188,7 @@
                                     const ForwarderDecision& decision) {
   const bool failed = packet.answer == AnswerKind::kFailure ||
                       packet.answer == AnswerKind::kRefused;
-  if (!failed || !m_flow_log.AllowLine(now)) {
+  if (!failed || !m_flow_log.AllowLine(now, FlowLineClass::kRefusal)) {
     return;
   }
   EventLine(Severity::kInfo, "request_failed")
@@ -204,12 +204,13 @@
                                     const ForwarderDecision& decision,
                                     const FlowPacket& packet,
                                     ByteSpan datagram) {
-  if (m_flow_log.AllowLine(now)) {
+  if (m_flow_log.AllowLine(now, FlowLineClass::kRefusal)) {
     EventLine(Severity::kInfo, "flow_returned")
         .With("flow", FlowName(packet.flow))
         .With("to", FormatIp(decision.balancer_ip))
         .With("reason", ReturnReasonName(decision.reason))
         .With("opening", packet.syn)
+        .With("other_server", decision.foreign_ack)
         .With("active", m_forwarder.ActiveRequests())
         .With("service_us", m_forwarder.Load(now).service_us);
   }
@@ -315,8 +316,8 @@
     m_outbound_socket.Send(
         {reset.flow.caller.ip, m_caller_port},
         {reinterpret_cast<const uint8_t*>(packet.data()), packet.size()});
-    if (m_flow_log.AllowLine(now)) {
-      EventLine(Severity::kInfo, "flow_reset")
+    if (m_flow_log.AllowLine(now, FlowLineClass::kOpenFlow)) {
+      EventLine(Severity::kWarning, "flow_reset")
           .With("flow", FlowName(reset.flow))
           .With("caller", FormatAddress(reset.flow.caller))
           .With("request", reset.request_id)
@@ -344,6 +345,7 @@
   stats->Set(Stat::requests_failed, counters.failed);
   stats->Set(Stat::requests_refused, counters.refused);
   stats->Set(Stat::resets_server_down, counters.resets);
+  stats->Set(Stat::foreign_acks, counters.foreign_acks);
   stats->Set(Stat::send_failures, m_outbound_socket.SendFailures());
   stats->Set(Latency::opening_ms, counters.opening);
   stats->Set(Latency::first_answer_ms, counters.first_answer);
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -26,6 +26,27 @@
   return {span.data, span.size};
 }
 
+/// Returns the name of a basis of discovery in logs.
+std::string_view BasisName(DiscoveryBasis basis) {
+  switch (basis) {
+    case DiscoveryBasis::kIncomplete:
+      return "none";
+    case DiscoveryBasis::kQuiet:
+      return "quiet";
+    case DiscoveryBasis::kRegistered:
+      return "registered";
+    case DiscoveryBasis::kCounted:
+      return "counted";
+  }
+  return "";
+}
+
+/// Returns whether a decision is the reset of an open flow.
+bool ResetsOpenFlow(const DirectorDecision& decision,
+                    const FlowPacket& packet) {
+  return decision.kind == DirectorDecision::Kind::kReset && !packet.syn;
+}
+
 }  // namespace
 
 BalancerRuntime::BalancerRuntime(EventLoop* loop,
@@ -113,7 +134,7 @@
     const std::optional<FlowPacket> packet =
         m_platform->parse_packet(raw, true);
     if (packet.has_value()) {
-      if (m_flow_log.AllowLine(now)) {
+      if (m_flow_log.AllowLine(now, FlowLineClass::kRefusal)) {
         EventLine(Severity::kInfo, "flow_returned")
             .With("flow", FlowName(packet->flow))
             .With("by", FormatIp(from.ip))
@@ -135,14 +156,18 @@
                                   const DirectorDecision& decision,
                                   const FlowPacket& packet) {
   const bool forwards = decision.kind == DirectorDecision::Kind::kForward;
-  const bool is_logged = forwards
-                             ? packet.syn && FlowLog::IsSampled(packet.flow)
-                             : m_flow_log.AllowLine(now);
+  const bool resets_open_flow = ResetsOpenFlow(decision, packet);
+  LogLongSearch(now, decision, packet);
+  const bool is_logged =
+      forwards ? packet.syn && FlowLog::IsSampled(packet.flow)
+               : m_flow_log.AllowLine(now, resets_open_flow
+                                               ? FlowLineClass::kOpenFlow
+                                               : FlowLineClass::kRefusal);
   if (!is_logged) {
     return;
   }
   EventLine line(
-      Severity::kInfo,
+      resets_open_flow ? Severity::kWarning : Severity::kInfo,
       forwards                                          ? "flow_forwarded"
       : decision.kind == DirectorDecision::Kind::kReset ? "flow_reset"
       : decision.kind == DirectorDecision::Kind::kHold  ? "packet_held"
@@ -161,6 +186,29 @@
   } else {
     line.With("reason", Describe(decision.error).text);
   }
+  if (resets_open_flow) {
+    const ResetEvidence& evidence = decision.evidence;
+    line.With("discovery", BasisName(evidence.discovery))
+        .With("denials", evidence.denials)
+        .With("agents", evidence.agents);
+    if (evidence.owner_heard != TimePoint()) {
+      line.With("owner_silent_ms", ToMilliseconds(now - evidence.owner_heard));
+    }
+  }
+}
+
+void BalancerRuntime::LogLongSearch(TimePoint now,
+                                    const DirectorDecision& decision,
+                                    const FlowPacket& packet) {
+  if (!decision.long_search ||
+      !m_flow_log.AllowLine(now, FlowLineClass::kOpenFlow)) {
+    return;
+  }
+  const MemberEntry* agent = m_fleet_node.Members().Find(decision.agent);
+  EventLine(Severity::kWarning, "search_long")
+      .With("flow", FlowName(packet.flow))
+      .With("caller", FormatAddress(packet.flow.caller))
+      .With("asked", agent == nullptr ? "" : FormatIp(agent->member.ip));
 }
 
 void BalancerRuntime::ExecuteDecision(TimePoint now,
@@ -212,7 +260,8 @@
 
 void BalancerRuntime::ExecuteDeferredDecisions(TimePoint now) {
   for (const DeferredDecision& deferred : m_director.OnTick(now)) {
-    if (deferred.unanswered && m_flow_log.AllowLine(now)) {
+    if (deferred.unanswered &&
+        m_flow_log.AllowLine(now, FlowLineClass::kRefusal)) {
       EventLine(Severity::kWarning, "flow_unanswered")
           .With("flow", FlowName(deferred.packet.flow))
           .With("tried_ms",
@@ -248,7 +297,9 @@
   stats->Set(Stat::packets_forwarded, counters.forwarded);
   stats->Set(Stat::searches, counters.searches);
   stats->Set(Stat::search_steps, counters.search_steps);
+  stats->Set(Stat::long_searches, counters.long_searches);
   stats->Set(Stat::late_openings, counters.late_openings);
+  stats->Set(Stat::double_openings, counters.double_openings);
   stats->Set(Stat::busy_returns, counters.busy_returns);
   stats->Set(Stat::flows_queued, counters.queued);
   stats->Set(Stat::packets_held, counters.held);
@@ -256,6 +307,7 @@
   stats->Set(Stat::resets_overload, rejected(ErrorKind::kOverloaded));
   stats->Set(Stat::resets_no_agent, rejected(ErrorKind::kNoAgent));
   stats->Set(Stat::resets_unknown, rejected(ErrorKind::kFlowUnknown));
+  stats->Set(Stat::resets_silence, counters.silence_resets);
   stats->Set(Stat::unrouted, rejected(ErrorKind::kUnknownAddress));
   stats->Set(Stat::send_failures, m_caller_socket.SendFailures());
 }
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -46,6 +46,10 @@
   void LogDecision(TimePoint now,
                    const DirectorDecision& decision,
                    const FlowPacket& packet);
+  /// Logs once that the search of a flow has become long.
+  void LogLongSearch(TimePoint now,
+                     const DirectorDecision& decision,
+                     const FlowPacket& packet);
   /// Executes deferred decisions and sends flow pointers.
   void OnTimer();
   /// Executes the decisions about stored packets that are due.
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -6,7 +6,13 @@
 namespace medlargauge {
 namespace {
 
-constexpr uint32_t kMaxLinesPerSecond = 50;  ///< Lines about unusual events.
+/// Limits of the classes, and their names in logs.
+struct LineClassRow {
+  uint32_t max_lines_per_second;
+  std::string_view name;
+};
+constexpr std::array<LineClassRow, 2> kLineClasses = {
+    {{50, "refusal"}, {200, "open_flow"}}};
 /// The regular steps of one flow out of this many are logged.
 constexpr uint64_t kFlowsPerSample = 64;
 
@@ -41,19 +47,20 @@
   return "unknown";
 }
 
-bool FlowLog::AllowLine(TimePoint now) {
-  if (now >= m_window_end) {
-    if (m_suppressed_lines > 0) {
+bool FlowLog::AllowLine(TimePoint now, FlowLineClass line_class) {
+  const LineClassRow& row = kLineClasses[static_cast<size_t>(line_class)];
+  Budget& budget = m_budgets[static_cast<size_t>(line_class)];
+  if (now >= budget.window_end) {
+    if (budget.suppressed_lines > 0) {
       EventLine(Severity::kWarning, "lines_left_out")
-          .With("count", m_suppressed_lines);
+          .With("count", budget.suppressed_lines)
+          .With("class", row.name);
     }
-    m_window_end = now + Seconds(1);
-    m_lines_written = 0;
-    m_suppressed_lines = 0;
+    budget = Budget{now + Seconds(1)};
   }
-  const bool allowed = m_lines_written < kMaxLinesPerSecond;
-  m_lines_written += allowed ? 1 : 0;
-  m_suppressed_lines += allowed ? 0 : 1;
+  const bool allowed = budget.lines_written < row.max_lines_per_second;
+  budget.lines_written += allowed ? 1 : 0;
+  budget.suppressed_lines += allowed ? 0 : 1;
   return allowed;
 }
 
--- a/src/runtime/log_writer.cc
+++ b/src/runtime/log_writer.cc
@@ -64,6 +64,9 @@
     m_dropped_lines = 0;
   }
   append_line(LevelName(severity), line);
+  if (severity != Severity::kInfo) {
+    Flush();
+  }
 }
 
 void LogWriter::Flush() {
--- a/src/runtime/log_writer.h
+++ b/src/runtime/log_writer.h
@@ -12,7 +12,8 @@
 /// Writes the event lines of this process to standard output, each with a
 /// timestamp and its level. Lines wait in a bounded buffer until standard
 /// output is writable; lines that do not fit are dropped, and their number is
-/// logged. Not thread-safe.
+/// logged. Warnings and errors are written at once, as a process that is killed
+/// loses the lines that wait. Not thread-safe.
 class LogWriter {
  public:
   /// Installs this object as the event sink of the process. `loop` must not
--- a/src/runtime/stats_test.cc
+++ b/src/runtime/stats_test.cc
@@ -49,14 +49,22 @@
   TimePoint now{Seconds(10)};
   int written = 0;
   for (int i = 0; i < 80; ++i) {
-    written += log.AllowLine(now) ? 1 : 0;
+    written += log.AllowLine(now, FlowLineClass::kRefusal) ? 1 : 0;
   }
   CHECK(written == 50);
   now += Seconds(1);
-  CHECK(log.AllowLine(now));
+  CHECK(log.AllowLine(now, FlowLineClass::kRefusal));
   SetEventSink(nullptr);
   REQUIRE(lines.size() == 1);
-  CHECK(lines[0] == "event=lines_left_out count=30");
+  CHECK(lines[0] == "event=lines_left_out count=30 class=refusal");
+}
+
+TEST_CASE("a burst of refusals does not hide the reset of an open flow") {
+  FlowLog log;
+  const TimePoint now{Seconds(10)};
+  while (log.AllowLine(now, FlowLineClass::kRefusal)) {
+  }
+  CHECK(log.AllowLine(now, FlowLineClass::kOpenFlow));
 }
 
 TEST_CASE("the name and the sampling of a flow depend only on its addresses") {
