Fix: Packets for a server with a nearby initial number were taken for the own server's

Cause: two servers answer one opening packet. The agent of the other server returned the caller's packets only if they acknowledged a number more than 2^24 beyond its own server's initial one. One pair of random numbers in 256 lies closer. The agent then took the packet for the acceptance of its server, confirmed the flow as proven, and all later packets went to a server that ignores them.

Evidence: the new test failed for distances of 2, 1,000, 10,000,000 and 16,777,216.

An acceptance acknowledges exactly the initial number, or the one after it, as the server has sent nothing else by then: a packet for another server passes once in 2^31.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -17,10 +17,9 @@
 constexpr Duration kHeartbeatTimeout = Milliseconds(3000);
 /// Packets of the server may wait this long in the agent's socket.
 constexpr Duration kQueuedPacketTime = Milliseconds(200);
-/// An acknowledgement number further than this beyond the initial sequence
-/// number of the server belongs to another server's answer. The value exceeds
-/// any answer and is a small part of the sequence space.
-constexpr uint32_t kMaxAnswerBytes = 1U << 24U;
+/// An acceptance acknowledges the initial sequence number of the server, or the
+/// number after it.
+constexpr uint32_t kMaxAcceptanceOffset = 1;
 /// Slots assumed for a server before its first heartbeat.
 constexpr uint32_t kDefaultSlots = 4;
 
@@ -164,7 +163,8 @@
 bool AgentForwarder::AcknowledgesOtherServer(const FlowPacket& packet,
                                              const Flow& flow) {
   return flow.stage == Stage::kAccepted &&
-         packet.acknowledged - flow.server_initial_sequence > kMaxAnswerBytes;
+         packet.acknowledged - flow.server_initial_sequence >
+             kMaxAcceptanceOffset;
 }
 
 void AgentForwarder::TrackCallerPacket(TimePoint now,
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -115,6 +115,22 @@
   CHECK(fixture.Forward(other).kind == ForwarderDecision::Kind::kDeliver);
 }
 
+TEST_CASE("packets for a server with a nearby initial number are returned") {
+  ForwarderFixture fixture;
+  fixture.Forward(MakePacket(1, true));
+  fixture.SendSynAck(1, 500);
+  for (const uint32_t distance : {2U, 1000U, 10000000U, 16777216U}) {
+    FlowPacket other = MakePacket(1, false, 50);
+    other.acknowledged = 500 + distance;
+    const ForwarderDecision decision = fixture.Forward(other);
+    CHECK(decision.kind == ForwarderDecision::Kind::kReturn);
+    CHECK_FALSE(decision.proven);
+  }
+  FlowPacket own = MakePacket(1, false, 50);
+  own.acknowledged = 501;
+  CHECK(fixture.Forward(own).proven);
+}
+
 TEST_CASE("acknowledgement numbers of an established flow are not checked") {
   ForwarderFixture fixture;
   fixture.Forward(MakePacket(1, true));
