Fix: A balancer trusted an agent that had restarted with a flow that it had not proven

What callers could see: no answer on an open flow; all its packets reached a server that had answered the same opening packet, but was not the caller's choice.

Cause: of two servers that answer one opening packet, the balancer remembers the first whose agent confirms it. If the caller chose the other, that agent returns the caller's packets, because it saw its server's answer. An agent that has restarted in between has not: it delivers them, the half-open server ignores them, and nothing ever returns. Silence of a server was taken for possession of the flow.

An agent proves an owner only if the same process was heard by a status after it had got a packet that it would have returned. If it restarts before that, the flow is searched, the likely owners first. A flow that was proven stays where it is.

--- a/src/forwarding/director_fixture.h
+++ b/src/forwarding/director_fixture.h
@@ -62,6 +62,7 @@
                         &routes, DirectorLimits(), &PlaceByResponseTime};
   std::string raw = "packet";
   uint32_t sequence = 0;
+  uint64_t incarnation = 1;  ///< Incarnation in the statuses of agents.
 
   DirectorFixture() {
     routes.Adopt(MakeRouteTable(1, {MakeRoute(kRoute, "stock")}));
@@ -81,7 +82,7 @@
     member.id = MemberId{id};
     member.role = MemberRole::kAgent;
     member.ip = static_cast<uint32_t>(id);
-    member.incarnation = 1;
+    member.incarnation = incarnation;
     member.service = ServiceIdOf(service);
     member.domain = DomainId{1};
     member.state = state;
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -180,6 +180,14 @@
     BeginSearch(now, packet.flow, &flow);
   }
   const MemberEntry* owner = m_members->Find(flow.agent);
+  if (flow.phase == Phase::kOwnerKnown && owner != nullptr) {
+    flow.owner_proven = IsOwnerProven(flow, *owner);
+    if (!flow.owner_proven && HasOwnerRestarted(flow, *owner)) {
+      BeginSearch(now, packet.flow, &flow);
+      HoldForSearch(now, packet, raw);
+      return ContinueSearch(now, packet.flow, &flow);
+    }
+  }
   const bool owner_dead = owner == nullptr ||
                           m_members->IsPresumedDead(now, *owner) ||
                           m_members->HasLeftStopped(now, *owner);
@@ -197,7 +205,7 @@
   const bool reaches_agents =
       m_members->CountReachable(now, MemberRole::kAgent) > 0;
   if (retry_elsewhere && reaches_agents &&
-      (owner == nullptr || !IsOwnerProven(flow, *owner))) {
+      (owner == nullptr || !flow.owner_proven)) {
     // The caller may have accepted another server, for example if a balancer
     // that was suspended opened the flow a second time.
     const MemberId silent_agent = flow.agent;
@@ -326,7 +334,10 @@
     flow.unresponsive.clear();
     flow.syn = std::string();
     flow.owner_since = now;
-    flow.used_since = proven ? now : TimePoint();
+    const MemberEntry* owner = m_members->Find(from);
+    flow.owner_incarnation = owner == nullptr ? 0 : owner->member.incarnation;
+    flow.owner_proven = proven;
+    flow.used_since = TimePoint();
     flow.expires = now + IdleTimeout();
     m_search_packets.Erase(key);
   }
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -204,6 +204,8 @@
     /// Opening: in the queue of its service; waits there while `agent` is
     /// unset.
     bool is_queued = false;
+    /// The caller is known to have accepted the server of `agent`.
+    bool owner_proven = false;
     uint8_t opening_retries = 0;  ///< Opening packets left unconfirmed.
     /// Search: how often only silent agents were left; they are given more time
     /// each time.
@@ -220,6 +222,7 @@
     TimePoint search_report_at;  ///< Search: when it is reported; zero: done.
     TimePoint asked_at;          ///< Search: when `agent` was asked.
     TimePoint owner_since;       ///< When the owner became known.
+    uint64_t owner_incarnation = 0;  ///< Of its agent at that time.
     TimePoint used_since;  ///< First later packet sent to the owner; or zero.
     std::string syn;       ///< Opening packet, until the owner is known.
     TimePoint answer_deadline;  ///< Opening: when to try another agent.
@@ -279,11 +282,19 @@
       const std::vector<MemberId>& excluded) const;
   /// Returns a decision to forward to the agent of the flow, and counts it.
   DirectorDecision Forward(const ServiceRoute& route, const Flow& flow);
-  /// Returns whether the owner was heard after it had got a packet that its
-  /// server would have returned if it did not hold the flow.
+  /// Returns whether the agent that confirmed the opening of the flow has
+  /// restarted since. The new process doesn't know its server's answer, so it
+  /// would deliver packets that accept another server.
+  static bool HasOwnerRestarted(const Flow& flow, const MemberEntry& owner) {
+    return owner.member.incarnation != flow.owner_incarnation;
+  }
+  /// Returns whether the caller is known to have accepted the owner: the same
+  /// process was heard after it had got a packet that it would have returned
+  /// otherwise.
   bool IsOwnerProven(const Flow& flow, const MemberEntry& owner) const {
-    return flow.used_since != TimePoint() &&
-           owner.heard - flow.used_since >= m_limits.search_timeout;
+    return flow.owner_proven ||
+           (!HasOwnerRestarted(flow, owner) && flow.used_since != TimePoint() &&
+            owner.status_at - flow.used_since >= m_limits.search_timeout);
   }
   /// Lets a new flow that no server takes now wait, or rejects it.
   DirectorDecision QueueFlow(TimePoint now,
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -94,6 +94,33 @@
   CHECK_FALSE(decision.header.search);
 }
 
+TEST_CASE("a flow is searched if its agent restarted before it was proven") {
+  DirectorFixture fixture;
+  const DirectorDecision opened = fixture.Send(MakeOpeningPacket(1));
+  fixture.director.OnFlowConfirmed(fixture.now, opened.agent,
+                                   MakeOpeningPacket(1).flow, false);
+  SUBCASE("restarted before the caller's first packet") {
+    fixture.incarnation = 2;
+    fixture.ReceiveAllStatuses();
+    // The new process can't tell that the packet accepts another server.
+    DirectorDecision decision = fixture.Send(MakeLaterPacket(1));
+    CHECK(decision.agent == opened.agent);
+    CHECK(decision.header.search);
+    fixture.now += Milliseconds(200);
+    decision = fixture.Send(MakeLaterPacket(1));
+    CHECK(decision.agent != opened.agent);
+  }
+  SUBCASE("restarted later") {
+    fixture.UseFlow(1);
+    fixture.Send(MakeLaterPacket(1));
+    fixture.incarnation = 2;
+    fixture.ReceiveAllStatuses();
+    const DirectorDecision decision = fixture.Send(MakeLaterPacket(1));
+    CHECK(decision.agent == opened.agent);
+    CHECK_FALSE(decision.header.search);
+  }
+}
+
 TEST_CASE("a search includes agents that did not confirm the opening packet") {
   DirectorFixture fixture;
   const DirectorDecision first = fixture.Send(MakeOpeningPacket(1));
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -35,6 +35,7 @@
   MemberEntry& entry = m_entries[member.id];
   const bool is_new = entry.heard == TimePoint() ||
                       entry.member.incarnation != member.incarnation;
+  entry.status_at = now;
   if (!is_new && status.sequence() <= entry.sequence) {
     entry.heard = now;
     return false;  // Reordered: a newer status has arrived already.
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -36,6 +36,7 @@
 struct MemberEntry {
   FleetMember member;       ///< Latest known state.
   TimePoint heard;          ///< Last message from the member; zero: none yet.
+  TimePoint status_at;      ///< Last status of this incarnation; zero: none.
   TimePoint discovered_at;  ///< First status, or first mention by a peer.
   TimePoint avoid_until;    ///< Other agents are preferred until then, as this
                             ///< one left an opening packet unanswered.
