Fix: A late deregistration made a restarted agent return the flows of a living server

What callers could see: an open flow was reset although its server held it.

Cause: an agent without a heartbeat took any deregistration for that of its server, also a late one of the server that had the address before. It then returned every packet as server_down; a search takes that for a denial and ends with a reset, until the next heartbeat arrives.

Evidence: the new test failed: after OnDeregister of another id the agent returned a packet of an open flow with server_down.

Packets are delivered meanwhile, and a server that does not hold their flow returns them.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -327,6 +327,7 @@
   }
   m_report = report;
   m_report_at = now;
+  m_departure_unconfirmed = false;
   m_server_seen_at = now;
   m_awaiting_server = false;
   m_down = false;
@@ -334,11 +335,16 @@
 }
 
 bool AgentForwarder::OnDeregister(TimePoint now, std::string_view id) {
-  if (m_report.has_value() && m_report->id != id) {
+  if (!m_report.has_value()) {
+    // The message may be late and mean an earlier server at this address.
+    m_departure_unconfirmed = true;
+    return false;
+  }
+  if (m_report->id != id) {
     return false;
   }
   m_departed_id = std::string(id);
-  m_departed_start_ms = m_report.has_value() ? m_report->started_ms : 0;
+  m_departed_start_ms = m_report->started_ms;
   m_report = std::nullopt;
   m_down = true;
   m_server_seen_at = now;
@@ -366,6 +372,7 @@
   m_down = true;
   m_down_at = now;
   m_awaiting_server = false;
+  m_departure_unconfirmed = false;
   return resets;
 }
 
@@ -401,8 +408,8 @@
   // Balancers must know whether flows remain at the server of an agent that
   // leaves.
   const bool is_last_chance = m_leaving && !m_report.has_value();
-  return !m_down &&
-         (IsServerUnresponsive(now) || heartbeat_overdue || is_last_chance);
+  return !m_down && (IsServerUnresponsive(now) || heartbeat_overdue ||
+                     is_last_chance || m_departure_unconfirmed);
 }
 
 bool AgentForwarder::IsServerUnresponsive(TimePoint now) const {
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -135,7 +135,8 @@
   ReportOutcome OnReport(TimePoint now, const ServerReport& report);
 
   /// Handles the deregistration of the backend server.
-  /// @return false if the known server has another id
+  /// @return false if the known server has another id, or none is known; the
+  ///     server then has to be probed
   bool OnDeregister(TimePoint now, std::string_view id);
 
   /// Call when nothing listens at the server's address.
@@ -159,6 +160,8 @@
   /// Returns the number of requests at the server, including those expected on
   /// new flows.
   uint32_t ActiveRequests() const { return m_active; }
+  /// Returns whether a deregistration waits for a probe to confirm it.
+  bool IsDepartureUnconfirmed() const { return m_departure_unconfirmed; }
   /// Returns whether this agent is stopping.
   bool IsLeaving() const { return m_leaving; }
   /// Returns the number of entries in the flow table.
@@ -247,11 +250,13 @@
   bool m_awaiting_server = false;    ///< m_unanswered_since is valid.
   bool m_down = false;               ///< Nothing listens at m_address.
   TimePoint m_down_at;               ///< When OnServerDown found that.
-  bool m_leaving = false;            ///< This agent is stopping.
-  uint32_t m_active = 0;             ///< Number of active flows.
-  uint32_t m_pending = 0;            ///< Of these: a request has arrived.
-  double m_failure_rate = 0;         ///< Failure rate at m_failure_rate_at.
-  TimePoint m_failure_rate_at;       ///< Last update of m_failure_rate.
+  /// A server has deregistered before any heartbeat arrived here.
+  bool m_departure_unconfirmed = false;
+  bool m_leaving = false;       ///< This agent is stopping.
+  uint32_t m_active = 0;        ///< Number of active flows.
+  uint32_t m_pending = 0;       ///< Of these: a request has arrived.
+  double m_failure_rate = 0;    ///< Failure rate at m_failure_rate_at.
+  TimePoint m_failure_rate_at;  ///< Last update of m_failure_rate.
   /// Number of active requests when the server last refused one, at least the
   /// number of its slots. New flows are returned at this load.
   uint32_t m_refused_load = 0;
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -404,6 +404,23 @@
   CHECK_FALSE(ForwarderFixture().forwarder.OnDeregister(fixture.now, "i-2"));
 }
 
+TEST_CASE("a late deregistration does not stop the server of a new agent") {
+  TimePoint now{Seconds(100)};
+  AgentForwarder forwarder("stock", kServer, ForwarderLimits());
+  CHECK_FALSE(forwarder.OnDeregister(now, "i-0"));
+  ForwardHeader header;
+  header.service = ServiceIdOf("stock");
+  header.search = true;
+  CHECK(forwarder.OnForwarded(now, kBalancer, header, MakePacket(1, false, 10))
+            .kind == ForwarderDecision::Kind::kDeliver);
+  CHECK(forwarder.State(now) != AgentState::kGone);
+  // Whether the server is still there is found out by a probe.
+  CHECK(forwarder.NeedsServerProbe(now));
+  forwarder.OnServerDown(now);
+  CHECK(forwarder.State(now) == AgentState::kGone);
+  CHECK_FALSE(forwarder.NeedsServerProbe(now));
+}
+
 TEST_CASE("flows of a dead server are reset once") {
   ForwarderFixture fixture;
   fixture.OpenAndRequest(1);
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -309,6 +309,9 @@
 }
 
 void AgentRuntime::OnServerDown(TimePoint now) {
+  if (m_forwarder.IsDepartureUnconfirmed()) {
+    m_fleet_node.LeaveStore();
+  }
   const std::vector<FlowReset> resets = m_forwarder.OnServerDown(now);
   for (const FlowReset& reset : resets) {
     const std::string packet =
