Fix: An agent that took its server for stopped was never asked about the flow again

What callers could see: an open flow was reset although its server held it, seconds after its agent had reported that server ready.

Cause: a search counted server_down like the word of a server that it lacks the flow. That word is final, as flows never move; a state of the agent is not.

Evidence: a sequence of events that the model of the reset decision found (restart of the owner's agent, a late deregistration, loss of another agent: reset 5 s later); the new test failed with the flow reset.

An agent that returned server_down is left out of the search only while its state says so, and is asked again afterwards.

--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -266,11 +266,17 @@
       SetSearchTarget(now, owner, &flow);
       return Forward(*route, flow);
     }
+  } else if (reason == ReturnReason::kServerDown) {
+    // Unlike the word of a server, this may change: the agent is asked again
+    // if its state does.
+    detail::AddOnce(&flow.server_down, from);
+    m_members->OnServerDown(from);
   } else {
     detail::AddOnce(&flow.tried, from);
   }
   if (flow.agent != from && flow.agent.IsSet() &&
-      !detail::Contains(flow.tried, flow.agent)) {
+      !detail::Contains(flow.tried, flow.agent) &&
+      !detail::Contains(flow.server_down, flow.agent)) {
     // An agent that was asked earlier returned the packet late.
     return Forward(*route, flow);
   }
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -214,6 +214,8 @@
     uint32_t syn_sequence = 0;
     MemberId agent;     ///< Destination of packets.
     ServiceId service;  ///< Service requested from the agent.
+    /// Search: returned the packet because their server did not run.
+    std::vector<MemberId> server_down;
     /// Agents that returned the packet or did not confirm it.
     std::vector<MemberId> tried;
     std::vector<MemberId> busy;           ///< Returned the packet as kBusy.
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -28,6 +28,7 @@
   // so they are asked again.
   flow->tried.clear();
   flow->unresponsive.clear();
+  flow->server_down.clear();
   flow->syn = std::string();
   flow->phase = Phase::kSearching;
   flow->search_report_at = now + m_limits.long_search;
@@ -91,7 +92,8 @@
   DirectorDecision reset =
       Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
   reset.evidence.discovery = discovery;
-  reset.evidence.denials = static_cast<uint32_t>(flow->tried.size());
+  reset.evidence.denials =
+      static_cast<uint32_t>(flow->tried.size() + flow->server_down.size());
   reset.evidence.agents = CountAgents();
   RemoveFlow(key);
   return reset;
@@ -136,6 +138,8 @@
                       service == services.end() ||
                       detail::Contains(flow.tried, id) ||
                       detail::Contains(flow.unresponsive, id) ||
+                      (detail::Contains(flow.server_down, id) &&
+                       entry.member.state == AgentState::kGone) ||
                       m_members->IsPresumedDead(now, entry) ||
                       m_members->HasLeftStopped(now, entry);
     if (skip) {
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -84,6 +84,36 @@
   CHECK(decision.kind == DirectorDecision::Kind::kReset);
 }
 
+TEST_CASE("an agent whose server was down for a moment is asked again") {
+  DirectorFixture fixture;
+  DirectorDecision decision = fixture.Send(MakeLaterPacket(1));
+  const MemberId was_down = decision.agent;
+  decision =
+      fixture.Return(decision, ReturnReason::kServerDown, MakeLaterPacket(1));
+  CHECK(decision.agent != was_down);
+  decision =
+      fixture.Return(decision, ReturnReason::kBounced, MakeLaterPacket(1));
+  CHECK(decision.agent != was_down);
+  fixture.now += Milliseconds(100);
+  fixture.ReceiveAllStatuses();
+  decision =
+      fixture.Return(decision, ReturnReason::kBounced, MakeLaterPacket(1));
+  CHECK(decision.kind == DirectorDecision::Kind::kForward);
+  CHECK(decision.agent == was_down);
+}
+
+TEST_CASE("a flow is reset if the server of an agent stays down") {
+  DirectorFixture fixture;
+  DirectorDecision decision = fixture.Send(MakeLaterPacket(1));
+  decision =
+      fixture.Return(decision, ReturnReason::kServerDown, MakeLaterPacket(1));
+  for (int i = 0; i < 2; ++i) {
+    decision =
+        fixture.Return(decision, ReturnReason::kBounced, MakeLaterPacket(1));
+  }
+  CHECK(decision.kind == DirectorDecision::Kind::kReset);
+}
+
 TEST_CASE("a search ends at the agent that proves to hold the flow") {
   DirectorFixture fixture;
   fixture.Send(MakeLaterPacket(1));
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -161,6 +161,13 @@
   entry->pending = 0;
 }
 
+void MembershipTable::OnServerDown(MemberId id) {
+  MemberEntry* entry = Find(id);
+  if (entry != nullptr) {
+    entry->member.state = AgentState::kGone;
+  }
+}
+
 std::vector<FleetMember> MembershipTable::OnTick(TimePoint now) {
   std::vector<FleetMember> forgotten;
   for (auto it = m_entries.begin(); it != m_entries.end();) {
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -69,6 +69,10 @@
   /// Updates the load of a known agent from its load report.
   void OnLoad(TimePoint now, MemberId id, const ServerLoad& load);
 
+  /// Records that the server of an agent does not run, until the agent's next
+  /// status.
+  void OnServerDown(MemberId id);
+
   /// Removes members that have been silent for the removal timeout.
   /// @return the removed members
   std::vector<FleetMember> OnTick(TimePoint now);
