Fix: A balancer took the members that it happened to hear for the whole fleet

Cause: a balancer that starts concluded from silence that it knew all agents: after two status intervals if nobody counted more members, or 1.5 s after its start. A balancer whose seeds are down hears only members that remember it; nobody introduces the others.

A search ends with a reset only on positive evidence: the balancer has met the fleet (a balancer, or a complete list), no member that it hears tells of more agents, and the list of the store is not evidently incomplete; otherwise the list is read again. Members find each other: agents are asked for members, balancers contact seeds that they don't hear and registered agents that never answered, every second.

The test "without the store's list, agents get time to join" had a balancer that is alone reset a flow after two intervals, which is the fault. It now meets the fleet first; the new test beside it checks that a balancer that is alone never resets.

--- a/lab/lab_simulation.cc
+++ b/lab/lab_simulation.cc
@@ -83,6 +83,7 @@
   const MemberId id{balancer->ip};
   balancer->members =
       std::make_unique<MembershipTable>(id, MembershipTimeouts());
+  balancer->members->OnFleetMet();  // Statuses of balancers aren't simulated.
   balancer->routes = std::make_unique<ActiveRoutes>();
   balancer->routes->Adopt(MakeRouteTable());
   DirectorLimits limits;
--- a/src/forwarding/director_fixture.h
+++ b/src/forwarding/director_fixture.h
@@ -66,6 +66,7 @@
 
   DirectorFixture() {
     routes.Adopt(MakeRouteTable(1, {MakeRoute(kRoute, "stock")}));
+    members.OnFleetMet();
     ReceiveAllStatuses();
     now += Seconds(5);
     ReceiveAllStatuses();
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -103,10 +103,17 @@
   if (m_members->CountReachable(now, MemberRole::kAgent) == 0) {
     return DiscoveryBasis::kIncomplete;
   }
+  // Silence of a member that can't know this balancer proves nothing, so the
+  // fleet must have been met, and no member may hear more agents.
+  if (!m_members->HasMetFleet() ||
+      m_members->CountLiveAgents(now) < m_members->LargestReportedAgents(now)) {
+    return DiscoveryBasis::kIncomplete;
+  }
   const Duration uptime = now - m_started_at;
   const Duration quiet_time = now - m_members->LastAgentDiscovery();
   if (uptime >= m_limits.startup_discovery_time &&
-      quiet_time >= m_limits.discovery_quiet_time) {
+      quiet_time >= m_limits.discovery_quiet_time &&
+      !m_members->IsRegisteredAgentMissing(now)) {
     return DiscoveryBasis::kQuiet;
   }
   if (m_members->HasHeardRegisteredAgents()) {
@@ -118,6 +125,7 @@
       StatusInterval(MemberRole::kAgent, m_members->Entries().size());
   const bool is_counted =
       uptime >= 2 * interval && quiet_time >= interval &&
+      !m_members->IsRegisteredAgentMissing(now) &&
       m_members->Entries().size() >= m_members->LargestReportedSize(now);
   return is_counted ? DiscoveryBasis::kCounted : DiscoveryBasis::kIncomplete;
 }
--- a/src/forwarding/flow_waiting_test.cc
+++ b/src/forwarding/flow_waiting_test.cc
@@ -179,6 +179,20 @@
   FlowDirector new_director{now,     DomainId{1},      &new_members,
                             &routes, DirectorLimits(), &PlaceByResponseTime};
 
+  uint32_t agents_told = 0;  ///< Agents heard, as told in statuses of agents.
+
+  /// Delivers the first status of a balancer that hears `agents` agents.
+  void HearBalancer(uint32_t agents) {
+    FleetMember peer;
+    peer.id = MemberId{2};
+    peer.ip = 2;
+    peer.incarnation = 1;
+    proto::PeerStatus status;
+    *status.mutable_self() = EncodeMember(now, peer);
+    status.set_sequence(1);
+    status.set_agents_heard(agents);
+    new_members.OnStatus(now, status);
+  }
   /// Delivers the first status of an agent, whose address equals its id.
   void Hear(uint64_t id) {
     FleetMember member;
@@ -191,6 +205,7 @@
     proto::PeerStatus status;
     *status.mutable_self() = EncodeMember(now, member);
     status.set_sequence(1);
+    status.set_agents_heard(agents_told);
     new_members.OnStatus(now, status);
   }
   /// Sends a packet of an old flow; each agent that is asked denies the flow.
@@ -208,7 +223,7 @@
 
 TEST_CASE("once all registered agents deny a flow, it is reset at once") {
   RestartFixture fixture;
-  fixture.new_members.SetRegisteredAgents({21, 22, 23});
+  fixture.new_members.SetRegisteredAgents(fixture.now, {21, 22, 23});
   fixture.Hear(21);
   fixture.Hear(22);
   fixture.now += Milliseconds(50);
@@ -238,8 +253,49 @@
   CHECK(fixture.SendAndDeny().kind == Kind::kReset);
 }
 
+TEST_CASE("a balancer that met no other resets no flow of unknown agents") {
+  RestartFixture fixture;
+  fixture.Hear(21);
+  for (int i = 0; i < 20; ++i) {
+    fixture.now += Milliseconds(300);
+    fixture.Hear(21);
+    CHECK(fixture.SendAndDeny().kind != Kind::kReset);
+  }
+  fixture.HearBalancer(1);
+  CHECK(fixture.SendAndDeny().kind == Kind::kReset);
+}
+
+TEST_CASE("a flow is not reset while an agent tells of more agents") {
+  RestartFixture fixture;
+  fixture.new_members.OnFleetMet();
+  fixture.agents_told = 2;
+  for (int i = 0; i < 10; ++i) {
+    fixture.now += Milliseconds(300);
+    fixture.Hear(21);
+    CHECK(fixture.SendAndDeny().kind != Kind::kReset);
+  }
+  fixture.Hear(22);
+  fixture.now += Milliseconds(310);
+  fixture.Hear(21);
+  CHECK(fixture.SendAndDeny().kind == Kind::kReset);
+}
+
+TEST_CASE("quiet does not end a search while a registered agent is unheard") {
+  RestartFixture fixture;
+  fixture.new_members.SetRegisteredAgents(fixture.now, {21, 22});
+  for (int i = 0; i < 10; ++i) {
+    fixture.now += Milliseconds(300);
+    fixture.Hear(21);
+    CHECK(fixture.SendAndDeny().kind != Kind::kReset);
+  }
+  fixture.now += MembershipTimeouts().presumed_dead;
+  fixture.Hear(21);
+  CHECK(fixture.SendAndDeny().kind == Kind::kReset);
+}
+
 TEST_CASE("without the store's list, agents get time to join") {
   RestartFixture fixture;
+  fixture.new_members.OnFleetMet();
   fixture.Hear(21);
   fixture.now += Milliseconds(400);
   CHECK(fixture.SendAndDeny().kind == Kind::kHold);
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -54,6 +54,8 @@
   entry.avoid_until = TimePoint();
   entry.leaving = status.leaving();
   entry.fleet_size = std::min(status.members(), kMaxMembers);
+  entry.agents_heard = std::min(status.agents_heard(), kMaxMembers);
+  m_has_met_fleet = m_has_met_fleet || member.role == MemberRole::kBalancer;
   entry.store_answered_at = status.checked_ms() == 0
                                 ? TimePoint()
                                 : now - Milliseconds(status.checked_ms() - 1);
@@ -79,18 +81,19 @@
   return true;
 }
 
-void MembershipTable::Learn(TimePoint now, const FleetMember& member) {
+bool MembershipTable::Learn(TimePoint now, const FleetMember& member) {
   const bool ignored = !member.id.IsSet() || member.id == m_self ||
                        m_entries.count(member.id) > 0 ||
                        FindByAddress(member.ip, member.role) != nullptr;
   if (ignored) {
-    return;
+    return false;
   }
   m_by_address[{member.ip, member.role}] = member.id;
   MemberEntry& entry = m_entries[member.id];
   entry.member = member;
   entry.discovered_at = now;
   RecordDiscovery(now, member);
+  return true;
 }
 
 size_t MembershipTable::FleetSize(MemberRole own_role) const {
@@ -103,14 +106,47 @@
   return size;
 }
 
-void MembershipTable::SetRegisteredAgents(const std::vector<uint32_t>& ips) {
-  m_has_registered_agents = true;
+bool MembershipTable::SetRegisteredAgents(TimePoint now,
+                                          const std::vector<uint32_t>& ips) {
   for (const uint32_t ip : ips) {
     const MemberEntry* entry = FindByAddress(ip, MemberRole::kAgent);
     if (entry == nullptr || entry->heard == TimePoint()) {
       m_unheard_agents.insert(ip);
     }
   }
+  m_registered_at = now;
+  // An agent that is heard but not listed has not registered yet, or its
+  // registration was lost; the same may hold for agents that are not heard.
+  const std::set<uint32_t> listed(ips.begin(), ips.end());
+  const bool lacks_agent =
+      std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+        const MemberEntry& entry = item.second;
+        return entry.member.role == MemberRole::kAgent && !entry.leaving &&
+               entry.member.state != AgentState::kGone &&
+               IsReachable(now, entry) && listed.count(entry.member.ip) == 0;
+      });
+  m_has_registered_agents = !listed.empty() && !lacks_agent;
+  return m_has_registered_agents;
+}
+
+uint32_t MembershipTable::CountLiveAgents(TimePoint now) const {
+  return static_cast<uint32_t>(
+      std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+        const MemberEntry& entry = item.second;
+        return entry.member.role == MemberRole::kAgent &&
+               entry.heard != TimePoint() && !IsPresumedDead(now, entry) &&
+               !HasLeftStopped(now, entry);
+      }));
+}
+
+uint32_t MembershipTable::LargestReportedAgents(TimePoint now) const {
+  uint32_t largest = 0;
+  for (const auto& [id, entry] : m_entries) {
+    if (IsReachable(now, entry)) {
+      largest = std::max(largest, entry.agents_heard);
+    }
+  }
+  return largest;
 }
 
 size_t MembershipTable::LargestReportedSize(TimePoint now) const {
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -43,7 +43,8 @@
   uint32_t sequence = 0;    ///< Sequence number of its latest status.
   uint32_t pending = 0;     ///< Flows placed there since its last load report.
   uint32_t fleet_size = 0;  ///< Number of other members that it counts.
-  bool leaving = false;     ///< The member has announced a planned stop.
+  uint32_t agents_heard = 0;  ///< Number of agents that it has told to hear.
+  bool leaving = false;       ///< The member has announced a planned stop.
   /// When the store last answered the member; zero: its last call failed.
   TimePoint store_answered_at;
 };
@@ -64,7 +65,8 @@
 
   /// Adds a member that another process mentioned. Ignores members that are
   /// known and members at the address of a known one.
-  void Learn(TimePoint now, const FleetMember& member);
+  /// @return whether it was added
+  bool Learn(TimePoint now, const FleetMember& member);
 
   /// Updates the load of a known agent from its load report.
   void OnLoad(TimePoint now, MemberId id, const ServerLoad& load);
@@ -114,13 +116,37 @@
   /// Returns the largest number of other members that a reachable balancer
   /// counts; 0 if none is reachable.
   size_t LargestReportedSize(TimePoint now) const;
-  /// Sets the addresses of the agents that were registered when this process
-  /// started.
-  void SetRegisteredAgents(const std::vector<uint32_t>& ips);
+  /// Returns the number of agents that are heard, those that are presumed dead
+  /// or have left excluded.
+  uint32_t CountLiveAgents(TimePoint now) const;
+  /// Returns the largest number of agents that a reachable member has told to
+  /// hear; 0 if none has.
+  uint32_t LargestReportedAgents(TimePoint now) const;
+
+  /// Records that this process has met the fleet: it has heard another
+  /// balancer, or no other process exists to join through.
+  void OnFleetMet() { m_has_met_fleet = true; }
+  /// Returns whether OnFleetMet was called, a balancer was heard, or the list
+  /// of registered agents is known. A process that has not met the fleet knows
+  /// only the members that happen to know it.
+  bool HasMetFleet() const {
+    return m_has_met_fleet || m_has_registered_agents;
+  }
+
+  /// Sets the addresses of the registered agents.
+  /// @return false if the list is evidently incomplete, because it is empty or
+  ///     lacks an agent that is heard; it is then not taken for complete
+  bool SetRegisteredAgents(TimePoint now, const std::vector<uint32_t>& ips);
   /// Returns the registered agents that have not been heard yet.
   const std::set<uint32_t>& UnheardRegisteredAgents() const {
     return m_unheard_agents;
   }
+  /// Returns whether a registered agent was never heard, but may still be
+  /// alive.
+  bool IsRegisteredAgentMissing(TimePoint now) const {
+    return !m_unheard_agents.empty() &&
+           now - m_registered_at <= m_timeouts.presumed_dead;
+  }
   /// Returns whether the registered agents are known and each has been heard.
   bool HasHeardRegisteredAgents() const {
     return m_has_registered_agents && m_unheard_agents.empty();
@@ -155,8 +181,10 @@
   TimePoint m_last_contact;                   ///< See LastContact.
   TimePoint m_contact_since;                  ///< Start of unbroken contact.
   TimePoint m_last_agent_discovery;           ///< See LastAgentDiscovery.
-  bool m_has_registered_agents = false;  ///< SetRegisteredAgents was called.
-  std::set<uint32_t> m_unheard_agents;   ///< Registered, but not heard yet.
+  bool m_has_met_fleet = false;               ///< See OnFleetMet.
+  bool m_has_registered_agents = false;       ///< A complete list is known.
+  TimePoint m_registered_at;                  ///< When it was set.
+  std::set<uint32_t> m_unheard_agents;  ///< Registered, but not heard yet.
 };
 
 /// Converts a member to its wire message. Thread-safe.
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -329,7 +329,7 @@
   };
   hear(11, 101);
   CHECK_FALSE(members.HasHeardRegisteredAgents());  // The list is missing.
-  members.SetRegisteredAgents({101, 102});
+  CHECK(members.SetRegisteredAgents(now, {101, 102}));
   CHECK(members.UnheardRegisteredAgents() == std::set<uint32_t>{102});
   CHECK_FALSE(members.HasHeardRegisteredAgents());
   FleetMember mentioned;
@@ -342,6 +342,26 @@
   CHECK(members.HasHeardRegisteredAgents());
 }
 
+TEST_CASE("a list of agents that lacks a heard one is not taken for complete") {
+  const TimePoint now{Seconds(100)};
+  MembershipTable members(MemberId{1}, MembershipTimeouts());
+  CHECK_FALSE(members.SetRegisteredAgents(now, {}));
+  CHECK_FALSE(members.HasHeardRegisteredAgents());
+  FleetMember member;
+  member.id = MemberId{11};
+  member.role = MemberRole::kAgent;
+  member.ip = 101;
+  member.incarnation = 1;
+  proto::PeerStatus status;
+  *status.mutable_self() = EncodeMember(now, member);
+  status.set_sequence(1);
+  members.OnStatus(now, status);
+  CHECK_FALSE(members.SetRegisteredAgents(now, {102}));
+  CHECK_FALSE(members.HasMetFleet());
+  CHECK(members.SetRegisteredAgents(now, {101}));
+  CHECK(members.HasMetFleet());
+}
+
 TEST_CASE(
     "the expected response time grows with queue, warm-up and service time") {
   const TimePoint now{Seconds(100)};
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -27,6 +27,11 @@
 /// A balancer that has just started introduces itself again and again for this
 /// long, because the agents may be starting as well.
 constexpr Duration kIntroductionTime = Seconds(3);
+/// After that, agents that are listed but not heard are contacted this often,
+/// and so are seeds that are not heard.
+constexpr Duration kContactInterval = Seconds(1);
+/// Agents that a process asks for members if no balancer is heard.
+constexpr size_t kAgentsToAsk = 3;
 /// Smaller differences arise because the two clocks are not read at once.
 constexpr Duration kMinReportedSuspension = Milliseconds(200);
 constexpr std::string_view kMetricsPath = "/metrics";
@@ -75,6 +80,9 @@
                                               : Duration())),
       m_last_suspended_time(SuspendedTime()) {
   SetSeeds(settings.seeds);
+  if (m_seeds.empty()) {
+    m_members.OnFleetMet();
+  }
 }
 
 void FleetNode::SetSeeds(const std::vector<std::string>& seeds) {
@@ -143,7 +151,11 @@
         .With("incarnation", sender->member.incarnation);
   }
   for (const proto::PeerMember& known : status.known()) {
-    m_members.Learn(now, DecodeMember(now, known));
+    const FleetMember member = DecodeMember(now, known);
+    const bool is_news = m_members.Learn(now, member);
+    if (is_news && member.role == MemberRole::kBalancer) {
+      SendStatus(member.ip, MakeStatus(now));
+    }
   }
   if (sender->member.role == MemberRole::kBalancer) {
     const bool was_cut_off = m_balancer_heard_at != TimePoint() &&
@@ -188,6 +200,9 @@
   status.set_sequence(++m_status_sequence);
   status.set_leaving(m_leaving);
   status.set_members(static_cast<uint32_t>(m_members.FleetSize(m_self.role)));
+  status.set_agents_heard(m_self.role == MemberRole::kBalancer
+                              ? m_members.CountLiveAgents(now)
+                              : m_members.LargestReportedAgents(now));
   if (m_target_reader.LastStoreContact() != TimePoint()) {
     status.set_checked_ms(static_cast<uint32_t>(ToMilliseconds(
                               now - m_target_reader.LastStoreContact())) +
@@ -236,6 +251,10 @@
   }
   if (now < m_introductions_end) {
     IntroduceToAgents();
+  } else if (now >= m_next_contact) {
+    m_next_contact = now + kContactInterval;
+    IntroduceToAgents();
+    IntroduceToSeeds();
   }
   if (!m_leaving) {
     ListAgentsInStore(now);
@@ -260,6 +279,9 @@
     for (const uint32_t seed : m_seeds) {
       SendStatus(seed, status);
     }
+    for (const uint32_t ip : ReachableAgents(now, kAgentsToAsk)) {
+      SendStatus(ip, status);
+    }
     return;
   }
   // A different balancer each time, so that lost member lists are repaired.
@@ -275,6 +297,30 @@
       status);
 }
 
+std::vector<uint32_t> FleetNode::ReachableAgents(TimePoint now,
+                                                 size_t limit) const {
+  std::vector<uint32_t> ips;
+  for (const auto& [id, entry] : m_members.Entries()) {
+    if (entry.member.role == MemberRole::kAgent && ips.size() < limit &&
+        m_members.IsReachable(now, entry)) {
+      ips.push_back(entry.member.ip);
+    }
+  }
+  return ips;
+}
+
+void FleetNode::IntroduceToSeeds() {
+  const TimePoint now = SteadyTime();
+  for (const uint32_t seed : m_seeds) {
+    const MemberEntry* entry =
+        m_members.FindByAddress(seed, MemberRole::kBalancer);
+    if (m_self.role == MemberRole::kBalancer &&
+        (entry == nullptr || !m_members.IsReachable(now, *entry))) {
+      SendStatus(seed, MakeStatus(now));
+    }
+  }
+}
+
 std::string FleetNode::RenderStats() {
   const TimePoint now = SteadyTime();
   Stats stats;
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -107,9 +107,15 @@
   /// Reads once which agents the store lists, so that a balancer that starts
   /// knows which ones it has yet to hear.
   void ListAgentsInStore(TimePoint now);
-  /// Sends a status to each registered agent that has not been heard yet. An
-  /// agent answers the first one of a balancer.
+  /// Sends a status to registered agents that have not been heard yet: at first
+  /// to all of them, later to some at a time. An agent answers the first one of
+  /// a balancer.
   void IntroduceToAgents();
+  /// Sends a status to the seeds that are not heard, so that two parts of a
+  /// fleet that started apart find each other. Only balancers do so.
+  void IntroduceToSeeds();
+  /// Returns the addresses of at most `limit` reachable agents.
+  std::vector<uint32_t> ReachableAgents(TimePoint now, size_t limit) const;
   /// Adds this process to the store when that is due.
   void RegisterInStore(TimePoint now);
   /// Removes members that the membership table has forgotten from the store.
@@ -159,7 +165,9 @@
   uint32_t m_join_attempts = 0;
   /// When the store may next be asked for balancers.
   TimePoint m_next_store_discovery;
-  TimePoint m_introductions_end;     ///< Until then IntroduceToAgents repeats.
+  TimePoint m_introductions_end;     ///< Until then introductions are frequent.
+  TimePoint m_next_contact;          ///< When they are due after that.
+  uint32_t m_last_introduced = 0;    ///< Last agent that IntroduceToAgents met.
   TimePoint m_next_agent_list;       ///< When ListAgentsInStore is due.
   TimePoint m_next_registration;     ///< When RegisterInStore is due.
   TimePoint m_balancer_heard_at;     ///< Last status of a balancer.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -1,5 +1,6 @@
 // @file fleet_node_store.cc FleetNode's calls to the store, and its requests
 // for the targets of peers.
+#include <algorithm>
 #include <charconv>
 
 #include "src/core/error.h"
@@ -16,8 +17,12 @@
 constexpr Duration kStoreRetryInterval = Seconds(3);
 /// The same for a process that has just started and got no list of members.
 constexpr Duration kFailedStoreRetryInterval = Milliseconds(200);
+/// The same if the store's list of agents was evidently incomplete.
+constexpr Duration kIncompleteListRetryInterval = Milliseconds(700);
 /// If no balancer was heard for this long, the store is asked for balancers.
 constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
+/// Agents that are contacted at once after the start.
+constexpr size_t kMaxContacts = 32;
 constexpr Duration kTargetFetchTimeout = Milliseconds(800);
 
 }  // namespace
@@ -69,12 +74,14 @@
         m_member_call_pending = false;
         LogStoreTransition(result, "list_agents");
         if (result == StoreResult::kOk) {
-          m_agents_listed = true;
-          m_members.SetRegisteredAgents(ips);
+          const TimePoint completed_at = SteadyTime();
+          m_agents_listed = m_members.SetRegisteredAgents(completed_at, ips);
+          m_next_agent_list = completed_at + kIncompleteListRetryInterval;
           IntroduceToAgents();
           EventLine(Severity::kInfo, "agents_listed")
               .With("registered", ips.size())
-              .With("unheard", m_members.UnheardRegisteredAgents().size());
+              .With("unheard", m_members.UnheardRegisteredAgents().size())
+              .With("complete", m_agents_listed);
         }
       });
 }
@@ -84,9 +91,17 @@
   if (ips.empty()) {
     return;
   }
-  const proto::PeerStatus status = MakeStatus(SteadyTime());
-  for (const uint32_t ip : ips) {
-    SendStatus(ip, status);
+  const TimePoint now = SteadyTime();
+  const size_t limit = now < m_introductions_end ? ips.size() : kMaxContacts;
+  const proto::PeerStatus status = MakeStatus(now);
+  size_t sent = 0;
+  // Continues after the last one, so that all have their turn.
+  for (auto it = ips.upper_bound(m_last_introduced);
+       sent < std::min(limit, ips.size()); ++sent) {
+    it = it == ips.end() ? ips.begin() : it;
+    m_last_introduced = *it;
+    SendStatus(*it, status);
+    ++it;
   }
 }
 
--- a/src/runtime/fleet_node_test.cc
+++ b/src/runtime/fleet_node_test.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "src/core/error.h"
 
 namespace medlargauge {
@@ -29,36 +31,45 @@
   PlatformHooks platform = MakeSilentStore();
   std::vector<std::unique_ptr<FleetNode>> members;
 
-  /// Starts `count` members on `port`, each with an address of its own.
+  /// Starts `count` members on `port`, each with an address of its own. All
+  /// join through the first two.
   /// @return false if an address is taken
   bool StartAll(size_t count, uint16_t port) {
     for (size_t i = 0; i < count; ++i) {
-      const bool is_balancer = i < kBalancers;
-      Settings settings;
-      settings.name = "member-" + std::to_string(i);
-      settings.role = is_balancer ? "balancer" : "agent";
-      settings.service = is_balancer ? "" : "stock";
-      settings.failure_domain = "a";
-      settings.control_address = AddressOf(i, port);
-      settings.seeds = {AddressOf(0, port), AddressOf(1, port)};
-      FleetNodeHooks hooks;
-      hooks.update_self = [](TimePoint, FleetMember* self) {
-        self->state = AgentState::kReady;
-      };
-      hooks.on_frame = [](TimePoint, SocketAddress4, const PeerFrame&) {};
-      hooks.fill_stats = [](TimePoint, Stats*) {};
-      members.push_back(std::make_unique<FleetNode>(
-          &loop, settings,
-          is_balancer ? MemberRole::kBalancer : MemberRole::kAgent, &platform,
-          hooks));
+      Add(i, i < kBalancers, port, {AddressOf(0, port), AddressOf(1, port)});
     }
+    return Start();
+  }
+
+  /// Adds a member that joins through `seeds`.
+  void Add(size_t index,
+           bool is_balancer,
+           uint16_t port,
+           std::vector<std::string> seeds) {
+    Settings settings;
+    settings.name = "member-" + std::to_string(index);
+    settings.role = is_balancer ? "balancer" : "agent";
+    settings.service = is_balancer ? "" : "stock";
+    settings.failure_domain = "a";
+    settings.control_address = AddressOf(index, port);
+    settings.seeds = std::move(seeds);
+    FleetNodeHooks hooks;
+    hooks.update_self = [](TimePoint, FleetMember* self) {
+      self->state = AgentState::kReady;
+    };
+    hooks.on_frame = [](TimePoint, SocketAddress4, const PeerFrame&) {};
+    hooks.fill_stats = [](TimePoint, Stats*) {};
+    members.push_back(std::make_unique<FleetNode>(
+        &loop, settings,
+        is_balancer ? MemberRole::kBalancer : MemberRole::kAgent, &platform,
+        hooks));
+  }
+
+  /// Starts all members. @return false if an address is taken
+  bool Start() {
     Error reason;
-    for (auto& member : members) {
-      if (!member->Start(&reason)) {
-        return false;
-      }
-    }
-    return true;
+    return std::all_of(members.begin(), members.end(),
+                       [&](auto& member) { return member->Start(&reason); });
   }
 
   static std::string AddressOf(size_t index, uint16_t port) {
@@ -126,5 +137,62 @@
   CHECK(isolated_samples == 0);
 }
 
+/// Runs a fleet that `add` fills, on the first free port, for `time`.
+std::unique_ptr<TestFleet> RunFleet(
+    const std::function<void(TestFleet*, uint16_t port)>& add,
+    Duration time) {
+  for (uint16_t port = kFirstPort; port < kFirstPort + 20; ++port) {
+    auto fleet = std::make_unique<TestFleet>();
+    add(fleet.get(), port);
+    if (fleet->Start()) {
+      fleet->loop.After(time, [loop = &fleet->loop] { loop->Stop(); });
+      fleet->loop.Run();
+      return fleet;
+    }
+  }
+  return nullptr;
+}
+
+TEST_CASE("a balancer whose seeds are dead finds the others through agents") {
+  const std::unique_ptr<TestFleet> fleet = RunFleet(
+      [](TestFleet* fleet, uint16_t port) {
+        const std::string dead = TestFleet::AddressOf(90, port);
+        fleet->Add(0, true, port, {dead});
+        fleet->Add(1, true, port, {dead});
+        fleet->Add(
+            2, false, port,
+            {TestFleet::AddressOf(0, port), TestFleet::AddressOf(1, port)});
+      },
+      Milliseconds(1500));
+  REQUIRE(fleet != nullptr);
+  const TimePoint now = SteadyTime();
+  for (size_t i = 0; i < 2; ++i) {
+    MembershipTable& members = fleet->members[i]->Members();
+    CHECK(members.CountReachable(now, MemberRole::kAgent) == 1);
+    CHECK(members.CountReachable(now, MemberRole::kBalancer) == 1);
+  }
+}
+
+TEST_CASE("balancers find a seed that starts late and can't find them") {
+  const std::unique_ptr<TestFleet> fleet = RunFleet(
+      [](TestFleet* fleet, uint16_t port) {
+        const std::string seed = TestFleet::AddressOf(0, port);
+        fleet->Add(1, true, port, {seed, TestFleet::AddressOf(2, port)});
+        fleet->Add(2, true, port, {seed, TestFleet::AddressOf(1, port)});
+        fleet->loop.After(Milliseconds(500), [fleet, port] {
+          Error reason;
+          fleet->Add(0, true, port, {TestFleet::AddressOf(90, port)});
+          REQUIRE(fleet->members.back()->Start(&reason));
+        });
+      },
+      Milliseconds(5000));
+  REQUIRE(fleet != nullptr);
+  const TimePoint now = SteadyTime();
+  REQUIRE(fleet->members.size() == 3);
+  for (const auto& member : fleet->members) {
+    CHECK(member->Members().CountReachable(now, MemberRole::kBalancer) == 2);
+  }
+}
+
 }  // namespace
 }  // namespace medlargauge
