Fix: A balancer that stops just after its start never learned which agents exist

Found by the model of the reset decision on the code with the fix of discovery (restart balancer-1, restart agent-2, kill balancer-0, crash-server agent-2, leave balancer-1): a flow of the crashed server was never reset, as a stopping process did not read the store's list of agents. Reading it changes nothing in the store. With the change the sequence ends with the reset.

--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -256,8 +256,8 @@
     IntroduceToAgents();
     IntroduceToSeeds();
   }
+  ListAgentsInStore(now);
   if (!m_leaving) {
-    ListAgentsInStore(now);
     DiscoverBalancersInStore(now);
     RegisterInStore(now);
   }
