--- a/src/runtime/http.cc
+++ b/src/runtime/http.cc
@@ -34,6 +34,20 @@
   return body;
 }
 
+/// Copies the headers with these names that a response has.
+HttpHeaders CopyHeaders(evhttp_request* request,
+                        const std::vector<std::string>& names) {
+  HttpHeaders headers;
+  const evkeyvalq* received = evhttp_request_get_input_headers(request);
+  for (const std::string& name : names) {
+    const char* value = evhttp_find_header(received, name.c_str());
+    if (value != nullptr) {
+      headers[name] = value;
+    }
+  }
+  return headers;
+}
+
 std::string_view MethodName(evhttp_cmd_type command) {
   switch (command) {
     case EVHTTP_REQ_GET:
@@ -61,6 +75,9 @@
   const HttpResponse response = handler(decoded);
   evkeyvalq* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Content-Type", response.content_type);
+  for (const auto& [name, value] : response.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
   evbuffer* out = evhttp_request_get_output_buffer(request);
   evbuffer_add(out, response.body.data(), response.body.size());
   evhttp_send_reply(request, response.status, nullptr, nullptr);
@@ -137,6 +154,10 @@
     if (request != nullptr) {
       response.status = evhttp_request_get_response_code(request);
       response.body = CopyBody(evhttp_request_get_input_buffer(request));
+      if ((*reference)->client != nullptr) {
+        response.headers =
+            CopyHeaders(request, (*reference)->client->m_kept_headers);
+      }
     }
     Complete(*reference, response);
   }
@@ -152,8 +173,12 @@
   }
 };
 
-HttpClient::HttpClient(EventLoop* loop, SocketAddress4 address)
-    : m_loop(loop), m_address(address) {}
+HttpClient::HttpClient(EventLoop* loop,
+                       SocketAddress4 address,
+                       std::vector<std::string> kept_headers)
+    : m_loop(loop),
+      m_address(address),
+      m_kept_headers(std::move(kept_headers)) {}
 
 HttpClient::~HttpClient() {
   const std::shared_ptr<PendingRequest> pending = std::move(m_pending_request);
--- a/src/runtime/http.h
+++ b/src/runtime/http.h
@@ -3,10 +3,12 @@
 #define MEDLARGAUGE_RUNTIME_HTTP_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "src/core/error_type.h"
 #include "src/forwarding/forwarding_type.h"
@@ -25,11 +27,17 @@
   std::string_view body;    ///< Complete body.
 };
 
+/// Values of headers by name.
+using HttpHeaders = std::map<std::string, std::string, std::less<>>;
+
 /// A response that a server sends or a client receives.
 struct HttpResponse {
   int status = 0;    ///< Status code; 0: no response.
   std::string body;  ///< Complete body.
   const char* content_type = "application/json";  ///< Only used by HttpServer.
+  /// Further headers that HttpServer sends. HttpClient fills in those it was
+  /// created to keep, as far as the response has them.
+  HttpHeaders headers = {};
 };
 
 /// Answers HTTP requests to one address. Not thread-safe.
@@ -59,7 +67,10 @@
   /// Receives the response to a request.
   using ResponseCallback = std::function<void(const HttpResponse&)>;
 
-  HttpClient(EventLoop* loop, SocketAddress4 address);
+  /// @param kept_headers names of the headers that HttpResponse::headers gets
+  HttpClient(EventLoop* loop,
+             SocketAddress4 address,
+             std::vector<std::string> kept_headers = {});
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
   ~HttpClient();
@@ -85,6 +96,7 @@
 
   EventLoop* m_loop;                          ///< Runs the connection.
   SocketAddress4 m_address;                   ///< Address of the server.
+  std::vector<std::string> m_kept_headers;    ///< Headers to hand on.
   evhttp_connection* m_connection = nullptr;  ///< Null while not connected.
   std::shared_ptr<PendingRequest> m_pending_request;  ///< Null if not IsBusy.
 };
