Fix: Targets written after a restore of the store were ignored

Callers were served by the old targets for as long as the revisions of a restored store stayed below those that had been given out before it.

Cause: processes ordered targets by the bare revision, which goes back when the store comes back from an older copy.

Change: TargetVersion orders targets by the store's era, then by the revision. The era stands in each answer of the store, in the statuses (new optional fields; a process that sends none counts as era 0) and in a header of the targets that peers fetch, whose body is unchanged. An older copy must not revert accepted targets either: if the operators' number is known of both, the higher one stays in force whatever the era. Answers with an older, missing or unreadable era are ignored, counted in store_answers_ignored and logged at most every 10 s; the call is repeated.

Why it works: the order is total over (operators' number, era, revision), so all processes converge whatever the order of arrival.

--- a/lab/lab_simulation.cc
+++ b/lab/lab_simulation.cc
@@ -58,8 +58,8 @@
 
 RouteTable Simulation::MakeRouteTable() const {
   RouteTable table;
-  table.revision = 1;
-  table.version = 1;
+  table.identity.version.revision = 1;
+  table.identity.operators_version = 1;
   table.idle_timeout_ms = 15000;
   for (size_t i = 0; i < m_scenario.classes.size(); ++i) {
     const ClassModel& model = m_scenario.classes[i];
--- a/src/forwarding/active_routes.cc
+++ b/src/forwarding/active_routes.cc
@@ -6,7 +6,7 @@
 namespace medlargauge {
 
 bool ActiveRoutes::Adopt(RouteTable table) {
-  if (table.revision <= m_table.revision) {
+  if (!Supersedes(table.identity, m_table.identity)) {
     return false;
   }
   m_table = std::move(table);
--- a/src/forwarding/active_routes.h
+++ b/src/forwarding/active_routes.h
@@ -27,21 +27,20 @@
   uint32_t priority = 0;           ///< 0 is the most urgent.
 };
 
-/// All routes of one revision of the operators' targets.
+/// All routes of one version of the operators' targets.
 struct RouteTable {
-  uint64_t revision = 0;  ///< Store revision; 0: no targets yet.
-  uint64_t version = 0;   ///< Version that operators assign, for logs.
+  TargetIdentity identity;  ///< Its revision is 0 if there are no targets yet.
   /// Idle flows may be dropped after this time; 0: unknown.
   uint32_t idle_timeout_ms = 0;
   std::vector<ServiceRoute> routes;  ///< In the order of the targets.
 };
 
 /// Routes in force, and the services that earlier routes used, which open flows
-/// may still be at. The highest revision wins whatever the order of arrival, so
+/// may still be at. The newest targets win whatever the order of arrival, so
 /// all processes converge to the same table. Not thread-safe.
 class ActiveRoutes {
  public:
-  /// Puts a table in force if its revision is higher than the current one.
+  /// Puts a table in force if it supersedes the current one.
   /// @return whether the table was put in force
   bool Adopt(RouteTable table);
 
@@ -60,7 +59,9 @@
   static ServiceId SelectService(const ServiceRoute& route, uint64_t flow_hash);
 
   /// Returns the revision in force; 0 before the first table.
-  uint64_t Revision() const { return m_table.revision; }
+  uint64_t Revision() const { return m_table.identity.version.revision; }
+  /// Returns which targets are in force.
+  const TargetIdentity& Identity() const { return m_table.identity; }
   /// Returns the table in force.
   const RouteTable& Table() const { return m_table; }
 
--- a/src/forwarding/director_fixture.h
+++ b/src/forwarding/director_fixture.h
@@ -18,7 +18,7 @@
 inline RouteTable MakeRouteTable(uint64_t revision,
                                  std::vector<ServiceRoute> routes) {
   RouteTable table;
-  table.revision = revision;
+  table.identity.version.revision = revision;
   table.routes = std::move(routes);
   return table;
 }
--- a/src/forwarding/forwarding_type.h
+++ b/src/forwarding/forwarding_type.h
@@ -10,6 +10,7 @@
 #include "src/core/hash.h"
 #include "src/core/ids_type.h"
 #include "src/core/time_type.h"
+#include "src/forwarding/target_version.h"
 #include "src/packet/packet_type.h"
 #include "src/routing/routing_type.h"
 
@@ -112,8 +113,8 @@
   DomainId domain;    ///< Failure domain of the host.
   /// Agents only; kJoining while the agent does not know its server's state.
   AgentState state = AgentState::kJoining;
-  ServerLoad load;        ///< Agents only: latest load report.
-  uint64_t revision = 0;  ///< Revision of the targets in force at the member.
+  ServerLoad load;         ///< Agents only: latest load report.
+  TargetIdentity targets;  ///< Targets in force at the member.
 };
 
 /// Why an agent sends a packet back to the balancer.
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -271,7 +271,9 @@
   message.set_service(member.service.value);
   message.set_domain(member.domain.value);
   message.set_state(static_cast<uint32_t>(member.state));
-  message.set_revision(member.revision);
+  message.set_revision(member.targets.version.revision);
+  message.set_era(member.targets.version.era);
+  message.set_operators_version(member.targets.operators_version);
   if (member.role == MemberRole::kAgent) {
     *message.mutable_load() = EncodeLoad(now, member.load);
   }
@@ -293,7 +295,8 @@
   member.service.value = message.service();
   member.domain.value = message.domain();
   member.state = static_cast<AgentState>(message.state());
-  member.revision = message.revision();
+  member.targets.version = {message.era(), message.revision()};
+  member.targets.operators_version = message.operators_version();
   member.load = DecodeLoad(now, message.load());
   return member;
 }
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -150,8 +150,9 @@
                              now - m_balancer_heard_at >= kForgottenTime;
     m_next_registration = was_cut_off ? now : m_next_registration;
     m_balancer_heard_at = now;
-    const bool is_behind = m_self.role == MemberRole::kBalancer &&
-                           sender->member.revision > m_routes.Revision();
+    const bool is_behind =
+        m_self.role == MemberRole::kBalancer &&
+        Supersedes(sender->member.targets, m_routes.Identity());
     if (is_behind) {
       FetchTargetsFromPeer(from.ip);
     }
@@ -182,7 +183,7 @@
 
 proto::PeerStatus FleetNode::MakeStatus(TimePoint now) {
   m_hooks.update_self(now, &m_self);
-  m_self.revision = m_routes.Revision();
+  m_self.targets = m_routes.Identity();
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(now, m_self);
   status.set_sequence(++m_status_sequence);
@@ -283,6 +284,8 @@
                 m_members.CountReachable(now, MemberRole::kAgent));
   stats.Set(Stat::target_revision, m_routes.Revision());
   stats.Set(Stat::store_calls, m_store_calls);
+  stats.Set(Stat::store_era, m_era.Era());
+  stats.Set(Stat::store_answers_ignored, m_unusable_store_answers);
   stats.Set(Latency::store_call_ms, m_store_latency);
   if (m_target_reader.LastStoreContact() != TimePoint()) {
     stats.Set(Stat::store_check_age_ms,
@@ -302,11 +305,15 @@
     return response;
   }
   const bool has_targets =
-      request.path == kTargetsPath && m_stored_targets.revision != 0;
+      request.path == kTargetsPath && m_stored_targets.version.revision != 0;
   response.status = has_targets ? 200 : 404;
   if (has_targets) {
-    response.body = std::to_string(m_stored_targets.revision) + "\n" +
-                    m_stored_targets.value;
+    const TargetVersion& version = m_stored_targets.version;
+    response.body =
+        std::to_string(version.revision) + "\n" + m_stored_targets.value;
+    if (version.era != 0) {
+      response.headers[kTargetsEraHeader] = std::to_string(version.era);
+    }
   }
   return response;
 }
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -10,6 +10,7 @@
 
 #include "src/daemon/settings_type.h"
 #include "src/forwarding/active_routes.h"
+#include "src/forwarding/era_tracker.h"
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/status_schedule.h"
 #include "src/forwarding/target_reader.h"
@@ -85,6 +86,8 @@
  private:
   /// URL path at which other balancers fetch the targets in force.
   static constexpr std::string_view kTargetsPath = "/targets";
+  /// Header of that document: the era of its revision; missing for era 0.
+  static constexpr char kTargetsEraHeader[] = "Targets-Era";
 
   void OnDatagram(SocketAddress4 from, ByteSpan datagram);
   void OnStatus(TimePoint now, SocketAddress4 from, ByteView message);
@@ -123,6 +126,10 @@
   void ApplyTargets(const StoredTargets& targets, std::string_view source);
   /// Requests the targets from another balancer unless a request is in flight.
   void FetchTargetsFromPeer(uint32_t ip);
+  /// Checks the era in an answer of the store.
+  /// @return the result of the call; kRefused if the era makes the answer
+  ///     unusable
+  StoreResult CheckEra(const StoreReply& reply, std::string_view call);
   /// Logs when the store becomes unreachable or reachable again.
   void LogStoreTransition(StoreResult result, std::string_view call);
   /// Serves the metrics, and the targets for other balancers.
@@ -149,8 +156,12 @@
   bool m_leaving = false;          ///< A planned stop has begun.
   /// A call to the store that lists or changes members is in flight.
   bool m_member_call_pending = false;
-  bool m_agents_listed = false;      ///< ListAgentsInStore has succeeded.
-  bool m_left_store = false;         ///< LeaveStore was called.
+  bool m_agents_listed = false;  ///< ListAgentsInStore has succeeded.
+  bool m_left_store = false;     ///< LeaveStore was called.
+  EraTracker m_era;              ///< Era of the store.
+  /// Answers of the store that CheckEra has refused.
+  uint64_t m_unusable_store_answers = 0;
+  TimePoint m_next_era_warning;      ///< When CheckEra may next log one.
   bool m_store_unreachable = false;  ///< The last call to the store failed.
   LatencyHistogram m_store_latency;  ///< Of reads, not of watches.
   uint64_t m_store_calls = 0;        ///< Calls to the store since the start.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -20,6 +20,13 @@
 constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
 constexpr Duration kTargetFetchTimeout = Milliseconds(800);
 
+/// Parses a text that is a number as a whole. @return false if it is none
+bool ParseWhole(std::string_view text, uint64_t* number) {
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, *number);
+  return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
 }  // namespace
 
 void FleetNode::DiscoverBalancersInStore(TimePoint now) {
@@ -36,9 +43,9 @@
   ++m_store_calls;
   m_platform->list_members(
       MemberRole::kBalancer,
-      [this](StoreResult result, const std::vector<uint32_t>& ips) {
+      [this](const StoreReply& reply, const std::vector<uint32_t>& ips) {
         m_member_call_pending = false;
-        LogStoreTransition(result, "list_balancers");
+        LogStoreTransition(CheckEra(reply, "list_balancers"), "list_balancers");
         const TimePoint completed_at = SteadyTime();
         if (m_store_unreachable) {
           m_next_store_discovery = completed_at + kFailedStoreRetryInterval;
@@ -65,8 +72,9 @@
   ++m_store_calls;
   m_platform->list_members(
       MemberRole::kAgent,
-      [this](StoreResult result, const std::vector<uint32_t>& ips) {
+      [this](const StoreReply& reply, const std::vector<uint32_t>& ips) {
         m_member_call_pending = false;
+        const StoreResult result = CheckEra(reply, "list_agents");
         LogStoreTransition(result, "list_agents");
         if (result == StoreResult::kOk) {
           m_agents_listed = true;
@@ -97,13 +105,15 @@
   m_member_call_pending = true;
   m_next_registration = now + kStoreRetryInterval;
   ++m_store_calls;
-  m_platform->add_member(m_self.role, m_self.ip, [this](StoreResult result) {
-    m_member_call_pending = false;
-    if (result == StoreResult::kOk) {
-      m_next_registration = SteadyTime() + kRegistrationInterval;
-    }
-    LogStoreTransition(result, "add_member");
-  });
+  m_platform->add_member(
+      m_self.role, m_self.ip, [this](const StoreReply& reply) {
+        m_member_call_pending = false;
+        const StoreResult result = CheckEra(reply, "add_member");
+        if (result == StoreResult::kOk) {
+          m_next_registration = SteadyTime() + kRegistrationInterval;
+        }
+        LogStoreTransition(result, "add_member");
+      });
 }
 
 void FleetNode::RejoinStore() {
@@ -116,9 +126,10 @@
 void FleetNode::LeaveStore() {
   m_left_store = true;
   ++m_store_calls;
-  m_platform->remove_member(m_self.role, m_self.ip, [this](StoreResult result) {
-    LogStoreTransition(result, "remove_member");
-  });
+  m_platform->remove_member(
+      m_self.role, m_self.ip, [this](const StoreReply& reply) {
+        LogStoreTransition(CheckEra(reply, "remove_member"), "remove_member");
+      });
 }
 
 void FleetNode::DeregisterForgottenMembers(
@@ -142,11 +153,11 @@
     }
     m_member_call_pending = true;
     ++m_store_calls;
-    m_platform->remove_member(member.role, member.ip,
-                              [this](StoreResult result) {
-                                m_member_call_pending = false;
-                                LogStoreTransition(result, "remove_member");
-                              });
+    m_platform->remove_member(
+        member.role, member.ip, [this](const StoreReply& reply) {
+          m_member_call_pending = false;
+          LogStoreTransition(CheckEra(reply, "remove_member"), "remove_member");
+        });
   }
 }
 
@@ -160,18 +171,20 @@
   ++m_store_calls;
   const bool watches = action == ReadAction::kWatch;
   const auto done = [this, watches, now](
-                        StoreResult result,
+                        const StoreReply& reply,
                         const std::optional<StoredTargets>& targets,
                         uint64_t position) {
     const TimePoint completed_at = SteadyTime();
+    const std::string_view call = watches ? "watch_targets" : "fetch_targets";
+    const StoreResult result = CheckEra(reply, call);
     if (watches) {
       m_target_reader.OnWatch(completed_at, result, position);
     } else {
       m_target_reader.OnRead(completed_at, result, position);
       m_store_latency.Add(completed_at - now);
     }
-    LogStoreTransition(result, watches ? "watch_targets" : "fetch_targets");
-    if (targets.has_value()) {
+    LogStoreTransition(result, call);
+    if (result == StoreResult::kOk && targets.has_value()) {
       ApplyTargets(*targets, "store");
     }
     ReadTargets(completed_at);
@@ -199,27 +212,40 @@
 
 void FleetNode::ApplyTargets(const StoredTargets& targets,
                              std::string_view source) {
-  if (targets.revision <= m_routes.Revision()) {
+  const TargetIdentity previous = m_routes.Identity();
+  if (targets.version == previous.version) {
     return;
   }
   Error reason;
   std::optional<RouteTable> table = m_platform->parse_targets(targets, &reason);
   if (!table.has_value()) {
     EventLine(Severity::kError, "targets_refused")
-        .With("revision", targets.revision)
+        .With("era", targets.version.era)
+        .With("revision", targets.version.revision)
         .With("source", source)
         .With("reason", reason.detail);
     return;
   }
-  const uint64_t previous_revision = m_routes.Revision();
-  const uint64_t version = table->version;
+  const TargetIdentity identity = table->identity;
   const size_t routes = table->routes.size();
-  m_routes.Adopt(std::move(*table));
+  if (!m_routes.Adopt(std::move(*table))) {
+    const bool is_older_copy = previous.version < identity.version;
+    if (is_older_copy) {
+      EventLine(Severity::kWarning, "older_targets_ignored")
+          .With("era", identity.version.era)
+          .With("revision", identity.version.revision)
+          .With("version", identity.operators_version)
+          .With("in_force", previous.operators_version)
+          .With("source", source);
+    }
+    return;
+  }
   m_stored_targets = targets;
   EventLine(Severity::kInfo, "targets_in_force")
-      .With("revision", targets.revision)
-      .With("version", version)
-      .With("before", previous_revision)
+      .With("era", identity.version.era)
+      .With("revision", identity.version.revision)
+      .With("version", identity.operators_version)
+      .With("before", previous.version.revision)
       .With("routes", routes)
       .With("source", source);
   BroadcastStatus();
@@ -230,15 +256,21 @@
     return;
   }
   m_target_client = std::make_unique<HttpClient>(
-      m_loop, SocketAddress4{ip, m_peer_address.port});
+      m_loop, SocketAddress4{ip, m_peer_address.port},
+      std::vector<std::string>{kTargetsEraHeader});
   m_target_client->Send(
       "GET", std::string(kTargetsPath), "", kTargetFetchTimeout,
       [this, ip](const HttpResponse& response) {
         StoredTargets targets;
         const char* begin = response.body.data();
         const char* end = begin + response.body.size();
-        const auto number = std::from_chars(begin, end, targets.revision);
-        const bool is_valid = response.status == 200 &&
+        const auto number =
+            std::from_chars(begin, end, targets.version.revision);
+        const auto era = response.headers.find(kTargetsEraHeader);
+        const bool has_valid_era =
+            era == response.headers.end() ||
+            ParseWhole(era->second, &targets.version.era);
+        const bool is_valid = response.status == 200 && has_valid_era &&
                               number.ec == std::errc() && number.ptr != end &&
                               *number.ptr == '\n';
         if (!is_valid) {
--- a/src/runtime/platform_hooks.h
+++ b/src/runtime/platform_hooks.h
@@ -10,6 +10,7 @@
 
 #include "src/forwarding/active_routes.h"
 #include "src/forwarding/agent_forwarder.h"
+#include "src/forwarding/era_tracker.h"
 #include "src/forwarding/target_reader.h"
 #include "src/runtime/http.h"
 
@@ -18,7 +19,7 @@
 /// The operators' targets in the form in which the store keeps them.
 struct StoredTargets {
   std::string value;      ///< Encoded; PlatformHooks::parse_targets decodes it.
-  uint64_t revision = 0;  ///< Revision of the store at which it was written.
+  TargetVersion version;  ///< Where the store wrote it.
 };
 
 /// A message that a backend server has sent to its agent over HTTP.
@@ -28,18 +29,24 @@
   ServerReport report;  ///< Otherwise: its heartbeat.
 };
 
+/// Result of a call to the store.
+struct StoreReply {
+  StoreResult result = StoreResult::kNoAnswer;
+  StatedEra era;  ///< What the answer says about the store's era.
+};
+
 /// Receives the result of reading or watching the targets.
 /// @param targets nullopt if the call has failed or found no targets
 /// @param position revision of the store from which a watch can continue
-using TargetsCallback = std::function<void(StoreResult result,
+using TargetsCallback = std::function<void(const StoreReply& reply,
                                            std::optional<StoredTargets> targets,
                                            uint64_t position)>;
 /// Receives the addresses of the members of a role in the store. A list that is
 /// too long for one answer of the store has the result kNotFound.
 using MembersCallback =
-    std::function<void(StoreResult result, std::vector<uint32_t> ips)>;
+    std::function<void(const StoreReply& reply, std::vector<uint32_t> ips)>;
 /// Receives the result of a write to the store.
-using StoreWriteCallback = std::function<void(StoreResult result)>;
+using StoreWriteCallback = std::function<void(const StoreReply& reply)>;
 
 /// Functions of the platform: parsers of its formats and calls to its store.
 /// All run on the thread of the event loop, as do the `done` callbacks, each of
