Fix: A restored store left processes unknown and their lists incomplete

A balancer that started after a restore took a list that lacked most agents for complete, so it could reset their flows, and members that started did not find each other. Registrations were written again only after 600 s. A process that had been suspended went on watching from a revision that the restored store had given out again, and missed targets.

Cause: nothing noticed that the store had come back from an older copy.

Change: a process that sees a higher era in an answer tells it at once; statuses carry the newest era and the time since it rose. Each process then reads the targets from the start, and registers again within a second, at a moment that depends on its id. A list of agents counts only if it was read 5 s or more after the rise, and after the last status of a member that knew an older era only; until then the former one is withdrawn. A process that has left the store is removed again.

--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -109,9 +109,11 @@
   /// Returns the largest number of other members that a reachable balancer
   /// counts; 0 if none is reachable.
   size_t LargestReportedSize(TimePoint now) const;
-  /// Sets the addresses of the agents that were registered when this process
-  /// started.
+  /// Adds the addresses of agents that are registered.
   void SetRegisteredAgents(const std::vector<uint32_t>& ips);
+  /// Makes the registered agents unknown until SetRegisteredAgents is called
+  /// again, because the store may have lost registrations.
+  void WithdrawRegisteredAgents() { m_has_registered_agents = false; }
   /// Returns the registered agents that have not been heard yet.
   const std::set<uint32_t>& UnheardRegisteredAgents() const {
     return m_unheard_agents;
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -288,6 +288,35 @@
   CHECK(next() == ReadAction::kRead);
 }
 
+TEST_CASE("a reader does not watch across a restore of the store") {
+  ReaderFixture fixture;
+  const auto next = [&] {
+    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 5);
+  };
+  CHECK(next() == ReadAction::kRead);
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
+  CHECK(next() == ReadAction::kWatch);
+  // The answer to the watch comes from the restored store.
+  fixture.reader.OnNewEra(fixture.now);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kOk, 44);
+  CHECK(next() == ReadAction::kRead);
+  // A process that backs off reads at once.
+  fixture.reader.OnRead(fixture.now, StoreResult::kNoAnswer, 0);
+  CHECK(next() == ReadAction::kNothing);
+  fixture.reader.OnNewEra(fixture.now);
+  CHECK(next() == ReadAction::kRead);
+}
+
+TEST_CASE("withdrawn registrations do not count until they are listed again") {
+  MembershipTable members(MemberId{1}, MembershipTimeouts());
+  members.SetRegisteredAgents({});
+  CHECK(members.HasHeardRegisteredAgents());
+  members.WithdrawRegisteredAgents();
+  CHECK_FALSE(members.HasHeardRegisteredAgents());
+  members.SetRegisteredAgents({7});
+  CHECK_FALSE(members.HasHeardRegisteredAgents());
+}
+
 TEST_CASE("calls to a failing store back off with jitter") {
   std::vector<Duration> first_delays;
   for (const uint64_t seed : {1, 2, 3, 4, 5}) {
--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -95,6 +95,12 @@
   }
 }
 
+void TargetReader::OnNewEra(TimePoint now) {
+  m_read_required = true;
+  m_compactions = 0;
+  m_retry_at = std::min(m_retry_at, now);
+}
+
 void TargetReader::RecordResult(TimePoint now, StoreResult result) {
   if (result == StoreResult::kOk || result == StoreResult::kNotFound) {
     m_failures = 0;
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -69,6 +69,11 @@
   /// targets may be outdated.
   void OnSuspended() { m_read_required = true; }
 
+  /// Requires a full read next, without delay, because the store was restored
+  /// from an older copy: a watch could miss changes whose revisions are below
+  /// Position.
+  void OnNewEra(TimePoint now);
+
   /// Returns when the store last answered; zero if it never did or if the last
   /// call failed.
   TimePoint LastStoreContact() const { return m_last_store_contact; }
--- a/src/forwarding/target_version_test.cc
+++ b/src/forwarding/target_version_test.cc
@@ -83,16 +83,18 @@
   CHECK(DecodeMember(now, message).targets.version == TargetVersion{0, 77});
 }
 
+constexpr TimePoint kNow{Seconds(100)};
+
 StatedEra Stated(uint64_t era) {
   return {StatedEra::Kind::kStated, era};
 }
 
 TEST_CASE("answers of both eras in flight: the older one is not used") {
   EraTracker tracker;
-  CHECK(tracker.OnAnswer(Stated(4)) == EraFinding::kFirst);
-  CHECK(tracker.OnAnswer(Stated(5)) == EraFinding::kRose);
-  CHECK(tracker.OnAnswer(Stated(4)) == EraFinding::kOlder);
-  CHECK(tracker.OnAnswer(Stated(5)) == EraFinding::kUsable);
+  CHECK(tracker.OnAnswer(kNow, Stated(4)) == EraFinding::kFirst);
+  CHECK(tracker.OnAnswer(kNow, Stated(5)) == EraFinding::kRose);
+  CHECK(tracker.OnAnswer(kNow, Stated(4)) == EraFinding::kOlder);
+  CHECK(tracker.OnAnswer(kNow, Stated(5)) == EraFinding::kUsable);
   CHECK(tracker.Era() == 5);
 }
 
@@ -100,17 +102,58 @@
   EraTracker tracker;
   const StatedEra missing{StatedEra::Kind::kMissing, 0};
   const StatedEra invalid{StatedEra::Kind::kInvalid, 0};
-  CHECK(tracker.OnAnswer(invalid) == EraFinding::kInvalid);
-  CHECK(tracker.OnAnswer(missing) == EraFinding::kUsable);  // None is known.
-  CHECK(tracker.OnAnswer(Stated(1)) == EraFinding::kRose);
-  CHECK(tracker.OnAnswer(missing) == EraFinding::kMissing);
-  CHECK(tracker.OnAnswer(invalid) == EraFinding::kInvalid);
-  CHECK(tracker.OnAnswer({}) == EraFinding::kUsable);  // No answer arrived.
+  CHECK(tracker.OnAnswer(kNow, invalid) == EraFinding::kInvalid);
+  CHECK(tracker.OnAnswer(kNow, missing) ==
+        EraFinding::kUsable);  // None is known.
+  CHECK(tracker.OnAnswer(kNow, Stated(1)) == EraFinding::kRose);
+  CHECK(tracker.OnAnswer(kNow, missing) == EraFinding::kMissing);
+  CHECK(tracker.OnAnswer(kNow, invalid) == EraFinding::kInvalid);
+  CHECK(tracker.OnAnswer(kNow, {}) ==
+        EraFinding::kUsable);  // No answer arrived.
   CHECK(tracker.Era() == 1);
   CHECK_FALSE(IsUsable(EraFinding::kOlder));
   CHECK_FALSE(IsUsable(EraFinding::kMissing));
   CHECK_FALSE(IsUsable(EraFinding::kInvalid));
 }
 
+TEST_CASE("an era that rises twice within a second extends the wait") {
+  EraTracker tracker;
+  CHECK(tracker.OnAnswer(kNow, Stated(1)) == EraFinding::kFirst);
+  CHECK(tracker.RegistrationsCompleteAt() == TimePoint());
+  CHECK(tracker.OnAnswer(kNow, Stated(2)) == EraFinding::kRose);
+  const TimePoint later = kNow + Milliseconds(700);
+  CHECK(tracker.OnAnswer(later, Stated(3)) == EraFinding::kRose);
+  CHECK(tracker.RegistrationsCompleteAt() == later + kReregistrationTime);
+  CHECK(tracker.Age(later + Seconds(1)) == Seconds(1));
+}
+
+TEST_CASE("a process that starts after a restore waits for registrations") {
+  EraTracker tracker;
+  CHECK(tracker.OnAnswer(kNow, Stated(2)) == EraFinding::kFirst);
+  CHECK(tracker.RegistrationsCompleteAt() == TimePoint());
+  // Its peers have known the new era for a second.
+  CHECK(tracker.OnPeer(kNow, 2, Seconds(1)) == EraFinding::kUsable);
+  CHECK(tracker.RegistrationsCompleteAt() ==
+        kNow - Seconds(1) + kReregistrationTime);
+  CHECK(tracker.Age(kNow) == std::nullopt);
+}
+
+TEST_CASE("a member that was suspended through a restore has yet to register") {
+  EraTracker tracker;
+  CHECK(tracker.OnPeer(kNow, 2, std::nullopt) == EraFinding::kFirst);
+  CHECK(tracker.OnPeer(kNow, 0, std::nullopt) == EraFinding::kUsable);
+  CHECK(tracker.RegistrationsCompleteAt() == TimePoint());
+  CHECK(tracker.OnPeer(kNow, 1, std::nullopt) == EraFinding::kOlder);
+  CHECK(tracker.RegistrationsCompleteAt() == kNow + kReregistrationTime);
+}
+
+TEST_CASE("a rise that a peer tells keeps the time at which the peer saw it") {
+  EraTracker tracker;
+  CHECK(tracker.OnAnswer(kNow, Stated(1)) == EraFinding::kFirst);
+  CHECK(tracker.OnPeer(kNow, 2, Seconds(3)) == EraFinding::kRose);
+  CHECK(tracker.Age(kNow) == Seconds(3));
+  CHECK(tracker.OnAnswer(kNow, Stated(1)) == EraFinding::kOlder);
+}
+
 }  // namespace
 }  // namespace medlargauge
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -27,6 +27,8 @@
 /// A balancer that has just started introduces itself again and again for this
 /// long, because the agents may be starting as well.
 constexpr Duration kIntroductionTime = Seconds(3);
+/// Limit of the age of an era in statuses.
+constexpr int64_t kMaxEraAgeMs = 3600LL * 1000;
 /// Smaller differences arise because the two clocks are not read at once.
 constexpr Duration kMinReportedSuspension = Milliseconds(200);
 constexpr std::string_view kMetricsPath = "/metrics";
@@ -142,6 +144,7 @@
               sender->member.role == MemberRole::kAgent ? "agent" : "balancer")
         .With("incarnation", sender->member.incarnation);
   }
+  OnPeerEra(now, status);
   for (const proto::PeerMember& known : status.known()) {
     m_members.Learn(now, DecodeMember(now, known));
   }
@@ -189,6 +192,12 @@
   status.set_sequence(++m_status_sequence);
   status.set_leaving(m_leaving);
   status.set_members(static_cast<uint32_t>(m_members.FleetSize(m_self.role)));
+  status.set_store_era(m_era.Era());
+  const std::optional<Duration> era_age = m_era.Age(now);
+  if (era_age.has_value()) {
+    const int64_t age_ms = std::min(ToMilliseconds(*era_age), kMaxEraAgeMs);
+    status.set_era_age_ms(static_cast<uint32_t>(age_ms) + 1);
+  }
   if (m_target_reader.LastStoreContact() != TimePoint()) {
     status.set_checked_ms(static_cast<uint32_t>(ToMilliseconds(
                               now - m_target_reader.LastStoreContact())) +
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -126,10 +126,19 @@
   void ApplyTargets(const StoredTargets& targets, std::string_view source);
   /// Requests the targets from another balancer unless a request is in flight.
   void FetchTargetsFromPeer(uint32_t ip);
-  /// Checks the era in an answer of the store.
+  /// Checks the era in an answer of the store, and starts a new one if it rose.
   /// @return the result of the call; kRefused if the era makes the answer
   ///     unusable
   StoreResult CheckEra(const StoreReply& reply, std::string_view call);
+  /// Starts a new era if another process knows of one.
+  void OnPeerEra(TimePoint now, const proto::PeerStatus& status);
+  /// Reads the targets from the start and registers again, because the store
+  /// was restored from an older copy.
+  /// @param source who told the era, for the log
+  void StartEra(TimePoint now, std::string_view source);
+  /// Makes a list of agents obsolete that was read before all members should
+  /// have registered in the store's era.
+  void WithdrawObsoleteAgentList();
   /// Logs when the store becomes unreachable or reachable again.
   void LogStoreTransition(StoreResult result, std::string_view call);
   /// Serves the metrics, and the targets for other balancers.
@@ -156,7 +165,8 @@
   bool m_leaving = false;          ///< A planned stop has begun.
   /// A call to the store that lists or changes members is in flight.
   bool m_member_call_pending = false;
-  bool m_agents_listed = false;  ///< ListAgentsInStore has succeeded.
+  bool m_agents_listed = false;  ///< The registered agents are known.
+  TimePoint m_agents_listed_at;  ///< When that list was requested.
   bool m_left_store = false;     ///< LeaveStore was called.
   EraTracker m_era;              ///< Era of the store.
   /// Answers of the store that CheckEra has refused.
--- a/src/runtime/fleet_node_era.cc
+++ b/src/runtime/fleet_node_era.cc
@@ -6,6 +6,10 @@
 namespace {
 
 constexpr Duration kEraWarningInterval = Seconds(10);
+/// A fleet registers again over this time, so that the store is not flooded.
+constexpr Duration kRegistrationSpread = Seconds(1);
+/// How long the list of agents is requested, and agents in it are introduced.
+constexpr Duration kAgentListTime = Seconds(3);
 
 std::string_view NameOf(EraFinding finding) {
   switch (finding) {
@@ -24,12 +28,16 @@
 
 StoreResult FleetNode::CheckEra(const StoreReply& reply,
                                 std::string_view call) {
-  const EraFinding finding = m_era.OnAnswer(reply.era);
+  const TimePoint now = SteadyTime();
+  const EraFinding finding = m_era.OnAnswer(now, reply.era);
+  if (finding == EraFinding::kRose) {
+    StartEra(now, "store");
+    BroadcastStatus();
+  }
   if (IsUsable(finding)) {
     return reply.result;
   }
   ++m_unusable_store_answers;
-  const TimePoint now = SteadyTime();
   if (now >= m_next_era_warning) {
     m_next_era_warning = now + kEraWarningInterval;
     EventLine(Severity::kWarning, "store_answer_ignored")
@@ -42,4 +50,42 @@
   return StoreResult::kRefused;
 }
 
+void FleetNode::OnPeerEra(TimePoint now, const proto::PeerStatus& status) {
+  std::optional<Duration> age;
+  if (status.era_age_ms() != 0) {
+    age = Milliseconds(status.era_age_ms() - 1);
+  }
+  if (m_era.OnPeer(now, status.store_era(), age) == EraFinding::kRose) {
+    StartEra(now, "peer");
+  }
+  WithdrawObsoleteAgentList();
+}
+
+void FleetNode::StartEra(TimePoint now, std::string_view source) {
+  EventLine(Severity::kWarning, "store_restored")
+      .With("era", m_era.Era())
+      .With("source", source);
+  m_target_reader.OnNewEra(now);
+  WithdrawObsoleteAgentList();
+  if (m_left_store) {
+    LeaveStore();  // The copy may still list this process.
+    return;
+  }
+  const auto spread_ms =
+      static_cast<uint64_t>(ToMilliseconds(kRegistrationSpread));
+  const uint64_t delay_ms = MixHash(m_self.id.value, m_era.Era()) % spread_ms;
+  m_next_registration = now + Milliseconds(static_cast<int64_t>(delay_ms));
+}
+
+void FleetNode::WithdrawObsoleteAgentList() {
+  const TimePoint complete_at = m_era.RegistrationsCompleteAt();
+  if (!m_agents_listed || m_agents_listed_at >= complete_at) {
+    return;
+  }
+  m_agents_listed = false;
+  m_members.WithdrawRegisteredAgents();
+  m_next_agent_list = complete_at;
+  m_introductions_end = complete_at + kAgentListTime;
+}
+
 }  // namespace medlargauge
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -72,13 +72,15 @@
   ++m_store_calls;
   m_platform->list_members(
       MemberRole::kAgent,
-      [this](const StoreReply& reply, const std::vector<uint32_t>& ips) {
+      [this, now](const StoreReply& reply, const std::vector<uint32_t>& ips) {
         m_member_call_pending = false;
         const StoreResult result = CheckEra(reply, "list_agents");
         LogStoreTransition(result, "list_agents");
         if (result == StoreResult::kOk) {
           m_agents_listed = true;
+          m_agents_listed_at = now;
           m_members.SetRegisteredAgents(ips);
+          WithdrawObsoleteAgentList();
           IntroduceToAgents();
           EventLine(Severity::kInfo, "agents_listed")
               .With("registered", ips.size())
