--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -133,10 +133,13 @@
     return m_has_met_fleet || m_has_registered_agents;
   }
 
-  /// Sets the addresses of the registered agents.
+  /// Adds the addresses of the registered agents.
   /// @return false if the list is evidently incomplete, because it is empty or
   ///     lacks an agent that is heard; it is then not taken for complete
   bool SetRegisteredAgents(TimePoint now, const std::vector<uint32_t>& ips);
+  /// Makes the registered agents unknown until SetRegisteredAgents is called
+  /// again, because the store may have lost registrations.
+  void WithdrawRegisteredAgents() { m_has_registered_agents = false; }
   /// Returns the registered agents that have not been heard yet.
   const std::set<uint32_t>& UnheardRegisteredAgents() const {
     return m_unheard_agents;
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -32,6 +32,8 @@
 constexpr Duration kContactInterval = Seconds(1);
 /// Agents that a process asks for members if no balancer is heard.
 constexpr size_t kAgentsToAsk = 3;
+/// Limit of the age of an era in statuses.
+constexpr int64_t kMaxEraAgeMs = 3600LL * 1000;
 /// Smaller differences arise because the two clocks are not read at once.
 constexpr Duration kMinReportedSuspension = Milliseconds(200);
 constexpr std::string_view kMetricsPath = "/metrics";
@@ -150,6 +152,7 @@
               sender->member.role == MemberRole::kAgent ? "agent" : "balancer")
         .With("incarnation", sender->member.incarnation);
   }
+  OnPeerEra(now, status);
   for (const proto::PeerMember& known : status.known()) {
     const FleetMember member = DecodeMember(now, known);
     const bool is_news = m_members.Learn(now, member);
@@ -162,8 +165,9 @@
                              now - m_balancer_heard_at >= kForgottenTime;
     m_next_registration = was_cut_off ? now : m_next_registration;
     m_balancer_heard_at = now;
-    const bool is_behind = m_self.role == MemberRole::kBalancer &&
-                           sender->member.revision > m_routes.Revision();
+    const bool is_behind =
+        m_self.role == MemberRole::kBalancer &&
+        Supersedes(sender->member.targets, m_routes.Identity());
     if (is_behind) {
       FetchTargetsFromPeer(from.ip);
     }
@@ -194,7 +198,7 @@
 
 proto::PeerStatus FleetNode::MakeStatus(TimePoint now) {
   m_hooks.update_self(now, &m_self);
-  m_self.revision = m_routes.Revision();
+  m_self.targets = m_routes.Identity();
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(now, m_self);
   status.set_sequence(++m_status_sequence);
@@ -203,6 +207,12 @@
   status.set_agents_heard(m_self.role == MemberRole::kBalancer
                               ? m_members.CountLiveAgents(now)
                               : m_members.LargestReportedAgents(now));
+  status.set_store_era(m_era.Era());
+  const std::optional<Duration> era_age = m_era.Age(now);
+  if (era_age.has_value()) {
+    const int64_t age_ms = std::min(ToMilliseconds(*era_age), kMaxEraAgeMs);
+    status.set_era_age_ms(static_cast<uint32_t>(age_ms) + 1);
+  }
   if (m_target_reader.LastStoreContact() != TimePoint()) {
     status.set_checked_ms(static_cast<uint32_t>(ToMilliseconds(
                               now - m_target_reader.LastStoreContact())) +
@@ -329,6 +339,8 @@
                 m_members.CountReachable(now, MemberRole::kAgent));
   stats.Set(Stat::target_revision, m_routes.Revision());
   stats.Set(Stat::store_calls, m_store_calls);
+  stats.Set(Stat::store_era, m_era.Era());
+  stats.Set(Stat::store_answers_ignored, m_unusable_store_answers);
   stats.Set(Latency::store_call_ms, m_store_latency);
   if (m_target_reader.LastStoreContact() != TimePoint()) {
     stats.Set(Stat::store_check_age_ms,
@@ -348,11 +360,15 @@
     return response;
   }
   const bool has_targets =
-      request.path == kTargetsPath && m_stored_targets.revision != 0;
+      request.path == kTargetsPath && m_stored_targets.version.revision != 0;
   response.status = has_targets ? 200 : 404;
   if (has_targets) {
-    response.body = std::to_string(m_stored_targets.revision) + "\n" +
-                    m_stored_targets.value;
+    const TargetVersion& version = m_stored_targets.version;
+    response.body =
+        std::to_string(version.revision) + "\n" + m_stored_targets.value;
+    if (version.era != 0) {
+      response.headers[kTargetsEraHeader] = std::to_string(version.era);
+    }
   }
   return response;
 }
