Fix: A balancer read invalid first targets without end

While the store held targets that could not be decoded, a balancer without targets read them again as soon as each answer arrived.

Change: after a read that succeeded the balancer watches for newer targets, whether those read could be used or not.

--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -30,8 +30,7 @@
     return ReadAction::kNothing;
   }
   m_call_in_progress = true;
-  return m_read_required || revision == 0 ? ReadAction::kRead
-                                          : ReadAction::kWatch;
+  return m_read_required ? ReadAction::kRead : ReadAction::kWatch;
 }
 
 bool TargetReader::ShouldRead(TimePoint now,
