Fix: A balancer relied on readers that cannot follow a restore

In a fleet of old and new processes the readers may all be old ones. They know no eras, keep the targets from before a restore until the revisions pass theirs, and still report recent answers of the store, so that new balancers would not read it themselves. Newer targets of such a peer were not fetched either, as its bare revision counts as era 0.

Change: once a process knows an era, balancers that state none are not counted as readers; a peer that states a bare revision is asked for its targets if that revision is higher, and not again if its document turned out to be older.

Evidence: two new tests; the first check of 'a balancer does not rely on readers that know no eras' shows what happened without the change.

--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -52,6 +52,7 @@
   entry.pending = 0;
   entry.avoid_until = TimePoint();
   entry.leaving = status.leaving();
+  entry.store_era = status.store_era();
   entry.fleet_size = std::min(status.members(), kMaxMembers);
   entry.store_answered_at = status.checked_ms() == 0
                                 ? TimePoint()
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -42,6 +42,7 @@
   uint32_t sequence = 0;    ///< Sequence number of its latest status.
   uint32_t pending = 0;     ///< Flows placed there since its last load report.
   uint32_t fleet_size = 0;  ///< Number of other members that it counts.
+  uint64_t store_era = 0;   ///< Newest era of the store that it knows.
   bool leaving = false;     ///< The member has announced a planned stop.
   /// When the store last answered the member; zero: its last call failed.
   TimePoint store_answered_at;
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -288,6 +288,29 @@
   CHECK(next() == ReadAction::kRead);
 }
 
+TEST_CASE("a balancer does not rely on readers that know no eras") {
+  ReaderFixture fixture;
+  const MemberId self = fixture.FindNonReader();
+  REQUIRE(self.IsSet());
+  MembershipTable members(self, MembershipTimeouts());
+  const auto receive_statuses = [&](uint64_t era) {
+    for (uint64_t id = 1; id <= 6; ++id) {
+      proto::PeerStatus status = MakeStatus(
+          fixture.now, id, MemberRole::kBalancer, ++fixture.sequence, 1);
+      status.set_store_era(era);
+      members.OnStatus(fixture.now, status);
+    }
+  };
+  TargetReader reader(fixture.now, 1, TargetReaderLimits());
+  receive_statuses(0);
+  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kNothing);
+  reader.OnEraKnown();
+  receive_statuses(4);
+  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kNothing);
+  receive_statuses(0);
+  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kRead);
+}
+
 TEST_CASE("a reader does not watch across a restore of the store") {
   ReaderFixture fixture;
   const auto next = [&] {
--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -40,7 +40,9 @@
   TimePoint newest_contact;
   for (const auto& [id, entry] : members.Entries()) {
     const bool is_candidate = entry.member.role == MemberRole::kBalancer &&
-                              !entry.leaving && members.IsReachable(now, entry);
+                              !entry.leaving &&
+                              (!m_era_known || entry.store_era != 0) &&
+                              members.IsReachable(now, entry);
     if (is_candidate) {
       candidates.push_back(id);
       newest_contact = std::max(newest_contact, entry.store_answered_at);
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -74,6 +74,10 @@
   /// Position.
   void OnNewEra(TimePoint now);
 
+  /// Records that the store states eras. Balancers that know none are then no
+  /// readers for this process, as they miss targets after a restore.
+  void OnEraKnown() { m_era_known = true; }
+
   /// Returns when the store last answered; zero if it never did or if the last
   /// call failed.
   TimePoint LastStoreContact() const { return m_last_store_contact; }
@@ -98,6 +102,7 @@
   uint32_t m_failures = 0;          ///< Consecutive failed calls.
   uint32_t m_compactions = 0;       ///< Consecutive kHistoryCompacted results.
   bool m_read_required = true;      ///< A watch would miss changes.
+  bool m_era_known = false;         ///< See OnEraKnown.
   bool m_call_in_progress = false;  ///< A read or watch is in progress.
 };
 
--- a/src/forwarding/target_version.h
+++ b/src/forwarding/target_version.h
@@ -46,6 +46,16 @@
              : current.version < candidate.version;
 }
 
+/// Returns whether the targets that a peer states should be fetched from it. A
+/// peer that knows no eras states a bare revision, which may be newer; only its
+/// document shows that. Thread-safe.
+inline bool MayBeNewer(const TargetIdentity& stated,
+                       const TargetIdentity& in_force) {
+  const bool is_bare = stated.version.era == 0 && stated.operators_version == 0;
+  return is_bare ? stated.version.revision > in_force.version.revision
+                 : Supersedes(stated, in_force);
+}
+
 }  // namespace medlargauge
 
 #endif  // MEDLARGAUGE_FORWARDING_TARGET_VERSION_H_
--- a/src/forwarding/target_version_test.cc
+++ b/src/forwarding/target_version_test.cc
@@ -69,6 +69,15 @@
   CHECK_FALSE(Supersedes({}, {}));
 }
 
+TEST_CASE("a peer that knows no eras may have newer targets") {
+  const TargetIdentity in_force{{2, 402}, 7};
+  CHECK(MayBeNewer({{0, 403}, 0}, in_force));
+  CHECK_FALSE(MayBeNewer({{0, 402}, 0}, in_force));
+  CHECK_FALSE(MayBeNewer({{0, 0}, 0}, {}));
+  CHECK(MayBeNewer({{1, 500}, 8}, in_force));
+  CHECK_FALSE(MayBeNewer({{1, 500}, 7}, in_force));
+}
+
 TEST_CASE("a status of a process that knows no eras is understood") {
   const TimePoint now{Seconds(1)};
   FleetMember member;
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -155,7 +155,8 @@
     m_balancer_heard_at = now;
     const bool is_behind =
         m_self.role == MemberRole::kBalancer &&
-        Supersedes(sender->member.targets, m_routes.Identity());
+        sender->member.targets.version != m_useless_version &&
+        MayBeNewer(sender->member.targets, m_routes.Identity());
     if (is_behind) {
       FetchTargetsFromPeer(from.ip);
     }
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -154,11 +154,13 @@
   MembershipTable m_members;         ///< All other members.
   StatusSchedule m_status_schedule;  ///< When to broadcast the own status.
   ActiveRoutes m_routes;             ///< Routes in force.
-  StoredTargets m_stored_targets;    ///< Their encoded form, for peers.
-  TargetReader m_target_reader;      ///< Decides when to read the targets.
-  UdpSocket m_peer_socket;           ///< Datagrams between processes.
-  PeerFrameWriter m_frame_writer;    ///< Builds datagrams.
-  HttpServer m_http_server;          ///< Serves metrics and targets.
+  /// Targets of a peer that were fetched and did not replace those in force.
+  TargetVersion m_useless_version;
+  StoredTargets m_stored_targets;  ///< Their encoded form, for peers.
+  TargetReader m_target_reader;    ///< Decides when to read the targets.
+  UdpSocket m_peer_socket;         ///< Datagrams between processes.
+  PeerFrameWriter m_frame_writer;  ///< Builds datagrams.
+  HttpServer m_http_server;        ///< Serves metrics and targets.
   /// Fetches the targets from the peer that was asked last; null before.
   std::unique_ptr<HttpClient> m_target_client;
   uint32_t m_status_sequence = 0;  ///< Sequence number of the last status.
--- a/src/runtime/fleet_node_era.cc
+++ b/src/runtime/fleet_node_era.cc
@@ -34,6 +34,9 @@
     StartEra(now, "store");
     BroadcastStatus();
   }
+  if (m_era.Era() != 0) {
+    m_target_reader.OnEraKnown();
+  }
   if (IsUsable(finding)) {
     return reply.result;
   }
@@ -58,6 +61,9 @@
   if (m_era.OnPeer(now, status.store_era(), age) == EraFinding::kRose) {
     StartEra(now, "peer");
   }
+  if (m_era.Era() != 0) {
+    m_target_reader.OnEraKnown();
+  }
   WithdrawObsoleteAgentList();
 }
 
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -18,6 +18,8 @@
 constexpr Duration kFailedStoreRetryInterval = Milliseconds(200);
 /// If no balancer was heard for this long, the store is asked for balancers.
 constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
+/// Source of targets that a peer has delivered, in logs.
+constexpr std::string_view kPeerSource = "peer";
 constexpr Duration kTargetFetchTimeout = Milliseconds(800);
 
 /// Parses a text that is a number as a whole. @return false if it is none
@@ -231,6 +233,9 @@
   const TargetIdentity identity = table->identity;
   const size_t routes = table->routes.size();
   if (!m_routes.Adopt(std::move(*table))) {
+    if (source == kPeerSource) {
+      m_useless_version = identity.version;
+    }
     const bool is_older_copy = previous.version < identity.version;
     if (is_older_copy) {
       EventLine(Severity::kWarning, "older_targets_ignored")
@@ -282,7 +287,7 @@
           return;
         }
         targets.value.assign(number.ptr + 1, end);
-        ApplyTargets(targets, "peer");
+        ApplyTargets(targets, kPeerSource);
       });
 }
 
