--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -53,6 +53,7 @@
   entry.pending = 0;
   entry.avoid_until = TimePoint();
   entry.leaving = status.leaving();
+  entry.store_era = status.store_era();
   entry.fleet_size = std::min(status.members(), kMaxMembers);
   entry.agents_heard = std::min(status.agents_heard(), kMaxMembers);
   m_has_met_fleet = m_has_met_fleet || member.role == MemberRole::kBalancer;
@@ -118,14 +119,16 @@
   // An agent that is heard but not listed has not registered yet, or its
   // registration was lost; the same may hold for agents that are not heard.
   const std::set<uint32_t> listed(ips.begin(), ips.end());
-  const bool lacks_agent =
-      std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-        const MemberEntry& entry = item.second;
-        return entry.member.role == MemberRole::kAgent && !entry.leaving &&
-               entry.member.state != AgentState::kGone &&
-               IsReachable(now, entry) && listed.count(entry.member.ip) == 0;
-      });
-  m_has_registered_agents = !listed.empty() && !lacks_agent;
+  m_unlisted_agents.clear();
+  for (const auto& [id, entry] : m_entries) {
+    const bool must_be_listed =
+        entry.member.role == MemberRole::kAgent && !entry.leaving &&
+        entry.member.state != AgentState::kGone && IsReachable(now, entry);
+    if (must_be_listed && listed.count(entry.member.ip) == 0) {
+      m_unlisted_agents.push_back(entry.member.ip);
+    }
+  }
+  m_has_registered_agents = !listed.empty() && m_unlisted_agents.empty();
   return m_has_registered_agents;
 }
 
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -44,6 +44,7 @@
   uint32_t pending = 0;     ///< Flows placed there since its last load report.
   uint32_t fleet_size = 0;  ///< Number of other members that it counts.
   uint32_t agents_heard = 0;  ///< Number of agents that it has told to hear.
+  uint64_t store_era = 0;     ///< Newest era of the store that it knows.
   bool leaving = false;       ///< The member has announced a planned stop.
   /// When the store last answered the member; zero: its last call failed.
   TimePoint store_answered_at;
@@ -140,6 +141,10 @@
   /// Makes the registered agents unknown until SetRegisteredAgents is called
   /// again, because the store may have lost registrations.
   void WithdrawRegisteredAgents() { m_has_registered_agents = false; }
+  /// Returns the reachable agents that the last list lacked.
+  const std::vector<uint32_t>& UnlistedAgents() const {
+    return m_unlisted_agents;
+  }
   /// Returns the registered agents that have not been heard yet.
   const std::set<uint32_t>& UnheardRegisteredAgents() const {
     return m_unheard_agents;
@@ -187,6 +192,7 @@
   bool m_has_met_fleet = false;               ///< See OnFleetMet.
   bool m_has_registered_agents = false;       ///< A complete list is known.
   TimePoint m_registered_at;                  ///< When it was set.
+  std::vector<uint32_t> m_unlisted_agents;    ///< See UnlistedAgents.
   std::set<uint32_t> m_unheard_agents;  ///< Registered, but not heard yet.
 };
 
--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -30,8 +30,7 @@
     return ReadAction::kNothing;
   }
   m_call_in_progress = true;
-  return m_read_required || revision == 0 ? ReadAction::kRead
-                                          : ReadAction::kWatch;
+  return m_read_required ? ReadAction::kRead : ReadAction::kWatch;
 }
 
 bool TargetReader::ShouldRead(TimePoint now,
@@ -41,7 +40,9 @@
   TimePoint newest_contact;
   for (const auto& [id, entry] : members.Entries()) {
     const bool is_candidate = entry.member.role == MemberRole::kBalancer &&
-                              !entry.leaving && members.IsReachable(now, entry);
+                              !entry.leaving &&
+                              (!m_era_known || entry.store_era != 0) &&
+                              members.IsReachable(now, entry);
     if (is_candidate) {
       candidates.push_back(id);
       newest_contact = std::max(newest_contact, entry.store_answered_at);
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -153,6 +153,9 @@
         .With("incarnation", sender->member.incarnation);
   }
   OnPeerEra(now, status);
+  if (status.not_registered()) {
+    OnNotRegistered(now);
+  }
   for (const proto::PeerMember& known : status.known()) {
     const FleetMember member = DecodeMember(now, known);
     const bool is_news = m_members.Learn(now, member);
@@ -167,7 +170,8 @@
     m_balancer_heard_at = now;
     const bool is_behind =
         m_self.role == MemberRole::kBalancer &&
-        Supersedes(sender->member.targets, m_routes.Identity());
+        sender->member.targets.version != m_useless_version &&
+        MayBeNewer(sender->member.targets, m_routes.Identity());
     if (is_behind) {
       FetchTargetsFromPeer(from.ip);
     }
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -110,6 +110,11 @@
   /// Reads once which agents the store lists, so that a balancer that starts
   /// knows which ones it has yet to hear.
   void ListAgentsInStore(TimePoint now);
+  /// Tells agents that the store's list lacks them.
+  void TellUnlistedAgents(TimePoint now);
+  /// Registers this process again, as a balancer has not found it in the
+  /// store's list.
+  void OnNotRegistered(TimePoint now);
   /// Sends a status to registered agents that have not been heard yet: at first
   /// to all of them, later to some at a time. An agent answers the first one of
   /// a balancer.
@@ -160,21 +165,24 @@
   MembershipTable m_members;         ///< All other members.
   StatusSchedule m_status_schedule;  ///< When to broadcast the own status.
   ActiveRoutes m_routes;             ///< Routes in force.
-  StoredTargets m_stored_targets;    ///< Their encoded form, for peers.
-  TargetReader m_target_reader;      ///< Decides when to read the targets.
-  UdpSocket m_peer_socket;           ///< Datagrams between processes.
-  PeerFrameWriter m_frame_writer;    ///< Builds datagrams.
-  HttpServer m_http_server;          ///< Serves metrics and targets.
+  /// Targets of a peer that were fetched and did not replace those in force.
+  TargetVersion m_useless_version;
+  StoredTargets m_stored_targets;  ///< Their encoded form, for peers.
+  TargetReader m_target_reader;    ///< Decides when to read the targets.
+  UdpSocket m_peer_socket;         ///< Datagrams between processes.
+  PeerFrameWriter m_frame_writer;  ///< Builds datagrams.
+  HttpServer m_http_server;        ///< Serves metrics and targets.
   /// Fetches the targets from the peer that was asked last; null before.
   std::unique_ptr<HttpClient> m_target_client;
   uint32_t m_status_sequence = 0;  ///< Sequence number of the last status.
   bool m_leaving = false;          ///< A planned stop has begun.
   /// A call to the store that lists or changes members is in flight.
   bool m_member_call_pending = false;
-  bool m_agents_listed = false;  ///< The registered agents are known.
-  TimePoint m_agents_listed_at;  ///< When that list was requested.
-  bool m_left_store = false;     ///< LeaveStore was called.
-  EraTracker m_era;              ///< Era of the store.
+  bool m_agents_listed = false;        ///< The registered agents are known.
+  bool m_agent_list_too_long = false;  ///< The store's list is cut.
+  TimePoint m_agents_listed_at;        ///< When that list was requested.
+  bool m_left_store = false;           ///< LeaveStore was called.
+  EraTracker m_era;                    ///< Era of the store.
   /// Answers of the store that CheckEra has refused.
   uint64_t m_unusable_store_answers = 0;
   TimePoint m_next_era_warning;      ///< When CheckEra may next log one.
@@ -190,6 +198,7 @@
   TimePoint m_next_contact;          ///< When they are due after that.
   uint32_t m_last_introduced = 0;    ///< Last agent that IntroduceToAgents met.
   TimePoint m_next_agent_list;       ///< When ListAgentsInStore is due.
+  TimePoint m_registered_at;         ///< Last successful registration.
   TimePoint m_next_registration;     ///< When RegisterInStore is due.
   TimePoint m_balancer_heard_at;     ///< Last status of a balancer.
   Duration m_last_suspended_time{};  ///< SuspendedTime at the last tick.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -23,6 +23,8 @@
 constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
 /// Agents that are contacted at once after the start.
 constexpr size_t kMaxContacts = 32;
+/// Source of targets that a peer has delivered, in logs.
+constexpr std::string_view kPeerSource = "peer";
 constexpr Duration kTargetFetchTimeout = Milliseconds(800);
 
 /// Parses a text that is a number as a whole. @return false if it is none
@@ -68,12 +70,14 @@
 void FleetNode::ListAgentsInStore(TimePoint now) {
   const bool is_due = m_self.role == MemberRole::kBalancer &&
                       !m_agents_listed && !m_member_call_pending &&
-                      now >= m_next_agent_list && now < m_introductions_end;
+                      now >= m_next_agent_list && !m_agent_list_too_long;
   if (!is_due) {
     return;
   }
   m_member_call_pending = true;
-  m_next_agent_list = now + kFailedStoreRetryInterval;
+  const bool has_just_started = now < m_introductions_end;
+  m_next_agent_list = now + (has_just_started ? kFailedStoreRetryInterval
+                                              : kStoreRetryInterval);
   ++m_store_calls;
   m_platform->list_members(
       MemberRole::kAgent,
@@ -81,10 +85,13 @@
         m_member_call_pending = false;
         const StoreResult result = CheckEra(reply, "list_agents");
         LogStoreTransition(result, "list_agents");
+        m_agent_list_too_long = result == StoreResult::kNotFound;
         if (result == StoreResult::kOk) {
           const TimePoint completed_at = SteadyTime();
           m_agents_listed = m_members.SetRegisteredAgents(completed_at, ips);
-          m_next_agent_list = completed_at + kIncompleteListRetryInterval;
+          m_next_agent_list = std::max(
+              m_next_agent_list, completed_at + kIncompleteListRetryInterval);
+          TellUnlistedAgents(completed_at);
           m_agents_listed_at = now;
           WithdrawObsoleteAgentList();
           IntroduceToAgents();
@@ -96,6 +103,14 @@
       });
 }
 
+void FleetNode::TellUnlistedAgents(TimePoint now) {
+  proto::PeerStatus status = MakeStatus(now);
+  status.set_not_registered(true);
+  for (const uint32_t ip : m_members.UnlistedAgents()) {
+    SendStatus(ip, status);
+  }
+}
+
 void FleetNode::IntroduceToAgents() {
   const std::set<uint32_t>& ips = m_members.UnheardRegisteredAgents();
   if (ips.empty()) {
@@ -127,12 +142,22 @@
         m_member_call_pending = false;
         const StoreResult result = CheckEra(reply, "add_member");
         if (result == StoreResult::kOk) {
-          m_next_registration = SteadyTime() + kRegistrationInterval;
+          m_registered_at = SteadyTime();
+          m_next_registration = m_registered_at + kRegistrationInterval;
         }
         LogStoreTransition(result, "add_member");
       });
 }
 
+void FleetNode::OnNotRegistered(TimePoint now) {
+  // Several balancers may have read the list before the last registration.
+  const bool is_known = m_registered_at != TimePoint() &&
+                        now - m_registered_at < kStoreRetryInterval;
+  if (!is_known) {
+    m_next_registration = std::min(m_next_registration, now);
+  }
+}
+
 void FleetNode::RejoinStore() {
   if (m_left_store) {
     m_left_store = false;
@@ -246,6 +271,9 @@
   const TargetIdentity identity = table->identity;
   const size_t routes = table->routes.size();
   if (!m_routes.Adopt(std::move(*table))) {
+    if (source == kPeerSource) {
+      m_useless_version = identity.version;
+    }
     const bool is_older_copy = previous.version < identity.version;
     if (is_older_copy) {
       EventLine(Severity::kWarning, "older_targets_ignored")
@@ -297,7 +325,7 @@
           return;
         }
         targets.value.assign(number.ptr + 1, end);
-        ApplyTargets(targets, "peer");
+        ApplyTargets(targets, kPeerSource);
       });
 }
 
