Feature: An exhaustive model drives the reset decisions through every order of events

A small world of balancers, agents with a backend server each, one flow and a store runs the real MembershipTable, FlowDirector and AgentForwarder. Processes learn of each other and use the store as FleetNode does. Events: processes, servers and the store fail and return, cuts, late messages of earlier starts, lost registrations, a copy of the opening packet that comes late, moves of the caller, and time. The flow opens in eight ways, up to three servers answering.

After each sequence the world is healed and the caller sends two requests. Findings: a reset of a flow that its server holds, three packets at other servers and none at the own for 2 s, a dead flow without a reset within 16 s of the last event. They count if the balancer, the owner's agent and server, and the store were undisturbed for 4 s.

States are restored in place, so that a sequence costs its last event only.

--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -9,6 +9,7 @@
 
 #include "lab/lab_scenarios.h"
 #include "lab/lab_simulation.h"
+#include "lab/reset_model.h"
 #include "src/core/error.h"
 
 DEFINE_string(policy,
@@ -19,6 +20,27 @@
               "number of runs of each policy, with seeds from --first_seed");
 DEFINE_uint32(first_seed, 1, "seed of the first run");
 DEFINE_bool(json, false, "print a JSON object for each scenario and policy");
+DEFINE_uint32(depth, 2, "reset-model: number of events of a sequence");
+DEFINE_uint32(agents, 3, "reset-model: number of agents");
+DEFINE_uint32(balancers, 2, "reset-model: number of balancers");
+DEFINE_string(opening,
+              "all",
+              "reset-model: how the flow opens; all: every way");
+DEFINE_uint32(distance,
+              0x20000000,
+              "reset-model: between initial sequence numbers of two servers");
+DEFINE_uint32(port, 40001, "reset-model: the caller's port");
+DEFINE_uint32(runs,
+              0,
+              "reset-model: random sequences, in place of every sequence");
+DEFINE_string(
+    actions,
+    "",
+    "reset-model: actions that may happen, separated by commas; empty: "
+    "all");
+DEFINE_string(script,
+              "",
+              "reset-model: plays these events, separated by commas");
 
 namespace medlargauge::lab {
 namespace {
@@ -130,7 +152,54 @@
   return parts;
 }
 
+/// Searches or replays sequences of events of the reset model.
+/// @return whether none breaks a promise
+bool RunResetModel() {
+  ModelResult result;
+  bool is_clean = true;
+  for (const ModelOpening opening : AllOpenings()) {
+    if (FLAGS_opening != "all" && FLAGS_opening != OpeningName(opening)) {
+      continue;
+    }
+    ModelConfig config;
+    config.agents = FLAGS_agents;
+    config.balancers = FLAGS_balancers;
+    config.opening = opening;
+    config.initial_sequence_distance = FLAGS_distance;
+    config.caller_port = static_cast<uint16_t>(FLAGS_port);
+    if (!FLAGS_actions.empty()) {
+      config.actions = SplitByComma(FLAGS_actions);
+    }
+    if (!FLAGS_script.empty()) {
+      for (const Finding& finding :
+           Replay(config, SplitByComma(FLAGS_script),
+                  [](Duration time, const std::string&text) {
+                    std::printf("%8lld ms %s\n",
+                                static_cast<long long>(ToMilliseconds(time)),
+                                text.c_str());
+                  })) {
+        std::cout << OpeningName(opening) << ": " << FindingName(finding.kind)
+                  << " out_of_touch=[" << finding.out_of_touch << "] "
+                  << finding.detail << '\n';
+        is_clean = is_clean && !Counts(finding);
+      }
+    } else if (FLAGS_runs > 0) {
+      ExploreRandomly(config, FLAGS_first_seed, FLAGS_runs, FLAGS_depth,
+                      &result);
+    } else {
+      ExploreAll(config, FLAGS_depth, 0, 1, &result);
+    }
+  }
+  if (FLAGS_script.empty()) {
+    std::cout << "depth " << FLAGS_depth << ' ' << Describe(result);
+  }
+  return is_clean && result.Counted().empty();
+}
+
 int Run(const std::vector<std::string>& arguments) {
+  if (arguments.size() == 1 && arguments[0] == "reset-model") {
+    return RunResetModel() ? 0 : 1;
+  }
   const bool all_scenarios = arguments.size() == 1 && arguments[0] == "all";
   const std::vector<std::string> names =
       all_scenarios ? ScenarioNames() : arguments;
@@ -170,7 +239,8 @@
   gflags::SetUsageMessage(
       "simulates deployments with the real decisions of balancers and agents\n"
       "  medlargauge_lab all --seeds=20\n"
-      "  medlargauge_lab overload power-off --policy=present,hash --json");
+      "  medlargauge_lab overload power-off --policy=present,hash --json\n"
+      "  medlargauge_lab reset-model --depth=3");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return medlargauge::lab::Run(std::vector<std::string>(argv + 1, argv + argc));
 }
--- /dev/null
+++ b/lab/reset_model_test.cc
@@ -0,0 +1,92 @@
+// @file reset_model_test.cc No order of events resets a flow that its server
+// holds, sends its packets astray, or leaves a dead flow without a reset.
+#include "lab/reset_model.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+
+namespace medlargauge::lab {
+namespace {
+
+struct ExpectedOpening {
+  ModelOpening opening;
+  uint32_t answers;
+  std::string_view owner;
+};
+
+constexpr std::array<ExpectedOpening, 8> kExpectedOpenings = {{
+    {ModelOpening::kPlain, 1, "agent-0"},
+    {ModelOpening::kRetryFirst, 2, "agent-0"},
+    {ModelOpening::kRetrySecond, 2, "agent-1"},
+    {ModelOpening::kRetryCrossed, 2, "agent-1"},
+    {ModelOpening::kCopyFirst, 2, "agent-0"},
+    {ModelOpening::kCopySecond, 2, "agent-2"},
+    {ModelOpening::kThreeFirst, 3, "agent-0"},
+    {ModelOpening::kThreeSecond, 3, "agent-1"},
+}};
+
+constexpr uint32_t kFarDistance = 0x20000000;
+constexpr std::array<uint32_t, 3> kDistances = {1000, 10'000'000, kFarDistance};
+
+ModelConfig MakeConfig(ModelOpening opening, uint32_t agents = 3) {
+  ModelConfig config;
+  config.opening = opening;
+  config.agents = agents;
+  return config;
+}
+
+void CheckNothingCounts(const ModelResult& result) {
+  CAPTURE(Describe(result));
+  CHECK(result.Counted().empty());
+}
+
+TEST_CASE("reset model: each opening gets the answers that it is named after") {
+  for (const ExpectedOpening& expected : kExpectedOpenings) {
+    const ResetWorld world(MakeConfig(expected.opening));
+    CAPTURE(OpeningName(expected.opening));
+    CHECK(world.IsOpen());
+    CHECK(world.CountAnswers() == expected.answers);
+    CHECK(world.OwnerName() == expected.owner);
+  }
+}
+
+TEST_CASE("reset model: a restored state replays to the same result") {
+  ModelConfig config = MakeConfig(ModelOpening::kCopySecond);
+  ResetWorld world(config);
+  const ResetWorld::Snapshot start = world.Save();
+  std::array<Duration, 2> times{};
+  for (Duration& time : times) {
+    world.Restore(start);
+    world.Apply(*world.FindEvent("crash-server agent-2"));
+    time = world.Settle();
+    CHECK_FALSE(world.HasFlow());
+  }
+  CHECK(times[0] == times[1]);
+}
+
+TEST_CASE("reset model: a reset of a held flow is found") {
+  const std::vector<Finding> findings =
+      Replay(MakeConfig(ModelOpening::kPlain),
+             {"cut balancer-0 agent-0", "wait 6000", "request", "wait 100"});
+  REQUIRE(findings.size() == 1);
+  CHECK(findings[0].kind == FindingKind::kReset);
+  CHECK(findings[0].out_of_touch == "balancer-0 agent-0");
+}
+
+TEST_CASE("reset model: no sequence of two events breaks a promise") {
+  ModelResult result;
+  for (const ModelOpening opening : AllOpenings()) {
+    for (const uint32_t distance : kDistances) {
+      ModelConfig config = MakeConfig(opening);
+      config.initial_sequence_distance = distance;
+      ExploreAll(config, 2, 0, 1, &result);
+    }
+  }
+  CheckNothingCounts(result);
+  CHECK(result.resets > 0);
+}
+
+}  // namespace
+}  // namespace medlargauge::lab
--- /dev/null
+++ b/lab/reset_world_fleet.cc
@@ -0,0 +1,391 @@
+// @file reset_world_fleet.cc Processes of the reset model and their messages,
+// as FleetNode of src/runtime sends them.
+#include <algorithm>
+#include <utility>
+
+#include "lab/reset_world_state.h"
+#include "src/core/hash.h"
+
+namespace medlargauge::lab {
+
+namespace {
+
+constexpr Duration kDirectorTick = Milliseconds(20);
+constexpr Duration kForwarderTick = Milliseconds(50);
+constexpr Duration kStoreDiscoveryDelay = Milliseconds(60);
+constexpr Duration kStoreRetryInterval = Milliseconds(3000);
+constexpr Duration kFailedStoreRetryInterval = Milliseconds(200);
+constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
+constexpr Duration kIntroductionTime = Milliseconds(3000);
+constexpr Duration kMemberRefreshInterval = Milliseconds(5000);
+constexpr Duration kBalancerRegistrationDelay = Milliseconds(1500);
+constexpr Duration kRegistrationInterval = Seconds(600);
+
+}  // namespace
+
+void ResetWorld::KillProcess(Process* process) {
+  process->running = false;
+  process->director.reset();
+  process->forwarder.reset();
+  process->impaired_at = m_state->now;
+}
+
+void ResetWorld::StartProcess(Process* process) {
+  const TimePoint now = m_state->now;
+  const MemberId id{detail::IpOf(process->index)};
+  process->running = true;
+  ++process->starts;
+  process->impaired_at = now;
+  process->members = MembershipTable(id, MembershipTimeouts());
+  process->schedule =
+      StatusSchedule(process->role, detail::kNodeTick, id.value);
+  process->statuses = 0;
+  process->join_attempts = 0;
+  process->agents_listed = false;
+  process->left_store = false;
+  process->next_tick = now;
+  process->next_director_tick = now;
+  process->next_member_request = TimePoint();
+  process->next_store_discovery = now + kStoreDiscoveryDelay;
+  process->next_agent_list = TimePoint();
+  process->introductions_end = now + kIntroductionTime;
+  process->balancer_heard_at = TimePoint();
+  process->next_registration = now;
+  if (process->role == MemberRole::kAgent) {
+    process->forwarder.emplace(std::string(detail::kService),
+                               SocketAddress4{detail::IpOf(process->index), 1},
+                               ForwarderLimits());
+    process->announced_state = AgentState::kJoining;
+    return;
+  }
+  process->next_registration = now + kBalancerRegistrationDelay;
+  // Balancers prefer different agents, so that a copy of an opening packet
+  // reaches another server.
+  const bool prefers_last = process->index > 0;
+  process->director.emplace(
+      now, DomainId{1}, &process->members, &m_routes, DirectorLimits(),
+      [prefers_last](TimePoint, uint64_t,
+                     const std::vector<PlacementCandidate>& candidates) {
+        return candidates.empty()
+                   ? std::nullopt
+                   : std::make_optional<size_t>(
+                         prefers_last ? candidates.size() - 1 : 0);
+      });
+}
+
+void ResetWorld::TickProcess(Process* process) {
+  const TimePoint now = m_state->now;
+  if (now >= process->next_tick) {
+    process->next_tick = now + detail::kNodeTick;
+    TickNode(process);
+  }
+  if (now < process->next_director_tick) {
+    return;
+  }
+  if (process->role == MemberRole::kAgent) {
+    process->next_director_tick = now + kForwarderTick;
+    process->forwarder->OnTick(now);
+    if (process->forwarder->NeedsServerProbe(now) &&
+        !m_state->servers[process->index].running) {
+      OnServerDown(process);
+    }
+    AnnounceState(process);
+    return;
+  }
+  process->next_director_tick = now + kDirectorTick;
+  for (const DeferredDecision& deferred : process->director->OnTick(now)) {
+    ApplyDecision(process, deferred.decision, deferred.packet);
+  }
+  for (const OwnerPointer& pointer : process->director->TakePointers()) {
+    const MemberEntry* home = process->members.Find(pointer.home);
+    if (home != nullptr) {
+      Message message;
+      message.kind = Message::Kind::kPointer;
+      message.from = process->index;
+      message.to = detail::ProcessAt(home->member.ip);
+      message.packet.flow = pointer.flow;
+      message.owner = pointer.owner;
+      Send(std::move(message));
+    }
+  }
+}
+
+void ResetWorld::TickNode(Process* process) {
+  const TimePoint now = m_state->now;
+  process->members.OnTick(now);
+  if (process->schedule.IsDue(now)) {
+    Broadcast(process);
+  }
+  if (now >= process->next_member_request) {
+    RequestMembers(process);
+  }
+  if (now < process->introductions_end &&
+      !process->members.UnheardRegisteredAgents().empty()) {
+    const proto::PeerStatus status = MakeStatus(process);
+    for (const uint32_t ip : process->members.UnheardRegisteredAgents()) {
+      SendStatus(process->index, detail::ProcessAt(ip), status);
+    }
+  }
+  ListAgents(process);
+  DiscoverBalancers(process);
+  Register(process);
+}
+
+void ResetWorld::ListAgents(Process* process) {
+  const TimePoint now = m_state->now;
+  const bool is_due =
+      process->role == MemberRole::kBalancer && !process->agents_listed &&
+      now >= process->next_agent_list && now < process->introductions_end;
+  if (!is_due) {
+    return;
+  }
+  process->next_agent_list = now + kFailedStoreRetryInterval;
+  if (!m_state->store_answers) {
+    return;
+  }
+  process->agents_listed = true;
+  std::vector<uint32_t> ips;
+  for (const uint32_t index : m_state->registered) {
+    if (index >= m_config.balancers) {
+      ips.push_back(detail::IpOf(index));
+    }
+  }
+  process->members.SetRegisteredAgents(ips);
+}
+
+void ResetWorld::DiscoverBalancers(Process* process) {
+  const TimePoint now = m_state->now;
+  const bool never_heard = process->balancer_heard_at == TimePoint();
+  const bool is_due =
+      process->members.CountReachable(now, MemberRole::kBalancer) == 0 &&
+      (never_heard ||
+       now - process->balancer_heard_at >= kBalancerSilenceLimit) &&
+      now >= process->next_store_discovery;
+  if (!is_due) {
+    return;
+  }
+  if (!m_state->store_answers) {
+    process->next_store_discovery = now + kFailedStoreRetryInterval;
+    return;
+  }
+  process->next_store_discovery = now + kStoreRetryInterval;
+  proto::PeerStatus status = MakeStatus(process);
+  status.set_wants_members(true);
+  for (const uint32_t index : m_state->registered) {
+    if (index < m_config.balancers && index != process->index) {
+      SendStatus(process->index, index, status);
+    }
+  }
+}
+
+void ResetWorld::Register(Process* process) {
+  const TimePoint now = m_state->now;
+  if (process->left_store || now < process->next_registration) {
+    return;
+  }
+  const bool answers = m_state->store_answers;
+  process->next_registration =
+      now + (answers ? kRegistrationInterval : kStoreRetryInterval);
+  if (answers) {
+    m_state->registered.insert(process->index);
+  }
+}
+
+void ResetWorld::RequestMembers(Process* process) {
+  const TimePoint now = m_state->now;
+  const bool hears_no_balancer =
+      process->members.CountReachable(now, MemberRole::kBalancer) == 0;
+  process->join_attempts = hears_no_balancer ? process->join_attempts + 1 : 0;
+  process->next_member_request =
+      now + (hears_no_balancer ? JoinRetryDelay(process->join_attempts)
+                               : kMemberRefreshInterval);
+  proto::PeerStatus status = MakeStatus(process);
+  status.set_wants_members(true);
+  if (hears_no_balancer) {
+    // The first balancer is the only seed.
+    if (process->index != 0) {
+      SendStatus(process->index, 0, status);
+    }
+    return;
+  }
+  std::vector<uint32_t> balancers;
+  for (const auto& [id, entry] : process->members.Entries()) {
+    if (entry.member.role == MemberRole::kBalancer &&
+        process->members.IsReachable(now, entry)) {
+      balancers.push_back(detail::ProcessAt(entry.member.ip));
+    }
+  }
+  SendStatus(
+      process->index,
+      balancers[MixHash(detail::IpOf(process->index), process->statuses) %
+                balancers.size()],
+      status);
+}
+
+proto::PeerStatus ResetWorld::MakeStatus(Process* process) {
+  const TimePoint now = m_state->now;
+  FleetMember self;
+  self.ip = detail::IpOf(process->index);
+  self.id = MemberId{self.ip};
+  self.role = process->role;
+  self.incarnation = process->starts;
+  self.domain = DomainId{1};
+  self.state = AgentState::kReady;
+  if (process->role == MemberRole::kAgent) {
+    self.service = ServiceIdOf(detail::kService);
+    self.state = process->forwarder->State(now);
+    self.load = process->forwarder->Load(now);
+    process->announced_state = self.state;
+  }
+  proto::PeerStatus status;
+  *status.mutable_self() = EncodeMember(now, self);
+  status.set_sequence(++process->statuses);
+  status.set_members(
+      static_cast<uint32_t>(process->members.FleetSize(process->role)));
+  return status;
+}
+
+void ResetWorld::Broadcast(Process* process) {
+  const proto::PeerStatus status = MakeStatus(process);
+  for (const auto& [id, entry] : process->members.Entries()) {
+    if (process->role == MemberRole::kBalancer ||
+        entry.member.role == MemberRole::kBalancer) {
+      SendStatus(process->index, detail::ProcessAt(entry.member.ip), status);
+    }
+  }
+  process->schedule.OnSent(m_state->now,
+                           process->members.FleetSize(process->role));
+}
+
+void ResetWorld::AnnounceState(Process* process) {
+  if (process->forwarder->State(m_state->now) != process->announced_state) {
+    Broadcast(process);
+  }
+}
+
+void ResetWorld::OnStatus(Process* process,
+                          uint32_t from,
+                          const proto::PeerStatus& status) {
+  const TimePoint now = m_state->now;
+  const bool is_new = process->members.OnStatus(now, status);
+  const MemberEntry* sender =
+      process->members.Find(MemberId{detail::IpOf(from)});
+  if (sender == nullptr) {
+    return;
+  }
+  const MemberRole sender_role = sender->member.role;
+  for (const proto::PeerMember& known : status.known()) {
+    process->members.Learn(now, DecodeMember(now, known));
+  }
+  if (sender_role == MemberRole::kBalancer) {
+    process->balancer_heard_at = now;
+  }
+  if (!is_new && !status.wants_members()) {
+    return;
+  }
+  proto::PeerStatus response = MakeStatus(process);
+  if (status.wants_members()) {
+    for (const FleetMember* member :
+         process->members.KnownPeersFor(now, sender_role)) {
+      *response.add_known() = EncodeMember(now, *member);
+    }
+  }
+  SendStatus(process->index, from, response);
+}
+
+bool ResetWorld::IsCut(uint32_t a, uint32_t b) const {
+  return m_state->cuts.count({std::min(a, b), std::max(a, b)}) > 0;
+}
+
+void ResetWorld::Send(Message message) {
+  if (message.from == detail::kNoProcess || message.to == detail::kNoProcess ||
+      !IsCut(message.from, message.to)) {
+    m_state->messages.push_back(std::move(message));
+  }
+}
+
+void ResetWorld::SendStatus(uint32_t from,
+                            uint32_t to,
+                            const proto::PeerStatus& status) {
+  Message message;
+  message.kind = Message::Kind::kStatus;
+  message.from = from;
+  message.to = to;
+  message.status = status;
+  Send(std::move(message));
+}
+
+ResetWorld::Process* ResetWorld::SelectedBalancer() {
+  // Routers select another balancer if the selected one does not run.
+  for (uint32_t i = 0; i < m_config.balancers; ++i) {
+    Process& balancer =
+        m_state->processes[(m_state->caller.balancer + i) % m_config.balancers];
+    if (balancer.running) {
+      return &balancer;
+    }
+  }
+  return nullptr;
+}
+
+void ResetWorld::Deliver(const Message& message) {
+  const TimePoint now = m_state->now;
+  if (message.kind == Message::Kind::kToCaller) {
+    OnPacketAtCaller(message);
+    return;
+  }
+  if (message.kind == Message::Kind::kFromCaller) {
+    Process* balancer = SelectedBalancer();
+    if (balancer != nullptr) {
+      ApplyDecision(balancer,
+                    balancer->director->OnCallerPacket(now, message.packet,
+                                                       detail::RawPacket()),
+                    message.packet);
+    }
+    return;
+  }
+  Process* process = &m_state->processes[message.to];
+  if (!process->running || IsCut(message.from, message.to)) {
+    return;
+  }
+  switch (message.kind) {
+    case Message::Kind::kStatus:
+      OnStatus(process, message.from, message.status);
+      break;
+    case Message::Kind::kForward:
+      OnForwarded(process, message);
+      break;
+    case Message::Kind::kPointer:
+      process->forwarder->OnPointer(now, message.packet.flow, message.owner);
+      break;
+    case Message::Kind::kReturn:
+    case Message::Kind::kNote:
+      OnAgentAnswer(process, message);
+      break;
+    case Message::Kind::kFromCaller:
+    case Message::Kind::kToCaller:
+      break;
+  }
+}
+
+void ResetWorld::OnAgentAnswer(Process* balancer, const Message& message) {
+  const TimePoint now = m_state->now;
+  const MemberEntry* sender = balancer->members.FindByAddress(
+      detail::IpOf(message.from), MemberRole::kAgent);
+  if (sender == nullptr) {
+    return;
+  }
+  const MemberId id = sender->member.id;
+  balancer->members.OnLoad(now, id, message.load);
+  if (message.kind == Message::Kind::kNote) {
+    balancer->director->OnFlowConfirmed(now, id, message.packet.flow,
+                                        message.proven);
+    return;
+  }
+  ApplyDecision(
+      balancer,
+      balancer->director->OnReturned(now, id, message.reason, message.owner,
+                                     message.packet, detail::RawPacket()),
+      message.packet);
+}
+
+}  // namespace medlargauge::lab
