Feature: Sequences of events that the reset model found are tests

An agent whose server's earlier start deregisters late denies the flow as "server down". The denial stays after the heartbeat: the flow is reset once a silent agent is presumed dead, 5 s later. 2. A balancer that took a half-open server for the owner, without proof, keeps sending it the flow's packets after that server's agent restarted. 3. Quiet is taken for completeness while a registered agent has never been heard.

--- a/lab/reset_model_test.cc
+++ b/lab/reset_model_test.cc
@@ -42,6 +42,16 @@
   CHECK(result.Counted().empty());
 }
 
+void CheckNothingCounts(const ModelConfig& config,
+                        const std::vector<std::string>& script) {
+  for (const Finding& finding : Replay(config, script)) {
+    CAPTURE(FindingName(finding.kind));
+    CAPTURE(finding.out_of_touch);
+    CAPTURE(finding.detail);
+    CHECK_FALSE(Counts(finding));
+  }
+}
+
 TEST_CASE("reset model: each opening gets the answers that it is named after") {
   for (const ExpectedOpening& expected : kExpectedOpenings) {
     const ResetWorld world(MakeConfig(expected.opening));
@@ -88,5 +98,49 @@
   CHECK(result.resets > 0);
 }
 
+TEST_CASE("reset model: no sequence of three events breaks a promise") {
+  ModelResult result;
+  for (const ModelOpening opening :
+       {ModelOpening::kPlain, ModelOpening::kRetryCrossed,
+        ModelOpening::kCopySecond}) {
+    ModelConfig config = MakeConfig(opening);
+    config.initial_sequence_distance = kDistances[0];
+    ExploreAll(config, 3, 0, 1, &result);
+  }
+  CheckNothingCounts(result);
+}
+
+TEST_CASE("reset model: no random sequence of eight events breaks a promise") {
+  ModelResult result;
+  for (const ModelOpening opening : AllOpenings()) {
+    ExploreRandomly(MakeConfig(opening), 1, 500, 8, &result);
+  }
+  CheckNothingCounts(result);
+}
+
+TEST_CASE(
+    "reset model: the word of an agent that took its server for stopped stays "
+    "a denial after the server's heartbeat") {
+  CheckNothingCounts(
+      MakeConfig(ModelOpening::kPlain),
+      {"restart agent-0", "late-departure agent-0", "kill agent-1"});
+}
+
+TEST_CASE(
+    "reset model: a half-open server gets the packets of an open flow after "
+    "its agent restarted") {
+  CheckNothingCounts(
+      MakeConfig(ModelOpening::kCopySecond),
+      {"wait 400", "kill balancer-1", "wait 400", "restart agent-0"});
+}
+
+TEST_CASE(
+    "reset model: quiet is taken for completeness while a registered agent was "
+    "never heard") {
+  CheckNothingCounts(MakeConfig(ModelOpening::kPlain, 2),
+                     {"kill balancer-0", "kill agent-0", "restart balancer-1",
+                      "wait 6000", "forget-all", "start agent-0", "wait 6000"});
+}
+
 }  // namespace
 }  // namespace medlargauge::lab
