Feature: Planned stops in the reset model

A process announces its stop before it ends. Two new cases fail on: a late deregistration beside a planned restart of an agent, and a planned restart of a balancer after the store has lost its registrations (discovery "registered" with an empty list). A trace says what a reset rests on.

--- a/lab/reset_model_test.cc
+++ b/lab/reset_model_test.cc
@@ -126,6 +126,22 @@
       {"restart agent-0", "late-departure agent-0", "kill agent-1"});
 }
 
+TEST_CASE(
+    "reset model: a late deregistration beside a planned restart of an agent "
+    "resets the flows of its server") {
+  CheckNothingCounts(
+      MakeConfig(ModelOpening::kPlain),
+      {"leave agent-0", "restart agent-0", "late-departure agent-0"});
+}
+
+TEST_CASE(
+    "reset model: an empty list of registered agents makes a balancer reset "
+    "flows after its planned restart") {
+  CheckNothingCounts(MakeConfig(ModelOpening::kPlain),
+                     {"forget-all", "wait 6000", "leave balancer-0",
+                      "wait 1600", "restart balancer-0"});
+}
+
 TEST_CASE(
     "reset model: a half-open server gets the packets of an open flow after "
     "its agent restarted") {
--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -51,6 +51,7 @@
 /// What happens in a model. `first` and `second` are fields of ModelEvent.
 enum class ModelAction : uint8_t {
   kKill,         ///< Process `first` ends.
+  kLeave,        ///< It announces a planned stop; its end is planned then.
   kStart,        ///< It starts, without state.
   kRestart,      ///< It ends and starts at once.
   kCrashServer,  ///< The backend server of agent `first` ends.
@@ -160,6 +161,7 @@
   // Processes, as FleetNode of src/runtime runs them.
   void StartProcess(Process* process);
   void KillProcess(Process* process);
+  void LeaveProcess(Process* process);
   void TickProcess(Process* process);
   void TickNode(Process* process);
   void ListAgents(Process* process);
--- a/lab/reset_world_events.cc
+++ b/lab/reset_world_events.cc
@@ -14,8 +14,9 @@
   uint32_t operands;  ///< Processes that its name states.
 };
 
-constexpr std::array<ActionName, 17> kActionNames = {{
+constexpr std::array<ActionName, 18> kActionNames = {{
     {ModelAction::kKill, "kill", 1},
+    {ModelAction::kLeave, "leave", 1},
     {ModelAction::kStart, "start", 1},
     {ModelAction::kRestart, "restart", 1},
     {ModelAction::kCrashServer, "crash-server", 1},
@@ -52,6 +53,7 @@
   for (uint32_t i = 0; i < count; ++i) {
     events.push_back({ModelAction::kRestart, i, 0});
     events.push_back({ModelAction::kKill, i, 0});
+    events.push_back({ModelAction::kLeave, i, 0});
     events.push_back({ModelAction::kStart, i, 0});
   }
   for (uint32_t i = 0; i < m_config.balancers; ++i) {
@@ -95,6 +97,8 @@
     case ModelAction::kKill:
     case ModelAction::kRestart:
       return process().running;
+    case ModelAction::kLeave:
+      return process().running && !process().leaving;
     case ModelAction::kStart:
       return !process().running;
     case ModelAction::kCrashServer:
@@ -140,6 +144,9 @@
     case ModelAction::kKill:
       KillProcess(process);
       break;
+    case ModelAction::kLeave:
+      LeaveProcess(process);
+      break;
     case ModelAction::kStart:
       StartProcess(process);
       break;
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// A process that is down for longer than this counts as failed.
+constexpr Duration kPlannedRestartTime = Milliseconds(3000);
 constexpr Duration kDirectorTick = Milliseconds(20);
 constexpr Duration kForwarderTick = Milliseconds(50);
 constexpr Duration kStoreDiscoveryDelay = Milliseconds(60);
@@ -27,7 +29,20 @@
   process->running = false;
   process->director.reset();
   process->forwarder.reset();
-  process->impaired_at = m_state->now;
+  process->ended_at = m_state->now;
+  if (!process->leaving) {
+    process->impaired_at = m_state->now;
+  }
+}
+
+void ResetWorld::LeaveProcess(Process* process) {
+  process->leaving = true;
+  if (process->role == MemberRole::kAgent) {
+    process->forwarder->StartLeaving();
+  } else {
+    process->director->QueueAllPointers(m_state->now);
+  }
+  Broadcast(process);
 }
 
 void ResetWorld::StartProcess(Process* process) {
@@ -35,7 +50,9 @@
   const MemberId id{detail::IpOf(process->index)};
   process->running = true;
   ++process->starts;
-  process->impaired_at = now;
+  const bool is_planned = std::exchange(process->leaving, false) &&
+                          now - process->ended_at <= kPlannedRestartTime;
+  process->impaired_at = is_planned ? process->impaired_at : now;
   process->members = MembershipTable(id, MembershipTimeouts());
   process->schedule =
       StatusSchedule(process->role, detail::kNodeTick, id.value);
@@ -126,9 +143,11 @@
       SendStatus(process->index, detail::ProcessAt(ip), status);
     }
   }
-  ListAgents(process);
-  DiscoverBalancers(process);
-  Register(process);
+  if (!process->leaving) {
+    ListAgents(process);
+    DiscoverBalancers(process);
+    Register(process);
+  }
 }
 
 void ResetWorld::ListAgents(Process* process) {
@@ -240,6 +259,7 @@
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(now, self);
   status.set_sequence(++process->statuses);
+  status.set_leaving(process->leaving);
   status.set_members(
       static_cast<uint32_t>(process->members.FleetSize(process->role)));
   return status;
--- a/lab/reset_world_flow.cc
+++ b/lab/reset_world_flow.cc
@@ -65,6 +65,13 @@
     message.header = decision.header;
     Send(std::move(message));
   } else if (decision.kind == DirectorDecision::Kind::kReset) {
+    constexpr std::array<std::string_view, 4> kBases = {
+        "none", "quiet", "registered", "counted"};
+    const ResetEvidence& evidence = decision.evidence;
+    Trace(ProcessName(balancer->index) + " resets: discovery " +
+          std::string(kBases[static_cast<size_t>(evidence.discovery)]) +
+          ", denials " + std::to_string(evidence.denials) + ", agents " +
+          std::to_string(evidence.agents));
     message.kind = Message::Kind::kToCaller;
     message.packet.rst = true;
     message.packet.syn = false;
--- a/lab/reset_world_state.h
+++ b/lab/reset_world_state.h
@@ -97,8 +97,10 @@
   uint32_t index;
   MemberRole role = MemberRole::kBalancer;
   bool running = false;
+  bool leaving = false;  ///< Its stop is planned, until the next start.
   uint64_t starts = 0;
   TimePoint impaired_at;
+  TimePoint ended_at;
   MembershipTable members;
   StatusSchedule schedule;
   std::optional<FlowDirector> director;     ///< Balancers only.
