Codechange: The reset model joins, lists agents and greets seeds as FleetNode does now

Mirrors the fixes of: introductions go on after 3 s, a list that lacks a heard agent is read again, agents pass on balancers, statuses say how many agents are heard. The first two balancers are seeds (it was one). The control case that shows a reset of a held flow plays one balancer, as with two the fixed code no longer resets there.

One new case and the random sequences fail on it: a balancer whose other seed is down and whose list of agents is incomplete never resets a dead flow (no reset within 16 s; the operators' rule is not broken by silence).

--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -23,6 +23,7 @@
 DEFINE_uint32(depth, 2, "reset-model: number of events of a sequence");
 DEFINE_uint32(agents, 3, "reset-model: number of agents");
 DEFINE_uint32(balancers, 2, "reset-model: number of balancers");
+DEFINE_uint32(join_seeds, 2, "reset-model: number of balancers that are seeds");
 DEFINE_string(opening,
               "all",
               "reset-model: how the flow opens; all: every way");
@@ -164,6 +165,7 @@
     ModelConfig config;
     config.agents = FLAGS_agents;
     config.balancers = FLAGS_balancers;
+    config.seeds = FLAGS_join_seeds;
     config.opening = opening;
     config.initial_sequence_distance = FLAGS_distance;
     config.caller_port = static_cast<uint16_t>(FLAGS_port);
--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -40,6 +40,7 @@
 struct ModelConfig {
   uint32_t agents = 3;     ///< Number of agents, each with a backend server.
   uint32_t balancers = 2;  ///< Number of balancers.
+  uint32_t seeds = 2;      ///< The first balancers, which processes join by.
   ModelOpening opening = ModelOpening::kPlain;  ///< How the flow opens.
   /// Difference between the initial sequence numbers of two servers.
   uint32_t initial_sequence_distance = 0x20000000;
@@ -164,11 +165,14 @@
   void LeaveProcess(Process* process);
   void TickProcess(Process* process);
   void TickNode(Process* process);
+  void IntroduceToAgents(Process* process);
+  void IntroduceToSeeds(Process* process);
   void ListAgents(Process* process);
   void DiscoverBalancers(Process* process);
   void Register(Process* process);
   void RequestMembers(Process* process);
   proto::PeerStatus MakeStatus(Process* process);
+  std::vector<uint32_t> SeedsOf(const Process& process) const;
   void Broadcast(Process* process);
   void AnnounceState(Process* process);
   void OnStatus(Process* process,
--- a/lab/reset_world_flow.cc
+++ b/lab/reset_world_flow.cc
@@ -122,6 +122,10 @@
 }
 
 void ResetWorld::OnServerDown(Process* agent) {
+  if (agent->forwarder->IsDepartureUnconfirmed()) {
+    agent->left_store = true;
+    m_state->registered.erase(agent->index);
+  }
   for (const FlowReset& reset : agent->forwarder->OnServerDown(m_state->now)) {
     Message message;
     message.kind = Message::Kind::kToCaller;
--- a/lab/reset_world_state.h
+++ b/lab/reset_world_state.h
@@ -117,6 +117,7 @@
   TimePoint next_agent_list;
   TimePoint next_registration;
   TimePoint introductions_end;
+  TimePoint next_contact;
   TimePoint balancer_heard_at;
 };
 
