Fix: A balancer of the reset model without other seeds never met the fleet

The model left out that FleetNode takes a fleet for met where no other seed exists, so that with one balancer (or one seed) dead flows seemed to be never reset.

A new case fails on: the store lost the registration of the owner's agent only; a balancer that is alone after its planned restart hears the others first, and takes the list for complete ("registered") before the owner's agent could have sent a status.

--- a/lab/reset_model_test.cc
+++ b/lab/reset_model_test.cc
@@ -152,6 +152,14 @@
        "kill balancer-1", "restart agent-0"});
 }
 
+TEST_CASE(
+    "reset model: a list that lacks only the owner's agent makes a lone "
+    "balancer reset its flows after a planned restart") {
+  CheckNothingCounts(MakeConfig(ModelOpening::kPlain),
+                     {"forget agent-0", "kill balancer-1", "wait 6000",
+                      "leave balancer-0", "wait 1600", "restart balancer-0"});
+}
+
 TEST_CASE(
     "reset model: a half-open server gets the packets of an open flow after "
     "its agent restarted") {
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -57,6 +57,9 @@
                           now - process->ended_at <= kPlannedRestartTime;
   process->impaired_at = is_planned ? process->impaired_at : now;
   process->members = MembershipTable(id, MembershipTimeouts());
+  if (SeedsOf(*process).empty()) {
+    process->members.OnFleetMet();
+  }
   process->schedule =
       StatusSchedule(process->role, detail::kNodeTick, id.value);
   process->statuses = 0;
@@ -147,8 +150,8 @@
     IntroduceToAgents(process);
     IntroduceToSeeds(process);
   }
+  ListAgents(process);
   if (!process->leaving) {
-    ListAgents(process);
     DiscoverBalancers(process);
     Register(process);
   }
