Feature: A late heartbeat before a late deregistration is a case of the reset model

The case fails on: both late messages reach an agent after its planned restart and before the living server's next heartbeat, and its flow is reset.

--- a/lab/reset_model_test.cc
+++ b/lab/reset_model_test.cc
@@ -135,6 +135,14 @@
       {"leave agent-0", "restart agent-0", "late-departure agent-0"});
 }
 
+TEST_CASE(
+    "reset model: a late heartbeat and deregistration of an earlier server "
+    "reset the flows of the living one") {
+  CheckNothingCounts(MakeConfig(ModelOpening::kPlain),
+                     {"leave agent-0", "restart agent-0", "late-report agent-0",
+                      "late-departure agent-0"});
+}
+
 TEST_CASE(
     "reset model: an empty list of registered agents makes a balancer reset "
     "flows after its planned restart") {
