Fix: A list of agents counted before those that it lacks could be heard

A balancer that has not heard a member for 60 s removes it from the list; the member registers again only if it had heard no balancer either.

Cause: the list was checked once, when it arrived, against the agents heard by then, and counted from that moment on; agents that remember the balancer need up to a status interval.

A list counts from two status intervals after the start on, and only while no agent is heard that it lacks; it is read again then.

--- a/lab/reset_world.cc
+++ b/lab/reset_world.cc
@@ -24,7 +24,7 @@
 ResetWorld::ResetWorld(const ModelConfig& config)
     : m_config(config), m_state(std::make_unique<State>()) {
   RouteTable table;
-  table.revision = 1;
+  table.identity.version.revision = 1;
   ServiceRoute route;
   route.name = detail::kService;
   route.address = detail::kRouteAddress;
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -116,16 +116,18 @@
       !m_members->IsRegisteredAgentMissing(now)) {
     return DiscoveryBasis::kQuiet;
   }
-  if (m_members->HasHeardRegisteredAgents()) {
-    return DiscoveryBasis::kRegistered;
-  }
   // Agents that remember this balancer have sent it a status within an
   // interval. Others have restarted, and join through any balancer.
   const Duration interval =
       StatusInterval(MemberRole::kAgent, m_members->Entries().size());
+  if (uptime < 2 * interval) {
+    return DiscoveryBasis::kIncomplete;
+  }
+  if (m_members->HasHeardRegisteredAgents(now)) {
+    return DiscoveryBasis::kRegistered;
+  }
   const bool is_counted =
-      uptime >= 2 * interval && quiet_time >= interval &&
-      !m_members->IsRegisteredAgentMissing(now) &&
+      quiet_time >= interval && !m_members->IsRegisteredAgentMissing(now) &&
       m_members->Entries().size() >= m_members->LargestReportedSize(now);
   return is_counted ? DiscoveryBasis::kCounted : DiscoveryBasis::kIncomplete;
 }
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -118,18 +118,22 @@
   m_registered_at = now;
   // An agent that is heard but not listed has not registered yet, or its
   // registration was lost; the same may hold for agents that are not heard.
-  const std::set<uint32_t> listed(ips.begin(), ips.end());
-  m_unlisted_agents.clear();
+  m_listed_agents = std::set<uint32_t>(ips.begin(), ips.end());
+  m_has_registered_agents = !ips.empty() && UnlistedAgents(now).empty();
+  return m_has_registered_agents;
+}
+
+std::vector<uint32_t> MembershipTable::UnlistedAgents(TimePoint now) const {
+  std::vector<uint32_t> ips;
   for (const auto& [id, entry] : m_entries) {
     const bool must_be_listed =
         entry.member.role == MemberRole::kAgent && !entry.leaving &&
         entry.member.state != AgentState::kGone && IsReachable(now, entry);
-    if (must_be_listed && listed.count(entry.member.ip) == 0) {
-      m_unlisted_agents.push_back(entry.member.ip);
+    if (must_be_listed && m_listed_agents.count(entry.member.ip) == 0) {
+      ips.push_back(entry.member.ip);
     }
   }
-  m_has_registered_agents = !listed.empty() && m_unlisted_agents.empty();
-  return m_has_registered_agents;
+  return ips;
 }
 
 uint32_t MembershipTable::CountLiveAgents(TimePoint now) const {
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -141,10 +141,9 @@
   /// Makes the registered agents unknown until SetRegisteredAgents is called
   /// again, because the store may have lost registrations.
   void WithdrawRegisteredAgents() { m_has_registered_agents = false; }
-  /// Returns the reachable agents that the last list lacked.
-  const std::vector<uint32_t>& UnlistedAgents() const {
-    return m_unlisted_agents;
-  }
+  /// Returns the addresses of reachable agents that the list of registered
+  /// agents lacks.
+  std::vector<uint32_t> UnlistedAgents(TimePoint now) const;
   /// Returns the registered agents that have not been heard yet.
   const std::set<uint32_t>& UnheardRegisteredAgents() const {
     return m_unheard_agents;
@@ -155,9 +154,11 @@
     return !m_unheard_agents.empty() &&
            now - m_registered_at <= m_timeouts.presumed_dead;
   }
-  /// Returns whether the registered agents are known and each has been heard.
-  bool HasHeardRegisteredAgents() const {
-    return m_has_registered_agents && m_unheard_agents.empty();
+  /// Returns whether the registered agents are known and each has been heard,
+  /// and no other agent is heard.
+  bool HasHeardRegisteredAgents(TimePoint now) const {
+    return m_has_registered_agents && m_unheard_agents.empty() &&
+           UnlistedAgents(now).empty();
   }
   /// Returns the interval at which the member sends statuses.
   static Duration StatusIntervalOf(const MemberEntry& entry);
@@ -192,7 +193,7 @@
   bool m_has_met_fleet = false;               ///< See OnFleetMet.
   bool m_has_registered_agents = false;       ///< A complete list is known.
   TimePoint m_registered_at;                  ///< When it was set.
-  std::vector<uint32_t> m_unlisted_agents;    ///< See UnlistedAgents.
+  std::set<uint32_t> m_listed_agents;         ///< Addresses in the last list.
   std::set<uint32_t> m_unheard_agents;  ///< Registered, but not heard yet.
 };
 
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -68,6 +68,10 @@
 }
 
 void FleetNode::ListAgentsInStore(TimePoint now) {
+  // An agent that is heard after the start, but not listed, shows that the list
+  // was incomplete.
+  m_agents_listed = m_agents_listed && (now >= m_introductions_end ||
+                                        m_members.UnlistedAgents(now).empty());
   const bool is_due = m_self.role == MemberRole::kBalancer &&
                       !m_agents_listed && !m_member_call_pending &&
                       now >= m_next_agent_list && !m_agent_list_too_long;
@@ -104,9 +108,13 @@
 }
 
 void FleetNode::TellUnlistedAgents(TimePoint now) {
+  const std::vector<uint32_t> ips = m_members.UnlistedAgents(now);
+  if (ips.empty()) {
+    return;
+  }
   proto::PeerStatus status = MakeStatus(now);
   status.set_not_registered(true);
-  for (const uint32_t ip : m_members.UnlistedAgents()) {
+  for (const uint32_t ip : ips) {
     SendStatus(ip, status);
   }
 }
