Fix: A late heartbeat and deregistration made an agent give up its living server

Cause: a deregistration that matched the last heartbeat counted as proof that the server had stopped, though both may be late messages of an earlier server at the address.

A deregistered server gets no new flow from then on, and a probe of its port decides whether its flows are over. The test "a stale heartbeat does not revive a deregistered server" now asks for both steps: draining until the probe, gone after it; a stale heartbeat changes neither.

--- a/lab/reset_world_flow.cc
+++ b/lab/reset_world_flow.cc
@@ -122,7 +122,7 @@
 }
 
 void ResetWorld::OnServerDown(Process* agent) {
-  if (agent->forwarder->IsDepartureUnconfirmed()) {
+  if (agent->forwarder->HasUnknownServerDeparted()) {
     agent->left_store = true;
     m_state->registered.erase(agent->index);
   }
--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -343,11 +343,11 @@
   if (m_report->id != id) {
     return false;
   }
+  // The heartbeat before it may be late as well, so a probe decides.
+  m_departure_unconfirmed = true;
+  m_report->draining = true;
   m_departed_id = std::string(id);
   m_departed_start_ms = m_report->started_ms;
-  m_report = std::nullopt;
-  m_down = true;
-  m_server_seen_at = now;
   return true;
 }
 
@@ -372,7 +372,10 @@
   m_down = true;
   m_down_at = now;
   m_awaiting_server = false;
-  m_departure_unconfirmed = false;
+  if (m_departure_unconfirmed) {
+    m_departure_unconfirmed = false;
+    m_report = std::nullopt;
+  }
   return resets;
 }
 
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -134,7 +134,8 @@
   /// Processes a heartbeat of the backend server.
   ReportOutcome OnReport(TimePoint now, const ServerReport& report);
 
-  /// Handles the deregistration of the backend server.
+  /// Handles the deregistration of the backend server, which gets no new flow
+  /// from now on. Its flows end when a probe shows that it has stopped.
   /// @return false if the known server has another id, or none is known; the
   ///     server then has to be probed
   bool OnDeregister(TimePoint now, std::string_view id);
@@ -160,8 +161,11 @@
   /// Returns the number of requests at the server, including those expected on
   /// new flows.
   uint32_t ActiveRequests() const { return m_active; }
-  /// Returns whether a deregistration waits for a probe to confirm it.
-  bool IsDepartureUnconfirmed() const { return m_departure_unconfirmed; }
+  /// Returns whether an unknown server has deregistered, which a probe has yet
+  /// to confirm.
+  bool HasUnknownServerDeparted() const {
+    return m_departure_unconfirmed && !m_report.has_value();
+  }
   /// Returns whether this agent is stopping.
   bool IsLeaving() const { return m_leaving; }
   /// Returns the number of entries in the flow table.
@@ -250,7 +254,7 @@
   bool m_awaiting_server = false;    ///< m_unanswered_since is valid.
   bool m_down = false;               ///< Nothing listens at m_address.
   TimePoint m_down_at;               ///< When OnServerDown found that.
-  /// A server has deregistered before any heartbeat arrived here.
+  /// A server has deregistered; a probe has yet to show that it stopped.
   bool m_departure_unconfirmed = false;
   bool m_leaving = false;       ///< This agent is stopping.
   uint32_t m_active = 0;        ///< Number of active flows.
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -396,7 +396,12 @@
 TEST_CASE("a stale heartbeat does not revive a deregistered server") {
   ForwarderFixture fixture;
   CHECK(fixture.forwarder.OnDeregister(fixture.now, "i-1"));
-  CHECK(fixture.forwarder.State(fixture.now) == AgentState::kGone);
+  CHECK(fixture.forwarder.State(fixture.now) == AgentState::kDraining);
+  CHECK(fixture.SendReport() == ReportOutcome::kStale);
+  CHECK(fixture.forwarder.State(fixture.now) == AgentState::kDraining);
+  CHECK(fixture.Forward(MakePacket(1, true)).reason == ReturnReason::kDraining);
+  CHECK(fixture.forwarder.NeedsServerProbe(fixture.now));
+  fixture.forwarder.OnServerDown(fixture.now);
   CHECK(fixture.SendReport() == ReportOutcome::kStale);
   CHECK(fixture.forwarder.State(fixture.now) == AgentState::kGone);
   CHECK(fixture.Forward(MakePacket(1, true)).reason ==
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -309,7 +309,7 @@
 }
 
 void AgentRuntime::OnServerDown(TimePoint now) {
-  if (m_forwarder.IsDepartureUnconfirmed()) {
+  if (m_forwarder.HasUnknownServerDeparted()) {
     m_fleet_node.LeaveStore();
   }
   const std::vector<FlowReset> resets = m_forwarder.OnServerDown(now);
