--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -180,6 +180,14 @@
     BeginSearch(now, packet.flow, &flow);
   }
   const MemberEntry* owner = m_members->Find(flow.agent);
+  if (flow.phase == Phase::kOwnerKnown && owner != nullptr) {
+    flow.owner_proven = IsOwnerProven(flow, *owner);
+    if (!flow.owner_proven && HasOwnerRestarted(flow, *owner)) {
+      BeginSearch(now, packet.flow, &flow);
+      HoldForSearch(now, packet, raw);
+      return ContinueSearch(now, packet.flow, &flow);
+    }
+  }
   const bool owner_dead = owner == nullptr ||
                           m_members->IsPresumedDead(now, *owner) ||
                           m_members->HasLeftStopped(now, *owner);
@@ -197,7 +205,7 @@
   const bool reaches_agents =
       m_members->CountReachable(now, MemberRole::kAgent) > 0;
   if (retry_elsewhere && reaches_agents &&
-      (owner == nullptr || !IsOwnerProven(flow, *owner))) {
+      (owner == nullptr || !flow.owner_proven)) {
     // The caller may have accepted another server, for example if a balancer
     // that was suspended opened the flow a second time.
     const MemberId silent_agent = flow.agent;
@@ -258,11 +266,17 @@
       SetSearchTarget(now, owner, &flow);
       return Forward(*route, flow);
     }
+  } else if (reason == ReturnReason::kServerDown) {
+    // Unlike the word of a server, this may change: the agent is asked again
+    // if its state does.
+    detail::AddOnce(&flow.server_down, from);
+    m_members->OnServerDown(from);
   } else {
     detail::AddOnce(&flow.tried, from);
   }
   if (flow.agent != from && flow.agent.IsSet() &&
-      !detail::Contains(flow.tried, flow.agent)) {
+      !detail::Contains(flow.tried, flow.agent) &&
+      !detail::Contains(flow.server_down, flow.agent)) {
     // An agent that was asked earlier returned the packet late.
     return Forward(*route, flow);
   }
@@ -326,7 +340,10 @@
     flow.unresponsive.clear();
     flow.syn = std::string();
     flow.owner_since = now;
-    flow.used_since = proven ? now : TimePoint();
+    const MemberEntry* owner = m_members->Find(from);
+    flow.owner_incarnation = owner == nullptr ? 0 : owner->member.incarnation;
+    flow.owner_proven = proven;
+    flow.used_since = TimePoint();
     flow.expires = now + IdleTimeout();
     m_search_packets.Erase(key);
   }
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -28,6 +28,7 @@
   // so they are asked again.
   flow->tried.clear();
   flow->unresponsive.clear();
+  flow->server_down.clear();
   flow->syn = std::string();
   flow->phase = Phase::kSearching;
   flow->search_report_at = now + m_limits.long_search;
@@ -91,7 +92,8 @@
   DirectorDecision reset =
       Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
   reset.evidence.discovery = discovery;
-  reset.evidence.denials = static_cast<uint32_t>(flow->tried.size());
+  reset.evidence.denials =
+      static_cast<uint32_t>(flow->tried.size() + flow->server_down.size());
   reset.evidence.agents = CountAgents();
   RemoveFlow(key);
   return reset;
@@ -101,10 +103,17 @@
   if (m_members->CountReachable(now, MemberRole::kAgent) == 0) {
     return DiscoveryBasis::kIncomplete;
   }
+  // Silence of a member that can't know this balancer proves nothing, so the
+  // fleet must have been met, and no member may hear more agents.
+  if (!m_members->HasMetFleet() ||
+      m_members->CountLiveAgents(now) < m_members->LargestReportedAgents(now)) {
+    return DiscoveryBasis::kIncomplete;
+  }
   const Duration uptime = now - m_started_at;
   const Duration quiet_time = now - m_members->LastAgentDiscovery();
   if (uptime >= m_limits.startup_discovery_time &&
-      quiet_time >= m_limits.discovery_quiet_time) {
+      quiet_time >= m_limits.discovery_quiet_time &&
+      !m_members->IsRegisteredAgentMissing(now)) {
     return DiscoveryBasis::kQuiet;
   }
   if (m_members->HasHeardRegisteredAgents()) {
@@ -116,6 +125,7 @@
       StatusInterval(MemberRole::kAgent, m_members->Entries().size());
   const bool is_counted =
       uptime >= 2 * interval && quiet_time >= interval &&
+      !m_members->IsRegisteredAgentMissing(now) &&
       m_members->Entries().size() >= m_members->LargestReportedSize(now);
   return is_counted ? DiscoveryBasis::kCounted : DiscoveryBasis::kIncomplete;
 }
@@ -136,6 +146,8 @@
                       service == services.end() ||
                       detail::Contains(flow.tried, id) ||
                       detail::Contains(flow.unresponsive, id) ||
+                      (detail::Contains(flow.server_down, id) &&
+                       entry.member.state == AgentState::kGone) ||
                       m_members->IsPresumedDead(now, entry) ||
                       m_members->HasLeftStopped(now, entry);
     if (skip) {
