--- a/src/runtime/fleet_node_era.cc
+++ b/src/runtime/fleet_node_era.cc
@@ -1,4 +1,6 @@
 // @file fleet_node_era.cc FleetNode's reaction to the store's era.
+#include <algorithm>
+
 #include "src/core/event_log.h"
 #include "src/runtime/fleet_node.h"
 
@@ -85,13 +87,13 @@
 
 void FleetNode::WithdrawObsoleteAgentList() {
   const TimePoint complete_at = m_era.RegistrationsCompleteAt();
-  if (!m_agents_listed || m_agents_listed_at >= complete_at) {
-    return;
+  if (m_agents_listed && m_agents_listed_at < complete_at) {
+    m_agents_listed = false;
+    m_members.WithdrawRegisteredAgents();
+    m_next_agent_list = complete_at;
   }
-  m_agents_listed = false;
-  m_members.WithdrawRegisteredAgents();
-  m_next_agent_list = complete_at;
-  m_introductions_end = complete_at + kAgentListTime;
+  m_introductions_end =
+      std::max(m_introductions_end, complete_at + kAgentListTime);
 }
 
 }  // namespace medlargauge
