--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -32,6 +32,14 @@
   Duration removal = Seconds(60);
 };
 
+/// Outcome of an attempt to connect to the control address of a silent member.
+enum class ProbeOutcome : uint8_t {
+  kAccepted,  ///< The member's process exists; it is slow or suspended.
+  kRefused,   ///< The host answers, but no process listens there.
+  kNoAnswer,  ///< No answer in time: the host is down or cut off.
+};
+inline constexpr size_t kProbeOutcomeCount = 3;
+
 /// What this process knows of another member.
 struct MemberEntry {
   FleetMember member;       ///< Latest known state.
