Fix: The silence of an agent alone was taken for its death

What callers saw: resets of open flows whose backend server was alive. A balancer resets a flow of an idempotent route when the agent of its server has been silent for 1.8 s, and any flow after 5 s; a search then ends without that agent.

Cause: silence is absence of evidence. The agent's process may only be starved on a busy host.

Evidence: with the outcome of a probe ignored in CountedSilence, six of the new cases fail, among them "open flows of a silent agent were reset though its host accepts probes" and "a search ended without a silent agent whose host accepts probes".

Change: balancers probe each agent that is unreachable, at once and then every second. Silence does not count before the first probe has ended, and an accepted probe starts it again, in one place (CountedSilence) for suspected and presumed dead. Refused and unanswered probes leave the timeouts as they were. An agent that never runs again is removed after 60 s. The log names the outcome with each reset for silence; metrics count probes.

Why it works: the kernel of a living host accepts a connection for a process that is not scheduled, and refuses it once the process is gone.

--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -210,6 +210,7 @@
     DirectorDecision reset =
         Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
     reset.evidence.owner_heard = owner->heard;
+    reset.evidence.owner_probe = owner->probe.outcome;
     reset.evidence.agents = CountAgents();
     ++m_counters.silence_resets;
     RemoveFlow(packet.flow);
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -77,6 +77,8 @@
   uint32_t denials = 0;   ///< Agents that returned a packet of the flow.
   uint32_t agents = 0;    ///< Agents that the balancer knows.
   TimePoint owner_heard;  ///< Last message of a silent owner; zero: none.
+  /// Outcome of the latest probe of a silent owner, if any ended.
+  std::optional<ProbeOutcome> owner_probe;
 };
 
 /// What to do with a packet.
--- a/src/forwarding/flow_director_test.cc
+++ b/src/forwarding/flow_director_test.cc
@@ -225,6 +225,86 @@
   CHECK(kind_after_silence(true, true) == DirectorDecision::Kind::kForward);
 }
 
+/// A flow to an idempotent route; then its agent is silent, while the others
+/// are heard and the agent's host answers probes.
+struct SilentOwnerFixture : DirectorFixture {
+  DirectorDecision opening;
+
+  SilentOwnerFixture() {
+    ServiceRoute route = MakeRoute(kRoute, "stock");
+    route.repeatable = true;
+    routes.Adopt(MakeRouteTable(2, {route}));
+    opening = Send(MakeOpeningPacket(1));
+    director.OnFlowConfirmed(now, opening.agent, MakeOpeningPacket(1).flow,
+                             false);
+    UseFlow(1);
+  }
+  /// Lets time pass. @param outcome of each probe that is due
+  void RunFor(Duration duration, ProbeOutcome outcome) {
+    for (const TimePoint end = now + duration; now < end;) {
+      now += Milliseconds(100);
+      for (const uint64_t id : {11, 12, 13}) {
+        if (MemberId{id} != opening.agent) {
+          ReceiveStatus(id, "stock");
+        }
+      }
+      ReceiveStatus(20, "media");
+      for (const MemberId id : members.TakeDueProbes(now, 4)) {
+        members.OnProbe(now, id, outcome);
+      }
+    }
+  }
+};
+
+TEST_CASE(
+    "open flows of a silent agent were reset though its host accepts probes") {
+  SilentOwnerFixture fixture;
+  for (int i = 0; i < 20; ++i) {
+    fixture.RunFor(Milliseconds(500), ProbeOutcome::kAccepted);
+    const DirectorDecision decision = fixture.Send(MakeLaterPacket(1));
+    CHECK(decision.kind == DirectorDecision::Kind::kForward);
+    CHECK(decision.agent == fixture.opening.agent);
+  }
+  CHECK(fixture.director.Counters().silence_resets == 0);
+}
+
+TEST_CASE("open flows of a host that answers no probe are reset in time") {
+  SilentOwnerFixture fixture;
+  fixture.RunFor(Milliseconds(1800), ProbeOutcome::kNoAnswer);
+  CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
+        DirectorDecision::Kind::kForward);
+  fixture.RunFor(Milliseconds(100), ProbeOutcome::kNoAnswer);
+  const DirectorDecision reset = fixture.Send(MakeLaterPacket(1));
+  CHECK(reset.kind == DirectorDecision::Kind::kReset);
+  CHECK(reset.evidence.owner_probe == ProbeOutcome::kNoAnswer);
+}
+
+TEST_CASE("a refused probe resets no flow while the agent restarts") {
+  SilentOwnerFixture fixture;
+  fixture.RunFor(Seconds(3), ProbeOutcome::kAccepted);
+  fixture.RunFor(Milliseconds(900), ProbeOutcome::kRefused);
+  CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
+        DirectorDecision::Kind::kForward);
+  fixture.ReceiveAllStatuses();
+  CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
+        DirectorDecision::Kind::kForward);
+}
+
+TEST_CASE("a search ended without a silent agent whose host accepts probes") {
+  SilentOwnerFixture fixture;
+  fixture.RunFor(Seconds(8), ProbeOutcome::kAccepted);
+  DirectorDecision decision = fixture.Send(MakeLaterPacket(2));
+  for (int asked = 0;
+       asked < 3 && decision.kind == DirectorDecision::Kind::kForward &&
+       decision.agent != fixture.opening.agent;
+       ++asked) {
+    decision =
+        fixture.Return(decision, ReturnReason::kBounced, MakeLaterPacket(2));
+  }
+  CHECK(decision.kind == DirectorDecision::Kind::kForward);
+  CHECK(decision.agent == fixture.opening.agent);
+}
+
 TEST_CASE("an isolated balancer leaves the rotation until it hears a member") {
   DirectorFixture fixture;
   CHECK(fixture.director.CanServe(fixture.now));
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -33,6 +33,7 @@
   }
   RecordContact(now);
   MemberEntry& entry = m_entries[member.id];
+  entry.probe = ProbeState();
   const bool is_new = entry.heard == TimePoint() ||
                       entry.member.incarnation != member.incarnation;
   if (!is_new && status.sequence() <= entry.sequence) {
@@ -155,6 +156,7 @@
   }
   RecordContact(now);
   entry->heard = now;
+  entry->probe = ProbeState();
   entry->avoid_until = TimePoint();
   entry->member.load = load;
   entry->pending = 0;
@@ -214,24 +216,80 @@
 
 bool MembershipTable::IsSuspected(TimePoint now,
                                   const MemberEntry& entry) const {
-  const TimePoint since =
-      std::max({entry.heard, entry.discovered_at, m_contact_since});
   const Duration limit = std::max(
       m_timeouts.suspected, kTimeoutsToSuspect * ReachabilityTimeout(entry));
-  return !entry.leaving && entry.heard != TimePoint() && now - since > limit;
+  return !entry.leaving && entry.heard != TimePoint() &&
+         CountedSilence(now, entry) > limit;
 }
 
 bool MembershipTable::IsPresumedDead(TimePoint now,
                                      const MemberEntry& entry) const {
-  // If all members fell silent at once, this host itself was disconnected; that
-  // time does not count.
-  const TimePoint since =
-      std::max({entry.heard, entry.discovered_at, m_contact_since});
-  return now - since >
+  return CountedSilence(now, entry) >
          std::max(m_timeouts.presumed_dead,
                   kTimeoutsToPresumeDead * ReachabilityTimeout(entry));
 }
 
+Duration MembershipTable::CountedSilence(TimePoint now,
+                                         const MemberEntry& entry) const {
+  if (entry.probe.requested && !entry.probe.outcome.has_value()) {
+    return Duration();
+  }
+  return now - std::max({entry.heard, entry.discovered_at, m_contact_since,
+                         entry.probe.accepted});
+}
+
+bool MembershipTable::NeedsProbes(TimePoint now,
+                                  const MemberEntry& entry) const {
+  const TimePoint last = std::max(entry.heard, entry.discovered_at);
+  return entry.member.role == MemberRole::kAgent &&
+         now - last > ReachabilityTimeout(entry) && !HasLeftStopped(now, entry);
+}
+
+std::vector<MemberId> MembershipTable::TakeDueProbes(TimePoint now,
+                                                     size_t limit) {
+  std::vector<MemberEntry*> due;
+  for (auto& [id, entry] : m_entries) {
+    if (!NeedsProbes(now, entry)) {
+      continue;
+    }
+    entry.probe.requested = true;
+    if (entry.probe.next <= now) {
+      due.push_back(&entry);
+    }
+  }
+  std::stable_sort(due.begin(), due.end(),
+                   [](const MemberEntry* a, const MemberEntry* b) {
+                     return a->probe.next < b->probe.next;
+                   });
+  due.resize(std::min(limit, due.size()));
+  std::vector<MemberId> chosen;
+  for (MemberEntry* entry : due) {
+    entry->probe.next =
+        now + std::max(m_timeouts.probe_interval, ReachabilityTimeout(*entry));
+    chosen.push_back(entry->member.id);
+  }
+  return chosen;
+}
+
+bool MembershipTable::OnProbe(TimePoint now,
+                              MemberId id,
+                              ProbeOutcome outcome) {
+  MemberEntry* entry = Find(id);
+  if (entry == nullptr || !entry->probe.requested) {
+    return false;
+  }
+  const bool differs = entry->probe.outcome != outcome;
+  entry->probe.outcome = outcome;
+  if (outcome == ProbeOutcome::kAccepted) {
+    entry->probe.accepted = now;
+  }
+  const bool counts = IsSuspected(now, *entry) || IsPresumedDead(now, *entry);
+  if (outcome == ProbeOutcome::kNoAnswer && !counts) {
+    entry->probe.next = now;  // The probe may have been lost.
+  }
+  return differs;
+}
+
 size_t MembershipTable::CountReachable(TimePoint now, MemberRole role) const {
   return std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& e) {
     return e.second.member.role == role && IsReachable(now, e.second);
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -3,6 +3,7 @@
 #define MEDLARGAUGE_FORWARDING_MEMBERSHIP_TABLE_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -30,6 +31,8 @@
   Duration presumed_dead = Milliseconds(5000);
   /// Removed from the table; the longest lifetime of a flow.
   Duration removal = Seconds(60);
+  /// Between two probes of a silent agent.
+  Duration probe_interval = Seconds(1);
 };
 
 /// Outcome of an attempt to connect to the control address of a silent member.
@@ -40,6 +43,14 @@
 };
 inline constexpr size_t kProbeOutcomeCount = 3;
 
+/// Probes of a member since it was last heard.
+struct ProbeState {
+  bool requested = false;               ///< The first probe is due or running.
+  std::optional<ProbeOutcome> outcome;  ///< Of the latest probe, if any ended.
+  TimePoint accepted;                   ///< Last kAccepted; zero: none.
+  TimePoint next;                       ///< When another probe is due.
+};
+
 /// What this process knows of another member.
 struct MemberEntry {
   FleetMember member;       ///< Latest known state.
@@ -53,6 +64,7 @@
   bool leaving = false;     ///< The member has announced a planned stop.
   /// When the store last answered the member; zero: its last call failed.
   TimePoint store_answered_at;
+  ProbeState probe;  ///< Reset whenever the member is heard.
 };
 
 /// Membership table of the fleet with a timeout-based failure detector. Not
@@ -76,7 +88,21 @@
   /// Updates the load of a known agent from its load report.
   void OnLoad(TimePoint now, MemberId id, const ServerLoad& load);
 
-  /// Removes members that have been silent for the removal timeout.
+  /// Returns agents that have become unreachable and whose probe is due, those
+  /// that have waited longest first. Until the first probe of an agent has
+  /// ended, its silence does not count.
+  /// Precondition: the caller probes each one and passes the outcome to
+  /// OnProbe.
+  /// @param limit largest number of agents to return
+  std::vector<MemberId> TakeDueProbes(TimePoint now, size_t limit);
+
+  /// Records how a probe has ended. Ignored if the member was heard meanwhile.
+  /// @return whether it is the first outcome of this silence, or another one
+  ///     than before
+  bool OnProbe(TimePoint now, MemberId id, ProbeOutcome outcome);
+
+  /// Removes members that have been silent for the removal timeout, even if
+  /// their host accepts probes.
   /// @return the removed members
   std::vector<FleetMember> OnTick(TimePoint now);
 
@@ -96,6 +122,7 @@
   bool IsReachable(TimePoint now, const MemberEntry& entry) const;
   /// Returns whether the member has been silent for longer than an unplanned
   /// restart takes, although others were heard and it had announced no stop.
+  /// An accepted probe ends a silence, here and in IsPresumedDead.
   bool IsSuspected(TimePoint now, const MemberEntry& entry) const;
   /// Returns whether the member has been silent for so long, although others
   /// were heard, that its flows have to be given up.
@@ -148,6 +175,12 @@
   bool ClaimAddress(TimePoint now, const FleetMember& member);
   /// Returns the silence after which the member is unreachable.
   Duration ReachabilityTimeout(const MemberEntry& entry) const;
+  /// Returns for how long the member has shown no sign of life. If all members
+  /// fell silent at once, this host itself was disconnected; that time does not
+  /// count. Zero while the outcome of the first probe is awaited.
+  Duration CountedSilence(TimePoint now, const MemberEntry& entry) const;
+  /// Returns whether the silence of an agent has to be verified by probes.
+  bool NeedsProbes(TimePoint now, const MemberEntry& entry) const;
   void RecordDiscovery(TimePoint now, const FleetMember& member);
   void RecordContact(TimePoint now);
 
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -173,6 +173,126 @@
   CHECK(members.IsPresumedDead(now, *members.Find(MemberId{2})));
 }
 
+/// A table that hears member 3 all the time, while agent 2 is silent.
+struct SilentAgentFixture {
+  TimePoint now{Seconds(100)};
+  MembershipTable members{MemberId{1}, MembershipTimeouts()};
+  uint32_t sequence = 1;
+
+  SilentAgentFixture() {
+    members.OnStatus(now, MakeStatus(now, 2, MemberRole::kAgent, 1));
+  }
+  /// Lets time pass. @param outcome of each probe that is due
+  void RunFor(Duration duration, ProbeOutcome outcome) {
+    for (const TimePoint end = now + duration; now < end;) {
+      now += Milliseconds(100);
+      members.OnStatus(now,
+                       MakeStatus(now, 3, MemberRole::kBalancer, ++sequence));
+      for (const MemberId id : members.TakeDueProbes(now, 4)) {
+        members.OnProbe(now, id, outcome);
+      }
+    }
+  }
+  const MemberEntry& Agent() const { return *members.Find(MemberId{2}); }
+  bool IsSuspected() const { return members.IsSuspected(now, Agent()); }
+  bool IsPresumedDead() const { return members.IsPresumedDead(now, Agent()); }
+};
+
+TEST_CASE("a starved agent is not given up while its host accepts probes") {
+  SilentAgentFixture fixture;
+  fixture.RunFor(Seconds(20), ProbeOutcome::kAccepted);
+  CHECK_FALSE(fixture.members.IsReachable(fixture.now, fixture.Agent()));
+  CHECK_FALSE(fixture.IsSuspected());
+  CHECK_FALSE(fixture.IsPresumedDead());
+  fixture.RunFor(Milliseconds(2100), ProbeOutcome::kNoAnswer);
+  CHECK(fixture.IsSuspected());
+  CHECK_FALSE(fixture.IsPresumedDead());
+  fixture.RunFor(Seconds(4), ProbeOutcome::kNoAnswer);
+  CHECK(fixture.IsPresumedDead());
+}
+
+TEST_CASE("an agent that is suspended for good is removed despite probes") {
+  SilentAgentFixture fixture;
+  fixture.RunFor(MembershipTimeouts().removal, ProbeOutcome::kAccepted);
+  CHECK(fixture.members.OnTick(fixture.now).empty());
+  fixture.RunFor(Milliseconds(100), ProbeOutcome::kAccepted);
+  CHECK(fixture.members.OnTick(fixture.now).size() == 1);
+  CHECK(fixture.members.Find(MemberId{2}) == nullptr);
+}
+
+TEST_CASE("refused and unanswered probes delay no verdict about an agent") {
+  for (const ProbeOutcome outcome :
+       {ProbeOutcome::kRefused, ProbeOutcome::kNoAnswer}) {
+    SilentAgentFixture fixture;
+    fixture.RunFor(Milliseconds(1800), outcome);
+    CHECK_FALSE(fixture.IsSuspected());
+    fixture.RunFor(Milliseconds(100), outcome);
+    CHECK(fixture.IsSuspected());
+    fixture.RunFor(Milliseconds(3100), outcome);
+    CHECK_FALSE(fixture.IsPresumedDead());
+    fixture.RunFor(Milliseconds(100), outcome);
+    CHECK(fixture.IsPresumedDead());
+  }
+}
+
+TEST_CASE("silence does not count before the first probe has ended") {
+  SilentAgentFixture fixture;
+  for (int i = 0; i < 70; ++i) {
+    fixture.now += Milliseconds(100);
+    fixture.members.OnStatus(
+        fixture.now, MakeStatus(fixture.now, 3, MemberRole::kBalancer, 2 + i));
+    fixture.members.TakeDueProbes(fixture.now, 0);
+  }
+  CHECK_FALSE(fixture.IsSuspected());
+  CHECK_FALSE(fixture.IsPresumedDead());
+  fixture.members.OnProbe(fixture.now, MemberId{2}, ProbeOutcome::kNoAnswer);
+  CHECK(fixture.IsSuspected());
+  CHECK(fixture.IsPresumedDead());
+}
+
+TEST_CASE("one lost probe does not make a starved agent suspected") {
+  SilentAgentFixture fixture;
+  fixture.RunFor(Milliseconds(900), ProbeOutcome::kAccepted);
+  fixture.now += Milliseconds(100);
+  REQUIRE(fixture.members.TakeDueProbes(fixture.now, 4).size() == 1);
+  fixture.now += Milliseconds(400);
+  CHECK(fixture.members.OnProbe(fixture.now, MemberId{2},
+                                ProbeOutcome::kNoAnswer));
+  fixture.RunFor(Seconds(1), ProbeOutcome::kAccepted);
+  CHECK_FALSE(fixture.IsSuspected());
+}
+
+TEST_CASE("an outcome that is older than the last status says nothing") {
+  SilentAgentFixture fixture;
+  fixture.RunFor(Seconds(1), ProbeOutcome::kRefused);
+  fixture.members.OnStatus(fixture.now,
+                           MakeStatus(fixture.now, 2, MemberRole::kAgent, 2));
+  CHECK_FALSE(fixture.members.OnProbe(fixture.now, MemberId{2},
+                                      ProbeOutcome::kNoAnswer));
+  CHECK_FALSE(fixture.Agent().probe.outcome.has_value());
+}
+
+TEST_CASE("probes of many silent agents take turns") {
+  TimePoint now{Seconds(100)};
+  MembershipTable members(MemberId{1}, MembershipTimeouts());
+  for (uint64_t id = 2; id < 8; ++id) {
+    members.OnStatus(now, MakeStatus(now, id, MemberRole::kAgent, 1));
+  }
+  proto::PeerStatus stopped = MakeStatus(now, 8, MemberRole::kAgent, 1);
+  stopped.mutable_self()->set_state(static_cast<uint32_t>(AgentState::kGone));
+  members.OnStatus(now, stopped);
+  members.OnStatus(now, MakeStatus(now, 9, MemberRole::kBalancer, 1));
+  now += Milliseconds(900);
+  CHECK(members.TakeDueProbes(now, 4).empty());
+  now += Milliseconds(100);
+  const std::vector<MemberId> first = members.TakeDueProbes(now, 4);
+  const std::vector<MemberId> second = members.TakeDueProbes(now, 4);
+  CHECK(first == std::vector<MemberId>{{2}, {3}, {4}, {5}});
+  CHECK(second == std::vector<MemberId>{{6}, {7}});
+  CHECK(members.TakeDueProbes(now + Milliseconds(900), 4).empty());
+  CHECK(members.TakeDueProbes(now + Seconds(1), 4).size() == 4);
+}
+
 TEST_CASE("a reordered status does not change the state of the member") {
   TimePoint now{Seconds(100)};
   MembershipTable members(MemberId{1}, MembershipTimeouts());
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -21,6 +21,12 @@
 /// OnTimer runs this much late, so that one call handles all opening packets
 /// that are due by then.
 constexpr Duration kTimerSlack = Milliseconds(15);
+constexpr Duration kProbeCheckInterval = Milliseconds(100);
+/// Two probes of an agent fit between unreachable and suspected, so that one of
+/// them may be lost.
+constexpr Duration kProbeTimeout = Milliseconds(400);
+/// Probes that run at a time; at most 40 a second go to hosts that are down.
+constexpr size_t kMaxProbes = 16;
 
 ByteView ToView(ByteSpan span) {
   return {span.data, span.size};
@@ -41,6 +47,19 @@
   return "";
 }
 
+/// Returns the name of the outcome of a probe in logs.
+std::string_view OutcomeName(ProbeOutcome outcome) {
+  switch (outcome) {
+    case ProbeOutcome::kAccepted:
+      return "accepted";
+    case ProbeOutcome::kRefused:
+      return "refused";
+    case ProbeOutcome::kNoAnswer:
+      return "no_answer";
+  }
+  return "";
+}
+
 /// Returns whether a decision is the reset of an open flow.
 bool ResetsOpenFlow(const DirectorDecision& decision,
                     const FlowPacket& packet) {
@@ -73,9 +92,11 @@
                  &m_fleet_node.Routes(),
                  DirectorLimits(),
                  &PlaceBySample),
-      m_admin_server(loop, [this](const HttpRequest& request) {
-        return HandleReadinessCheck(request);
-      }) {}
+      m_admin_server(loop,
+                     [this](const HttpRequest& request) {
+                       return HandleReadinessCheck(request);
+                     }),
+      m_host_prober(loop, kMaxProbes) {}
 
 bool BalancerRuntime::Start(Error* reason) {
   const bool bound =
@@ -93,9 +114,36 @@
         });
     ArmTimer();
   });
+  m_loop->Every(kProbeCheckInterval, [this] { ProbeSilentAgents(); });
   return true;
 }
 
+void BalancerRuntime::ProbeSilentAgents() {
+  const TimePoint now = SteadyTime();
+  const uint16_t port = ParseAddress4(m_settings.control_address)->port;
+  MembershipTable& members = m_fleet_node.Members();
+  for (const MemberId agent :
+       members.TakeDueProbes(now, m_host_prober.FreeSlots())) {
+    m_host_prober.Start(
+        {members.Find(agent)->member.ip, port}, now + kProbeTimeout,
+        [this, agent](ProbeOutcome outcome) { OnProbe(agent, outcome); });
+  }
+}
+
+void BalancerRuntime::OnProbe(MemberId agent, ProbeOutcome outcome) {
+  const TimePoint now = SteadyTime();
+  ++m_probe_counts[static_cast<size_t>(outcome)];
+  if (!m_fleet_node.Members().OnProbe(now, agent, outcome)) {
+    return;
+  }
+  const MemberEntry* entry = m_fleet_node.Members().Find(agent);
+  EventLine(Severity::kInfo, "silent_agent_probed")
+      .With("ip", FormatIp(entry->member.ip))
+      .With("outcome", OutcomeName(outcome))
+      .With("silent_ms",
+            ToMilliseconds(now - std::max(entry->heard, entry->discovered_at)));
+}
+
 void BalancerRuntime::OnCallerDatagram(TimePoint now, ByteSpan datagram) {
   const std::optional<FlowPacket> packet =
       m_platform->parse_packet(ToView(datagram), true);
@@ -194,6 +242,9 @@
     if (evidence.owner_heard != TimePoint()) {
       line.With("owner_silent_ms", ToMilliseconds(now - evidence.owner_heard));
     }
+    if (evidence.owner_probe.has_value()) {
+      line.With("owner_probe", OutcomeName(*evidence.owner_probe));
+    }
   }
 }
 
@@ -308,6 +359,12 @@
   stats->Set(Stat::resets_no_agent, rejected(ErrorKind::kNoAgent));
   stats->Set(Stat::resets_unknown, rejected(ErrorKind::kFlowUnknown));
   stats->Set(Stat::resets_silence, counters.silence_resets);
+  const auto probes = [this](ProbeOutcome outcome) {
+    return m_probe_counts[static_cast<size_t>(outcome)];
+  };
+  stats->Set(Stat::probes_accepted, probes(ProbeOutcome::kAccepted));
+  stats->Set(Stat::probes_refused, probes(ProbeOutcome::kRefused));
+  stats->Set(Stat::probes_unanswered, probes(ProbeOutcome::kNoAnswer));
   stats->Set(Stat::unrouted, rejected(ErrorKind::kUnknownAddress));
   stats->Set(Stat::send_failures, m_caller_socket.SendFailures());
 }
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -3,9 +3,12 @@
 #ifndef MEDLARGAUGE_RUNTIME_BALANCER_RUNTIME_H_
 #define MEDLARGAUGE_RUNTIME_BALANCER_RUNTIME_H_
 
+#include <array>
+
 #include "src/forwarding/flow_director.h"
 #include "src/runtime/fleet_node.h"
 #include "src/runtime/flow_log.h"
+#include "src/runtime/host_probe.h"
 
 namespace medlargauge {
 
@@ -54,6 +57,10 @@
   void OnTimer();
   /// Executes the decisions about stored packets that are due.
   void ExecuteDeferredDecisions(TimePoint now);
+  /// Starts the probes of silent agents that are due.
+  void ProbeSilentAgents();
+  /// Records and counts the outcome of a probe.
+  void OnProbe(MemberId agent, ProbeOutcome outcome);
   /// Sends the flow pointers that FlowDirector has queued.
   void SendPointers();
   /// Schedules OnTimer for the next deadline of FlowDirector, unless it is
@@ -80,6 +87,9 @@
   TimePoint m_stop_earliest;          ///< Routers may send packets until then.
   TimePoint m_stop_deadline;          ///< Stops then even if packets arrive.
   TimePoint m_last_caller_packet_at;  ///< When one last arrived.
+  HostProber m_host_prober;           ///< Probes silent agents.
+  /// Probes that have ended, by ProbeOutcome.
+  std::array<uint64_t, kProbeOutcomeCount> m_probe_counts{};
 };
 
 }  // namespace medlargauge
