Fix: A soak that was ended by a signal left its processes running

Developers saw up to 13 daemons go on after SIGTERM or Ctrl-C, which kept their addresses and their share of the processor.

Cause: the default action of the signal ended the soak before the supervisor's destructor could kill the daemons.

SIGTERM and SIGINT stop the loop, so that the destructor runs. The kernel kills the daemons if the soak ends in any other way. The ids of all processes started are kept in the file "pids" of the run's directory.

--- a/soak/process_supervisor.cc
+++ b/soak/process_supervisor.cc
@@ -2,6 +2,7 @@
 #include "soak/process_supervisor.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -78,6 +79,7 @@
   }
   const pid_t pid = fork();
   if (pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log_fd =
         open(daemon->log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log_fd, STDOUT_FILENO);
@@ -90,6 +92,7 @@
     m_report("process " + daemon->name + " cannot be started: fork failed");
     return;
   }
+  std::ofstream(m_directory + "/pids", std::ios::app) << pid << '\n';
   daemon->pid = pid;
   daemon->paused = false;
   daemon->stopping = false;
--- a/soak/process_supervisor.h
+++ b/soak/process_supervisor.h
@@ -44,7 +44,8 @@
                     std::string program,
                     std::string directory,
                     ReportHook report);
-  /// Kills the processes that still run.
+  /// Kills the processes that still run. They are also killed if the thread
+  /// that started them ends without this call.
   ~ProcessSupervisor();
 
   /// Adds a process without starting it, and writes its settings to the
@@ -54,7 +55,8 @@
            bool is_agent,
            const std::string& settings);
 
-  /// Starts a process unless it is running.
+  /// Starts a process unless it is running, and appends its process id to the
+  /// file "pids" in the directory.
   void Start(Daemon* daemon);
   /// Kills a process without warning and starts it again after `downtime`. No
   /// effect unless it is running.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -3,6 +3,7 @@
 #include <gflags/gflags.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -45,6 +46,8 @@
 constexpr Duration kCalmTime = Seconds(6);
 /// Wait for the last answers; as long as the longest timeout of callers.
 constexpr Duration kFinalAnswerTime = Seconds(4);
+/// Exit code of a run ended by a signal, less the signal's number.
+constexpr int kSignalExitCodeBase = 128;
 constexpr uint16_t kRouteFirstPort = 8440;
 constexpr uint32_t kRouteIp = 0xC6120001;  ///< 198.18.0.1
 constexpr uint32_t kExtraRoutes = 5;
@@ -114,6 +117,7 @@
   std::vector<std::unique_ptr<ServerStandin>> m_servers;
   std::vector<std::unique_ptr<HttpClient>> m_target_clients;
   uint64_t m_target_version = 0;
+  int m_received_signal = 0;  ///< Signal that ends the run; 0: none.
 };
 
 bool Soak::ChooseAddresses(Error* reason) {
@@ -314,7 +318,17 @@
   m_loop.After(calm_end - SteadyTime(), [this] { m_load_generator->Stop(); });
   m_loop.After(calm_end + kFinalAnswerTime - SteadyTime(),
                [this] { m_loop.Stop(); });
+  for (const int signal : {SIGTERM, SIGINT}) {
+    m_loop.OnSignal(signal, [this, signal] {
+      m_received_signal = signal;
+      m_loop.Stop();
+    });
+  }
   m_loop.Run();
+  if (m_received_signal != 0) {
+    std::cout << "soak ended by signal " << m_received_signal << '\n';
+    return kSignalExitCodeBase + m_received_signal;
+  }
   const bool clean_stop = m_processes.StopAll();
   if (!clean_stop) {
     m_checker.ReportViolation(
