Feature: The soak cuts, delays and loses what the processes send to each other

A daemon sends to the address of the receiver at its own control port. Each daemon of a soak therefore gets a port of its own, and a relay listens at the address of each daemon at the ports of all others. It forwards from the address of the sender, by which the receiver identifies it, so the product needs no change. A relay at the store's address can be silent or reset connections, one for each daemon.

New faults: a cut of two processes, one way or both; isolation of one process; delay and loss between two processes or at one; a cut from the store; the loss of all processes, all balancers, all agents or seven of eight of all processes while the servers live on. A process that was killed stays down for up to 10 s. Some intervals between faults are long enough for all to recover, as the invariants of flows hold only then. A daemon inherits no sockets of the soak any more.

A cut link counts as a fault of both of its processes; how long a fault excuses broken flows is unchanged. A cut from the store excuses old targets of a balancer, but no flow.

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -12,31 +12,45 @@
 
 constexpr int64_t kMinIntervalMs = 150;
 constexpr int64_t kMaxIntervalMs = 1500;
+/// Share of the intervals between faults that are long.
+constexpr double kLongIntervalProbability = 0.06;
+constexpr int64_t kMinLongIntervalMs = 6000;
+constexpr int64_t kMaxLongIntervalMs = 10000;
 constexpr Duration kServerStartRetryDelay = Milliseconds(200);
 
 }  // namespace
 
 const std::vector<FaultInjector::FaultKind>& FaultInjector::FaultKinds() {
   static const std::vector<FaultKind> fault_kinds = {
-      {"kill a balancer", &FaultInjector::KillBalancer},
-      {"kill an agent", &FaultInjector::KillAgent},
-      {"kill half of the processes", &FaultInjector::KillHalfOfProcesses},
-      {"restart a balancer", &FaultInjector::RestartBalancer},
-      {"restart an agent", &FaultInjector::RestartAgent},
-      {"pause a balancer", &FaultInjector::PauseBalancer},
-      {"pause an agent", &FaultInjector::PauseAgent},
-      {"crash a server", &FaultInjector::CrashServer},
+      {"kill a balancer", &FaultInjector::KillBalancer, 1},
+      {"kill an agent", &FaultInjector::KillAgent, 1},
+      {"kill all processes", &FaultInjector::KillAllProcesses, 0.4},
+      {"kill all balancers", &FaultInjector::KillAllBalancers, 0.4},
+      {"kill all agents", &FaultInjector::KillAllAgents, 0.3},
+      {"kill half of the processes", &FaultInjector::KillHalfOfProcesses, 0.4},
+      {"kill seven of eight processes", &FaultInjector::KillMostProcesses, 0.4},
+      {"restart a balancer", &FaultInjector::RestartBalancer, 1},
+      {"restart an agent", &FaultInjector::RestartAgent, 1},
+      {"pause a balancer", &FaultInjector::PauseBalancer, 1},
+      {"pause an agent", &FaultInjector::PauseAgent, 1},
+      {"crash a server", &FaultInjector::CrashServer, 1},
       {"crash a server, which keeps its identifier",
-       &FaultInjector::CrashServerKeepingId},
-      {"drain a server", &FaultInjector::DrainServer},
-      {"slow down a server", &FaultInjector::SlowDownServer},
-      {"let a server fail part of its requests",
-       &FaultInjector::MakeServerFail},
-      {"store fault mode", &FaultInjector::InjectStoreFault},
-      {"lose and duplicate packets", &FaultInjector::DropAndDuplicatePackets},
-      {"write a new target", &FaultInjector::WriteTarget},
-      {"reload the settings of", &FaultInjector::ReloadSettings},
-      {"power off all hosts", &FaultInjector::PowerOff}};
+       &FaultInjector::CrashServerKeepingId, 1},
+      {"drain a server", &FaultInjector::DrainServer, 1},
+      {"slow down a server", &FaultInjector::SlowDownServer, 1},
+      {"let a server fail part of its requests", &FaultInjector::MakeServerFail,
+       1},
+      {"store fault mode", &FaultInjector::InjectStoreFault, 1},
+      {"lose and duplicate packets", &FaultInjector::DropAndDuplicatePackets,
+       1},
+      {"cut", &FaultInjector::CutTwoProcesses, 1},
+      {"isolate", &FaultInjector::IsolateProcess, 0.7},
+      {"delay and lose between", &FaultInjector::DelayBetweenTwoProcesses, 0.7},
+      {"delay and lose at", &FaultInjector::DelayOfProcess, 0.7},
+      {"cut from the store", &FaultInjector::CutFromStore, 1},
+      {"write a new target", &FaultInjector::WriteTarget, 1},
+      {"reload the settings of", &FaultInjector::ReloadSettings, 1},
+      {"power off all hosts", &FaultInjector::PowerOff, 0.3}};
   return fault_kinds;
 }
 
@@ -51,12 +65,22 @@
 }
 
 void FaultInjector::ScheduleNext() {
-  m_targets.loop->After(DrawDuration(kMinIntervalMs, kMaxIntervalMs), [this] {
+  const bool is_long =
+      std::bernoulli_distribution(kLongIntervalProbability)(m_random);
+  const Duration interval =
+      is_long ? DrawDuration(kMinLongIntervalMs, kMaxLongIntervalMs)
+              : DrawDuration(kMinIntervalMs, kMaxIntervalMs);
+  m_targets.loop->After(interval, [this] {
     const TimePoint now = SteadyTime();
     if (now >= m_until) {
       return;
     }
-    const FaultKind& kind = FaultKinds()[m_random() % FaultKinds().size()];
+    std::vector<double> weights;
+    for (const FaultKind& kind : FaultKinds()) {
+      weights.push_back(kind.weight);
+    }
+    const FaultKind& kind = FaultKinds()[std::discrete_distribution<size_t>(
+        weights.begin(), weights.end())(m_random)];
     m_log.push_back(std::to_string(ToMilliseconds(now - m_started_at)) +
                     " ms " + kind.name);
     (this->*kind.inject)();
@@ -81,6 +105,13 @@
   return chosen;
 }
 
+Daemon* FaultInjector::ChooseDaemon() {
+  std::vector<Daemon>& daemons = m_targets.processes->Daemons();
+  Daemon* chosen = &daemons[m_random() % daemons.size()];
+  m_log.back() += " " + chosen->name;
+  return chosen;
+}
+
 ServerStandin* FaultInjector::ChooseServer() {
   const size_t index = m_random() % m_targets.servers->size();
   m_log.back() += " " + std::to_string(index);
@@ -98,20 +129,55 @@
   });
 }
 
+Duration FaultInjector::DrawDowntime() {
+  return m_random() % 2 == 0 ? DrawDuration(200, 2500)
+                             : DrawDuration(200, 10000);
+}
+
+void FaultInjector::KillProcesses(
+    double probability,
+    const std::function<bool(const Daemon&)>& filter) {
+  const bool start_together = m_random() % 2 == 0;
+  const Duration common_downtime = DrawDowntime();
+  m_log.back() +=
+      start_together
+          ? " for " + std::to_string(ToMilliseconds(common_downtime)) + " ms"
+          : "";
+  for (Daemon& daemon : m_targets.processes->Daemons()) {
+    if (filter(daemon) && std::bernoulli_distribution(probability)(m_random)) {
+      m_targets.processes->Kill(
+          &daemon, start_together ? common_downtime + DrawDuration(0, 300)
+                                  : DrawDowntime());
+    }
+  }
+}
+
 void FaultInjector::KillBalancer() {
-  m_targets.processes->Kill(ChooseDaemon(false), DrawDuration(200, 2500));
+  m_targets.processes->Kill(ChooseDaemon(false), DrawDowntime());
 }
 
 void FaultInjector::KillAgent() {
-  m_targets.processes->Kill(ChooseDaemon(true), DrawDuration(200, 2500));
+  m_targets.processes->Kill(ChooseDaemon(true), DrawDowntime());
+}
+
+void FaultInjector::KillAllProcesses() {
+  KillProcesses(1, [](const Daemon&) { return true; });
+}
+
+void FaultInjector::KillAllBalancers() {
+  KillProcesses(1, [](const Daemon& daemon) { return !daemon.is_agent; });
+}
+
+void FaultInjector::KillAllAgents() {
+  KillProcesses(1, [](const Daemon& daemon) { return daemon.is_agent; });
 }
 
 void FaultInjector::KillHalfOfProcesses() {
-  for (Daemon& daemon : m_targets.processes->Daemons()) {
-    if (m_random() % 2 == 0) {
-      m_targets.processes->Kill(&daemon, DrawDuration(200, 2500));
-    }
-  }
+  KillProcesses(0.5, [](const Daemon&) { return true; });
+}
+
+void FaultInjector::KillMostProcesses() {
+  KillProcesses(0.875, [](const Daemon&) { return true; });
 }
 
 void FaultInjector::RestartBalancer() {
@@ -194,6 +260,117 @@
                         [this] { m_targets.router->SetPacketFaults(0, 0); });
 }
 
+void FaultInjector::SetLinkFault(Daemon* from,
+                                 Daemon* to,
+                                 const LinkFault& fault,
+                                 Duration duration) {
+  ProcessSupervisor::MarkFault(from, duration);
+  ProcessSupervisor::MarkFault(to, duration);
+  m_targets.network->SetLinkFault(from->ip, to->ip, fault);
+  const std::pair<uint32_t, uint32_t> link{from->ip, to->ip};
+  const uint64_t fault_number = ++m_link_fault_numbers[link];
+  m_targets.loop->After(duration, [this, link, fault_number] {
+    if (fault_number == m_link_fault_numbers[link]) {
+      m_targets.network->SetLinkFault(link.first, link.second, LinkFault());
+    }
+  });
+}
+
+void FaultInjector::SetFaultOfAllLinks(Daemon* daemon,
+                                       const LinkFault& fault,
+                                       Duration duration) {
+  const uint64_t direction = m_random() % 4;
+  const bool outgoing = direction != 0;
+  const bool incoming = direction != 1;
+  m_log.back() += std::string(incoming ? " in" : "") +
+                  (outgoing ? " out" : "") + " for " +
+                  std::to_string(ToMilliseconds(duration)) + " ms";
+  for (Daemon& other : m_targets.processes->Daemons()) {
+    if (!m_targets.network->AreLinked(daemon->ip, other.ip)) {
+      continue;
+    }
+    if (outgoing) {
+      SetLinkFault(daemon, &other, fault, duration);
+    }
+    if (incoming) {
+      SetLinkFault(&other, daemon, fault, duration);
+    }
+  }
+}
+
+LinkFault FaultInjector::DrawDelayAndLoss() {
+  LinkFault fault;
+  fault.loss_probability =
+      std::uniform_real_distribution<double>(0, 0.4)(m_random);
+  fault.delay = DrawDuration(1, 400);
+  return fault;
+}
+
+void FaultInjector::CutTwoProcesses() {
+  Daemon* balancer = ChooseDaemon(false);
+  Daemon* other = ChooseDaemon();
+  const Duration duration = DrawDuration(200, 8000);
+  const uint64_t direction = m_random() % 4;
+  m_log.back() += direction == 0   ? " one way"
+                  : direction == 1 ? " the other way"
+                                   : " both ways";
+  m_log.back() += " for " + std::to_string(ToMilliseconds(duration)) + " ms";
+  LinkFault fault;
+  fault.cut = true;
+  if (balancer == other) {
+    return;
+  }
+  if (direction != 1) {
+    SetLinkFault(balancer, other, fault, duration);
+  }
+  if (direction != 0) {
+    SetLinkFault(other, balancer, fault, duration);
+  }
+}
+
+void FaultInjector::IsolateProcess() {
+  LinkFault fault;
+  fault.cut = true;
+  SetFaultOfAllLinks(ChooseDaemon(), fault, DrawDuration(200, 8000));
+}
+
+void FaultInjector::DelayBetweenTwoProcesses() {
+  Daemon* balancer = ChooseDaemon(false);
+  Daemon* other = ChooseDaemon();
+  const LinkFault fault = DrawDelayAndLoss();
+  const Duration duration = DrawDuration(200, 8000);
+  if (balancer != other) {
+    SetLinkFault(balancer, other, fault, duration);
+    SetLinkFault(other, balancer, fault, duration);
+  }
+}
+
+void FaultInjector::DelayOfProcess() {
+  SetFaultOfAllLinks(ChooseDaemon(), DrawDelayAndLoss(),
+                     DrawDuration(200, 8000));
+}
+
+void FaultInjector::CutFromStore() {
+  Daemon* daemon = ChooseDaemon();
+  const bool resets = m_random() % 2 == 0;
+  const Duration duration = DrawDuration(200, 8000);
+  m_log.back() += std::string(resets ? " by resets" : " silently") + " for " +
+                  std::to_string(ToMilliseconds(duration)) + " ms";
+  if (!daemon->is_agent) {
+    // Excuses old targets. Flows do not depend on the store.
+    ProcessSupervisor::MarkFault(daemon, duration);
+  }
+  m_targets.network->SetStoreLinkMode(
+      daemon->ip, resets ? TcpRelayMode::kReset : TcpRelayMode::kSilent);
+  const std::pair<uint32_t, uint32_t> link{daemon->ip, 0};
+  const uint64_t fault_number = ++m_link_fault_numbers[link];
+  m_targets.loop->After(duration, [this, link, fault_number] {
+    if (fault_number == m_link_fault_numbers[link]) {
+      m_targets.network->SetStoreLinkMode(link.first, TcpRelayMode::kForward);
+    }
+  });
+}
+
 void FaultInjector::WriteTarget() {
   m_targets.write_target();
 }
--- a/soak/process_supervisor.cc
+++ b/soak/process_supervisor.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <climits>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -80,6 +81,8 @@
   const pid_t pid = fork();
   if (pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // A connection does not end while another process holds it.
+    close_range(STDERR_FILENO + 1, UINT_MAX, 0);
     const int log_fd =
         open(daemon->log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log_fd, STDOUT_FILENO);
@@ -107,7 +110,7 @@
   kill(daemon->pid, SIGKILL);
   waitpid(daemon->pid, nullptr, 0);
   daemon->pid = 0;
-  daemon->fault_ends_at = SteadyTime() + downtime;
+  MarkFault(daemon, downtime);
   m_loop->After(downtime, [this, daemon] { Start(daemon); });
 }
 
@@ -128,7 +131,7 @@
   const pid_t pid = daemon->pid;
   kill(pid, SIGSTOP);
   daemon->paused = true;
-  daemon->fault_ends_at = SteadyTime() + duration;
+  MarkFault(daemon, duration);
   m_loop->After(duration, [daemon, pid] {
     if (daemon->pid == pid) {
       kill(pid, SIGCONT);
@@ -137,6 +140,11 @@
   });
 }
 
+void ProcessSupervisor::MarkFault(Daemon* daemon, Duration duration) {
+  daemon->fault_ends_at =
+      std::max(daemon->fault_ends_at, SteadyTime() + duration);
+}
+
 void ProcessSupervisor::SendSignal(Daemon* daemon, int signal) {
   if (daemon->pid != 0) {
     kill(daemon->pid, signal);
--- a/soak/process_supervisor.h
+++ b/soak/process_supervisor.h
@@ -26,7 +26,7 @@
   bool stopping = false;        ///< SIGTERM was sent for a planned stop.
   TimePoint started_at;         ///< Last start.
   TimePoint stop_requested_at;  ///< When SIGTERM was sent.
-  TimePoint fault_ends_at;      ///< End of the last injected kill or pause.
+  TimePoint fault_ends_at;      ///< End of the injected faults so far.
   uint64_t start_count = 0;     ///< Number of starts so far.
 };
 
@@ -67,6 +67,8 @@
   /// Suspends a process for `duration`. No effect unless it is running, not
   /// paused and not stopping.
   void Pause(Daemon* daemon, Duration duration);
+  /// Records a fault of the network of a process that lasts for `duration`.
+  static void MarkFault(Daemon* daemon, Duration duration);
   /// Sends a signal to a process, if it is running.
   void SendSignal(Daemon* daemon, int signal);
   /// Stops all processes as planned and waits for them, at most the grace
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -10,6 +10,7 @@
 
 #include "soak/fault_injector.h"
 #include "soak/load_generator.h"
+#include "soak/process_network.h"
 #include "src/core/error.h"
 
 DEFINE_uint64(seed, 1, "seed of the faults and the load");
@@ -19,6 +20,10 @@
 DEFINE_uint32(media_servers, 3, "number of servers of the service \"media\"");
 DEFINE_double(load, 1.0, "factor on the arrival rates");
 DEFINE_bool(calm, false, "inject no faults");
+DEFINE_bool(relays,
+            true,
+            "connect the daemons through relays, which the faults between two "
+            "daemons need; takes two sockets for each two linked daemons");
 DEFINE_bool(verbose, false, "also print the injected faults");
 DEFINE_string(program, "build/medlargauged-platform", "path of the daemon");
 DEFINE_string(directory,
@@ -82,7 +87,8 @@
                       m_checker.ReportViolation("PROCESS " + text);
                     }),
         m_checker(&m_classes, &m_processes),
-        m_store(&m_loop) {}
+        m_store(&m_loop),
+        m_network(&m_loop, FLAGS_relays, FLAGS_seed) {}
 
   bool SetUp(Error* reason);
   int Run();
@@ -111,6 +117,7 @@
   ProcessSupervisor m_processes;
   InvariantChecker m_checker;
   StoreStandin m_store;
+  ProcessNetwork m_network;
   std::unique_ptr<RouterStandin> m_router;
   std::unique_ptr<LoadGenerator> m_load_generator;
   std::unique_ptr<FaultInjector> m_fault_injector;
@@ -140,17 +147,18 @@
   const std::string host_prefix = FormatIp(ip) + ":";
   json seeds = json::array();
   for (uint32_t i = 0; i < std::min(FLAGS_balancers, 2U); ++i) {
-    seeds.push_back(FormatIp(m_addresses.BalancerIp(i)) + ":" +
-                    std::to_string(kControlPort));
+    const uint32_t seed_ip = m_addresses.BalancerIp(i);
+    seeds.push_back(FormatAddress({seed_ip, m_network.ControlPort(seed_ip)}));
   }
   return json({{"name", name},
                {"role", "balancer"},
                {"failure_domain", domain},
                {"data_address", host_prefix + std::to_string(kPacketPort)},
-               {"control_address", host_prefix + std::to_string(kControlPort)},
+               {"control_address",
+                host_prefix + std::to_string(m_network.ControlPort(ip))},
                {"admin_address", host_prefix + std::to_string(kAdminPort)},
-               {"store_address", FormatIp(m_addresses.StoreIp()) + ":" +
-                                     std::to_string(kStorePort)},
+               {"store_address", FormatAddress({m_addresses.StoreIp(),
+                                                m_network.StorePort(ip)})},
                {"stop_grace_ms", ToMilliseconds(kStopGracePeriod)},
                {"seeds", seeds}})
       .dump(2);
@@ -203,6 +211,16 @@
   if (!ChooseAddresses(reason)) {
     return false;
   }
+  const uint32_t server_count = FLAGS_stock_servers + FLAGS_media_servers;
+  for (uint32_t i = 0; i < FLAGS_balancers; ++i) {
+    m_network.Add(m_addresses.BalancerIp(i), false);
+  }
+  for (uint32_t i = 0; i < server_count; ++i) {
+    m_network.Add(m_addresses.AgentIp(i), true);
+  }
+  if (!m_network.Start({m_addresses.StoreIp(), kStorePort}, reason)) {
+    return false;
+  }
   std::vector<uint32_t> balancers;
   for (uint32_t i = 0; i < FLAGS_balancers; ++i) {
     const uint32_t ip = m_addresses.BalancerIp(i);
@@ -210,9 +228,8 @@
     m_processes.Add(name, ip, false, BalancerSettings(name, ip, DomainName(i)));
     balancers.push_back(ip);
     m_target_clients.push_back(std::make_unique<HttpClient>(
-        &m_loop, SocketAddress4{ip, kControlPort}));
+        &m_loop, SocketAddress4{ip, m_network.ControlPort(ip)}));
   }
-  const uint32_t server_count = FLAGS_stock_servers + FLAGS_media_servers;
   for (uint32_t i = 0; i < server_count; ++i) {
     const bool is_stock = i < FLAGS_stock_servers;
     if (!AddAgentAndServer(i, is_stock ? "stock" : "media", reason)) {
@@ -232,6 +249,7 @@
   targets.processes = &m_processes;
   targets.store = &m_store;
   targets.router = m_router.get();
+  targets.network = &m_network;
   targets.checker = &m_checker;
   targets.servers = &m_servers;
   targets.write_target = [this] { WriteTarget(); };
