Fix: The soak's check of misdirected packets missed those that ended before two seconds

A search that took an open flow's packets past three other servers was a violation only if a further packet reached another server two seconds after the first. If the owner got the next one instead, or the caller gave up, nothing was counted.

Evidence: with the earlier condition, two of the subcases of "a search that visits three other servers for two seconds is reported" fail; they pass now. What excuses a violation is unchanged.

Each violation names its flow as the logs do, and the caller's address and port, so that scripts/explain_flow.sh finds it. The checker takes its time from outside for the tests.

--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -3,19 +3,30 @@
 
 #include <algorithm>
 
+#include "src/runtime/flow_log.h"
+
 namespace medlargauge::soak {
 namespace {
 
 constexpr size_t kMaxStoredViolations = 50;
 constexpr uint32_t kMisroutedPackets = 3;
 
+/// Names a flow as the logs of the daemons do.
+std::string DescribeFlow(const FlowKey& flow) {
+  return "flow=" + FlowName(flow) + " caller=" + FormatAddress(flow.caller);
+}
+
+std::string DescribeServer(const ServerStandin& server) {
+  return FormatIp(server.ServerOptions().address.ip);
+}
+
 }  // namespace
 
 void InvariantChecker::ReportViolation(const std::string& text) {
   ++m_violation_count;
   if (m_violations.size() < kMaxStoredViolations) {
     const double seconds =
-        static_cast<double>(ToMilliseconds(SteadyTime() - m_started_at)) / 1000;
+        static_cast<double>(ToMilliseconds(m_clock() - m_started_at)) / 1000;
     m_violations.push_back(std::to_string(seconds) + " s: " + text);
   }
 }
@@ -30,39 +41,62 @@
 
 void InvariantChecker::OnFlowAccepted(const FlowKey& flow, bool left) {
   if (left) {
-    ReportViolation("DRAIN a leaving server accepted flow " +
-                    std::to_string(HashFlow(flow)));
+    ReportViolation("DRAIN a leaving server accepted a flow, " +
+                    DescribeFlow(flow));
   }
 }
 
 void InvariantChecker::OnCallerPacket(ServerStandin* server,
                                       const FlowKey& flow,
                                       bool held) {
-  const TimePoint now = SteadyTime();
+  const TimePoint now = m_clock();
+  const auto found = m_flows.find(flow);
   if (held) {
-    m_flows[flow] = {server, 0, now};
+    if (found != m_flows.end()) {
+      CheckMisrouting(now, found->second.misrouted_until, flow, &found->second);
+    }
+    m_flows[flow] = {};
+    m_flows[flow].owner = server;
     return;
   }
-  const auto found = m_flows.find(flow);
   if (found == m_flows.end() || !found->second.owner->HasOpenFlow(flow)) {
     return;
   }
   Flow& flow_state = found->second;
   flow_state.misrouted_since =
       flow_state.misrouted_packets == 0 ? now : flow_state.misrouted_since;
+  flow_state.misrouted_until = now;
+  flow_state.last_misrouted_to = server;
   ++flow_state.misrouted_packets;
+  CheckMisrouting(now, now, flow, &flow_state);
+}
+
+void InvariantChecker::CheckMisrouting(TimePoint now,
+                                       TimePoint excused_at,
+                                       const FlowKey& flow,
+                                       Flow* flow_state) {
   const bool is_violated =
-      flow_state.misrouted_packets >= kMisroutedPackets &&
-      now - flow_state.misrouted_since >= kMisroutingBound &&
-      !IsExcusedByFault(now, *flow_state.owner);
+      flow_state->misrouted_packets >= kMisroutedPackets &&
+      now - flow_state->misrouted_since >= kMisroutingBound &&
+      flow_state->owner->HasOpenFlow(flow) &&
+      !IsExcusedByFault(excused_at, *flow_state->owner);
   if (is_violated) {
-    ReportViolation(
-        "FLOW packets of an open flow reach another server, caller port " +
-        std::to_string(flow.caller.port) + ", owner " +
-        FormatIp(flow_state.owner->ServerOptions().address.ip) + ", reached " +
-        FormatIp(server->ServerOptions().address.ip));
-    flow_state.misrouted_packets = 0;
+    ReportViolation("FLOW packets of an open flow reach another server, " +
+                    DescribeFlow(flow) + ", owner " +
+                    DescribeServer(*flow_state->owner) + ", reached " +
+                    DescribeServer(*flow_state->last_misrouted_to));
+    flow_state->misrouted_packets = 0;
+  }
+}
+
+void InvariantChecker::OnFlowEnded(const FlowKey& flow) {
+  const auto found = m_flows.find(flow);
+  if (found == m_flows.end()) {
+    return;
   }
+  CheckMisrouting(m_clock(), found->second.misrouted_until, flow,
+                  &found->second);
+  m_flows.erase(found);
 }
 
 void InvariantChecker::OnRequestStarted(const ServerStandin& server,
@@ -76,32 +110,31 @@
       found->service != server.ServerOptions().service) {
     ReportViolation("ROUTE request " + std::to_string(request_id) +
                     " reached a server of \"" + server.ServerOptions().service +
-                    "\"");
+                    "\", " + DescribeFlow(flow));
     return;
   }
   if (!found->repeatable && ++m_executions[request_id] > 1) {
     ReportViolation("ONCE request " + std::to_string(request_id) +
-                    " was executed more than once");
+                    " was executed more than once, " + DescribeFlow(flow));
   }
 }
 
 void InvariantChecker::OnFlowReset(const FlowKey& flow) {
   const auto found = m_flows.find(flow);
-  const TimePoint now = SteadyTime();
+  const TimePoint now = m_clock();
   const bool is_violated = found != m_flows.end() &&
                            found->second.owner->HasOpenFlow(flow) &&
                            !IsExcusedByFault(now, *found->second.owner);
   if (is_violated) {
-    ReportViolation("FLOW an open flow was reset, caller port " +
-                    std::to_string(flow.caller.port) + ", owner " +
-                    FormatIp(found->second.owner->ServerOptions().address.ip));
+    ReportViolation("FLOW an open flow was reset, " + DescribeFlow(flow) +
+                    ", owner " + DescribeServer(*found->second.owner));
   }
 }
 
 void InvariantChecker::OnWrongAnswer(const FlowKey& flow, uint64_t request_id) {
   ReportViolation("WHOLE request " + std::to_string(request_id) +
-                  " got an answer that does not match it, caller port " +
-                  std::to_string(flow.caller.port));
+                  " got an answer that does not match it, " +
+                  DescribeFlow(flow));
 }
 
 void InvariantChecker::OnRequestEnded(TimePoint arrived_at, bool served) {
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -2,6 +2,7 @@
 #ifndef MEDLARGAUGE_SOAK_INVARIANT_CHECKER_H_
 #define MEDLARGAUGE_SOAK_INVARIANT_CHECKER_H_
 
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -27,11 +28,14 @@
 class InvariantChecker {
  public:
   /// @param classes, processes owned by the caller; must outlive this object
+  /// @param clock returns the current time
   InvariantChecker(const std::vector<RequestClass>* classes,
-                   ProcessSupervisor* processes)
+                   ProcessSupervisor* processes,
+                   std::function<TimePoint()> clock = &SteadyTime)
       : m_classes(classes),
         m_processes(processes),
-        m_started_at(SteadyTime()) {}
+        m_clock(std::move(clock)),
+        m_started_at(m_clock()) {}
 
   /// Records a violation. `text` begins with the name of the invariant.
   void ReportViolation(const std::string& text);
@@ -49,7 +53,7 @@
   /// A caller received a reset of an open flow that no server sent.
   void OnFlowReset(const FlowKey& flow);
   /// A caller has closed or abandoned a flow.
-  void OnFlowEnded(const FlowKey& flow) { m_flows.erase(flow); }
+  void OnFlowEnded(const FlowKey& flow);
   /// A caller received an answer that does not match its request.
   void OnWrongAnswer(const FlowKey& flow, uint64_t request_id);
   /// A request that arrived at `arrived_at` has ended.
@@ -79,16 +83,27 @@
     ServerStandin* owner = nullptr;  ///< Server that last had the flow open.
     uint32_t misrouted_packets = 0;  ///< Packets at others since the owner's.
     TimePoint misrouted_since;       ///< Arrival of the first of them.
+    TimePoint misrouted_until;       ///< Arrival of the last of them.
+    /// Server that the last of them reached.
+    const ServerStandin* last_misrouted_to = nullptr;
   };
 
   /// Returns whether a fault of the agent, or a state change of its server, is
   /// recent enough to excuse the loss of flows. A planned stop of the agent is
   /// no excuse.
   bool IsExcusedByFault(TimePoint now, const ServerStandin& server) const;
+  /// Records a violation if too many packets of a flow have reached only other
+  /// servers for too long until `now`.
+  /// @param excused_at when a fault must have been recent enough to excuse it
+  void CheckMisrouting(TimePoint now,
+                       TimePoint excused_at,
+                       const FlowKey& flow,
+                       Flow* flow_state);
 
   const std::vector<RequestClass>* m_classes;  ///< Classes of the run.
-  ProcessSupervisor* m_processes;  ///< Tells when faults of agents end.
-  TimePoint m_started_at;          ///< Start of the run.
+  ProcessSupervisor* m_processes;      ///< Tells when faults of agents end.
+  std::function<TimePoint()> m_clock;  ///< See the constructor.
+  TimePoint m_started_at;              ///< Start of the run.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> m_flows;  ///< Accepted flows.
   /// Executions of each request that must not be repeated, by request id.
   std::unordered_map<uint64_t, uint32_t> m_executions;
--- a/soak/invariant_checker_test.cc
+++ b/soak/invariant_checker_test.cc
@@ -3,11 +3,16 @@
 
 #include <doctest/doctest.h>
 
+#include "platform/packet_header.h"
+#include "platform/standin/packet_writer.h"
 #include "src/core/error.h"
+#include "src/runtime/flow_log.h"
 
 namespace medlargauge::soak {
 namespace {
 
+constexpr uint32_t kFirstIp = 0x7F150201;
+
 /// Two servers of different services, with agents that are never started.
 struct Fixture {
   EventLoop loop;
@@ -17,19 +22,60 @@
                               [](const std::string& text) { FAIL(text); }};
   std::vector<std::unique_ptr<ServerStandin>> servers;
   std::unique_ptr<InvariantChecker> checker;
+  UdpSocket agent_socket;        ///< Stands in for the agent of servers[0].
+  uint32_t server_sequence = 0;  ///< Sequence number of its last packet.
+  Duration clock_offset{};       ///< How far the checker's clock is ahead.
   FlowKey flow{{0x7F150301, 1044}, {0xC6120001, 8441}};
 
   Fixture() {
     for (uint32_t i = 0; i < 2; ++i) {
-      const uint32_t ip = 0x7F150201 + i;
+      const uint32_t ip = kFirstIp + i;
       processes.Add("invariant-checker-test", ip, true, "{}");
       platform::standin::ServerStandinOptions options;
       options.service = i == 0 ? "stock" : "media";
       options.address = {ip, kServerPort};
-      servers.push_back(std::make_unique<ServerStandin>(
-          &loop, options, platform::standin::ServerHooks(), i));
+      options.agent_packet_address = {ip, kOutboundPort};
+      options.reports = {ip, kHeartbeatPort};
+      platform::standin::ServerHooks hooks;
+      hooks.on_flow_accepted = [](const FlowKey&, bool) {};
+      hooks.on_packet = [](const FlowKey&, bool) {};
+      servers.push_back(
+          std::make_unique<ServerStandin>(&loop, options, hooks, i));
     }
-    checker = std::make_unique<InvariantChecker>(&classes, &processes);
+    checker = std::make_unique<InvariantChecker>(
+        &classes, &processes, [this] { return SteadyTime() + clock_offset; });
+  }
+  /// Lets the first server accept the flow, and lets all excuses expire.
+  void OpenFlow() {
+    Error reason;
+    REQUIRE(agent_socket.Bind({kFirstIp, kOutboundPort}, &reason));
+    REQUIRE(servers[0]->Start(false, &reason));
+    FlowPacket packet;
+    packet.flow = flow;
+    packet.syn = true;
+    Exchange(packet);
+    packet.syn = false;
+    packet.ack = true;
+    packet.sequence = 1;
+    packet.acknowledged = server_sequence + 1;
+    Exchange(packet);
+    REQUIRE(servers[0]->HasOpenFlow(flow));
+    clock_offset = kFaultExcuseTime + Seconds(1);
+    checker->OnCallerPacket(servers[0].get(), flow, true);
+  }
+  /// Sends a packet to the first server and reads the number of its answer.
+  void Exchange(const FlowPacket& packet) {
+    const std::string bytes = platform::standin::WritePacket(packet, {});
+    agent_socket.Send(
+        {kFirstIp, kServerPort},
+        {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()});
+    loop.After(Milliseconds(60), [this] { loop.Stop(); });
+    loop.Run();
+    agent_socket.Receive([this](SocketAddress4, ByteSpan datagram) {
+      server_sequence =
+          platform::ReadPacket(ByteView(datagram.data, datagram.size), false)
+              ->sequence;
+    });
   }
   /// Returns whether there was exactly one violation and it contains `text`.
   bool ReportedOnly(std::string_view text) const {
@@ -70,6 +116,78 @@
   CHECK(fixture.checker->ViolationCount() == 0);
 }
 
+TEST_CASE("the reset of an open flow is reported with the name of the flow") {
+  Fixture fixture;
+  fixture.OpenFlow();
+  SUBCASE("nothing excuses it") {
+    fixture.checker->OnFlowReset(fixture.flow);
+    CHECK(fixture.ReportedOnly(
+        "FLOW an open flow was reset, flow=" + FlowName(fixture.flow) +
+        " caller=127.21.3.1:1044, owner 127.21.2.1"));
+  }
+  SUBCASE("a recent fault of the agent excuses it") {
+    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kFirstIp),
+                                 Seconds(2));
+    fixture.checker->OnFlowReset(fixture.flow);
+    CHECK(fixture.checker->ViolationCount() == 0);
+  }
+  SUBCASE("a fault of another agent does not excuse it") {
+    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kFirstIp + 1),
+                                 Seconds(2));
+    fixture.checker->OnFlowReset(fixture.flow);
+    CHECK(fixture.ReportedOnly("FLOW an open flow was reset"));
+  }
+}
+
+TEST_CASE(
+    "a search that visits three other servers for two seconds is reported") {
+  Fixture fixture;
+  fixture.OpenFlow();
+  const auto visit = [&fixture](Duration pause) {
+    fixture.checker->OnCallerPacket(fixture.servers[1].get(), fixture.flow,
+                                    false);
+    fixture.clock_offset += pause;
+  };
+  SUBCASE("the third visit ends the two seconds") {
+    visit(Seconds(1));
+    visit(Seconds(1));
+    CHECK(fixture.checker->ViolationCount() == 0);
+    visit(Duration());
+    CHECK(fixture.ReportedOnly("FLOW packets of an open flow"));
+  }
+  SUBCASE("the owner gets the next packet too late") {
+    visit(Milliseconds(100));
+    visit(Milliseconds(100));
+    visit(Milliseconds(1800));
+    CHECK(fixture.checker->ViolationCount() == 0);
+    fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow,
+                                    true);
+    CHECK(fixture.ReportedOnly("FLOW packets of an open flow"));
+  }
+  SUBCASE("the caller gives up") {
+    visit(Milliseconds(100));
+    visit(Milliseconds(100));
+    visit(Milliseconds(1800));
+    fixture.checker->OnFlowEnded(fixture.flow);
+    CHECK(fixture.ReportedOnly("FLOW packets of an open flow"));
+  }
+  SUBCASE("not if the owner gets a packet in time") {
+    visit(Milliseconds(100));
+    visit(Milliseconds(100));
+    visit(Milliseconds(1700));
+    fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow,
+                                    true);
+    visit(Milliseconds(200));
+    CHECK(fixture.checker->ViolationCount() == 0);
+  }
+  SUBCASE("not with two visits") {
+    visit(Seconds(2));
+    visit(Seconds(2));
+    fixture.checker->OnFlowEnded(fixture.flow);
+    CHECK(fixture.checker->ViolationCount() == 0);
+  }
+}
+
 TEST_CASE("a balancer with an outdated target revision is reported") {
   Fixture fixture;
   Daemon balancer;
