Feature: Bounds for soaks with 100 and more processes, and for long ones

The number of hosts is checked, as the host is one octet of an address. The checker forgets flows that their owners no longer have, and the oldest executions of requests. The summary tells the memory of the soak itself.

--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -10,6 +10,9 @@
 
 constexpr size_t kMaxStoredViolations = 50;
 constexpr uint32_t kMisroutedPackets = 3;
+constexpr size_t kMinFlowsToPrune = 1000;
+/// Far more than callers have in progress at once.
+constexpr size_t kMaxTrackedExecutions = 100000;
 
 /// Names a flow as the logs of the daemons do.
 std::string DescribeFlow(const FlowKey& flow) {
@@ -57,6 +60,7 @@
     }
     m_flows[flow] = {};
     m_flows[flow].owner = server;
+    PruneEndedFlows();
     return;
   }
   if (found == m_flows.end() || !found->second.owner->HasOpenFlow(flow)) {
@@ -89,6 +93,17 @@
   }
 }
 
+void InvariantChecker::PruneEndedFlows() {
+  if (m_flows.size() < m_prune_size) {
+    return;
+  }
+  for (auto it = m_flows.begin(); it != m_flows.end();) {
+    it = it->second.owner->HasOpenFlow(it->first) ? std::next(it)
+                                                  : m_flows.erase(it);
+  }
+  m_prune_size = 2 * m_flows.size() + kMinFlowsToPrune;
+}
+
 void InvariantChecker::OnFlowEnded(const FlowKey& flow) {
   const auto found = m_flows.find(flow);
   if (found == m_flows.end()) {
@@ -117,6 +132,9 @@
     ReportViolation("ONCE request " + std::to_string(request_id) +
                     " was executed more than once, " + DescribeFlow(flow));
   }
+  if (m_executions.size() > kMaxTrackedExecutions) {
+    m_executions.erase(m_executions.begin());
+  }
 }
 
 void InvariantChecker::OnFlowReset(const FlowKey& flow) {
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -99,14 +99,17 @@
                        TimePoint excused_at,
                        const FlowKey& flow,
                        Flow* flow_state);
+  /// Erases flows that their owners do not have open, when there are many.
+  void PruneEndedFlows();
 
   const std::vector<RequestClass>* m_classes;  ///< Classes of the run.
   ProcessSupervisor* m_processes;      ///< Tells when faults of agents end.
   std::function<TimePoint()> m_clock;  ///< See the constructor.
   TimePoint m_started_at;              ///< Start of the run.
   std::unordered_map<FlowKey, Flow, FlowKeyHash> m_flows;  ///< Accepted flows.
-  /// Executions of each request that must not be repeated, by request id.
-  std::unordered_map<uint64_t, uint32_t> m_executions;
+  size_t m_prune_size = 0;  ///< Number of flows at which ended ones are erased.
+  /// Executions of recent requests that must not be repeated, by request id.
+  std::map<uint64_t, uint32_t> m_executions;
   std::map<int64_t, RequestCounts> m_counts;  ///< By second of arrival.
   uint64_t m_target_revision = 0;             ///< Newest in the store.
   TimePoint m_target_deadline;  ///< When that must be in force everywhere.
--- a/soak/process_supervisor.cc
+++ b/soak/process_supervisor.cc
@@ -198,6 +198,10 @@
   }
 }
 
+uint64_t ProcessSupervisor::OwnPeakMemoryKb() {
+  return ReadPeakMemoryKb(getpid());
+}
+
 uint64_t ProcessSupervisor::CpuTimeMs() const {
   rusage usage{};
   getrusage(RUSAGE_CHILDREN, &usage);
--- a/soak/process_supervisor.h
+++ b/soak/process_supervisor.h
@@ -83,6 +83,8 @@
   Daemon* FindByIp(uint32_t ip);
   /// Returns the largest resident memory of any process so far, in KB.
   uint64_t PeakMemoryKb() const { return m_peak_memory_kb; }
+  /// Returns the largest resident memory of this process so far, in KB.
+  static uint64_t OwnPeakMemoryKb();
   /// Returns the CPU time of all child processes that were reaped, in ms.
   uint64_t CpuTimeMs() const;
 
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -41,6 +41,8 @@
 constexpr char kTargetKey[] = "op/config";
 constexpr uint32_t kDomains = 3;
 constexpr uint32_t kCallerHosts = 4;
+/// The host's number is the last octet of its address.
+constexpr uint32_t kMaxHostsOfRole = 250;
 /// Time from the start of the daemons until the load and the faults start.
 constexpr Duration kWarmup = Seconds(4);
 /// Time from the first start of the daemons until all must be ready.
@@ -71,6 +73,13 @@
   return classes;
 }
 
+/// Returns whether each process can get an address of its own.
+bool AreCountsValid() {
+  const uint64_t servers = uint64_t{FLAGS_stock_servers} + FLAGS_media_servers;
+  return FLAGS_balancers >= 1 && FLAGS_balancers <= kMaxHostsOfRole &&
+         servers >= 1 && servers <= kMaxHostsOfRole;
+}
+
 std::string DomainName(uint32_t index) {
   return std::string(1, static_cast<char>('a' + index % kDomains));
 }
@@ -385,6 +394,7 @@
             << " calm_failed=" << calm_counts.failed
             << " clean_stop=" << clean_stop
             << " peak_kb=" << m_processes.PeakMemoryKb()
+            << " own_kb=" << ProcessSupervisor::OwnPeakMemoryKb()
             << " processor_ms=" << m_processes.CpuTimeMs()
             << " store_calls=" << m_store.Calls() << " logs=" << FLAGS_directory
             << '\n';
@@ -404,6 +414,14 @@
   }
   std::error_code failure;
   std::filesystem::create_directories(FLAGS_directory, failure);
+  if (!medlargauge::soak::AreCountsValid()) {
+    std::cerr
+        << "medlargauge-soak: --balancers, and the sum of --stock_servers "
+           "and --media_servers, must be from 1 to "
+        << medlargauge::soak::kMaxHostsOfRole << '\n';
+    return medlargauge::Describe(medlargauge::ErrorKind::kMalformedValue)
+        .exit_code;
+  }
   medlargauge::soak::Soak soak;
   medlargauge::Error reason;
   if (failure || !soak.SetUp(&reason)) {
