Fix: The soak named the end of a process by a signal "status 1, after the grace period"

The report printed the raw wait status, so that the end by SIGHUP (1) read like an exit code, and it compared any end with the last planned stop. It now tells the signal or the exit code, and how long the process had run.

Test: soak/process_supervisor_test.cc.

--- a/soak/process_supervisor.cc
+++ b/soak/process_supervisor.cc
@@ -171,11 +171,17 @@
   daemon->pid = 0;
   const bool exited_cleanly = WIFEXITED(status) && WEXITSTATUS(status) == 0;
   const bool in_time =
+      !daemon->stopping ||
       SteadyTime() - daemon->stop_requested_at <= kStopGracePeriod;
   if (!daemon->stopping || !exited_cleanly || !in_time) {
     m_report("process " + daemon->name + " ended" +
              (daemon->stopping ? " on request" : " unexpectedly") +
-             ", status " + std::to_string(status) +
+             (WIFSIGNALED(status)
+                  ? ", signal " + std::to_string(WTERMSIG(status))
+                  : ", exit code " + std::to_string(WEXITSTATUS(status))) +
+             ", " +
+             std::to_string(ToMilliseconds(SteadyTime() - daemon->started_at)) +
+             " ms after its start" +
              (in_time ? "" : ", after the grace period"));
   }
   const auto restart =
