Fix: A signal for a daemon that the soak had just started ended the soak

Until the child runs the daemon's program it has the handlers of the soak, which write the signal to the socket of the soak's own loop. A planned stop right after a start, of which the soak draws several a minute, could end the whole run as if by SIGTERM.

The child has the default actions, and no signal is handled before that.

--- a/soak/process_supervisor.cc
+++ b/soak/process_supervisor.cc
@@ -78,8 +78,19 @@
   if (daemon->pid != 0) {
     return;
   }
+  // Until it runs the program, the child has the handlers of the soak, which
+  // would report its signals to the loop of the soak.
+  sigset_t handled{};
+  sigset_t previous{};
+  sigemptyset(&handled);
+  sigaddset(&handled, SIGTERM);
+  sigaddset(&handled, SIGINT);
+  sigprocmask(SIG_BLOCK, &handled, &previous);
   const pid_t pid = fork();
   if (pid == 0) {
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGINT, SIG_DFL);
+    sigprocmask(SIG_SETMASK, &previous, nullptr);
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     // A connection does not end while another process holds it.
     close_range(STDERR_FILENO + 1, UINT_MAX, 0);
@@ -91,6 +102,7 @@
     execl(m_program.c_str(), m_program.c_str(), nullptr);
     _exit(127);
   }
+  sigprocmask(SIG_SETMASK, &previous, nullptr);
   if (pid < 0) {
     m_report("process " + daemon->name + " cannot be started: fork failed");
     return;
--- a/soak/process_supervisor_test.cc
+++ b/soak/process_supervisor_test.cc
@@ -33,5 +33,28 @@
   CHECK(by_signal[0].find("unexpectedly, signal 1, ") != std::string::npos);
 }
 
+TEST_CASE("a signal for a process that has just been started is not the own") {
+  EventLoop loop;
+  int own_signals = 0;
+  loop.OnSignal(SIGTERM, [&own_signals] { ++own_signals; });
+  int reports = 0;
+  ProcessSupervisor processes(&loop, "/bin/cat", "/tmp",
+                              [&reports](const std::string&) { ++reports; });
+  constexpr int kProcesses = 20;
+  for (int i = 0; i < kProcesses; ++i) {
+    processes.Add("process-supervisor-test", 0x7F150601 + i, false, "{}");
+  }
+  loop.After(Milliseconds(20), [&processes] {
+    for (Daemon& daemon : processes.Daemons()) {
+      processes.Start(&daemon);
+      processes.SendSignal(&daemon, SIGTERM);
+    }
+  });
+  loop.After(Milliseconds(300), [&loop] { loop.Stop(); });
+  loop.Run();
+  CHECK(own_signals == 0);
+  CHECK(reports == kProcesses);
+}
+
 }  // namespace
 }  // namespace medlargauge::soak
