Feature: The soak tells how much of a run its faults excuse

A run whose faults follow each other too closely checks little. The summary shows the share of samples, one for each server every 500 ms, in which a broken flow would have been excused.

--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -42,6 +42,11 @@
          now - server.StateChangedAt() < kFaultExcuseTime;
 }
 
+void InvariantChecker::SampleExcuse(const ServerStandin& server) {
+  ++m_samples;
+  m_excused_samples += IsExcusedByFault(m_clock(), server) ? 1 : 0;
+}
+
 void InvariantChecker::OnFlowAccepted(const FlowKey& flow, bool left) {
   if (left) {
     ReportViolation("DRAIN a leaving server accepted a flow, " +
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -70,6 +70,13 @@
                        uint64_t revision,
                        bool in_rotation);
 
+  /// Notes for a server whether a fault excuses the loss of its flows now.
+  void SampleExcuse(const ServerStandin& server);
+  /// Returns the share of the samples that were excused, in percent: the larger
+  /// it is, the less the run has checked.
+  uint64_t ExcusedPercent() const {
+    return m_samples == 0 ? 0 : m_excused_samples * 100 / m_samples;
+  }
   /// Returns the counts of the requests that arrived from `begin` to before
   /// `end`, in steps of one second.
   RequestCounts CountRequests(TimePoint begin, TimePoint end) const;
@@ -121,6 +128,8 @@
   std::map<std::pair<uint32_t, uint64_t>, uint64_t> m_in_force;
   std::vector<std::string> m_violations;  ///< See Violations.
   size_t m_violation_count = 0;           ///< See ViolationCount.
+  uint64_t m_samples = 0;                 ///< Calls of SampleExcuse.
+  uint64_t m_excused_samples = 0;         ///< Those with an excuse.
 };
 
 }  // namespace medlargauge::soak
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -47,6 +47,7 @@
 constexpr Duration kWarmup = Seconds(4);
 /// Time from the first start of the daemons until all must be ready.
 constexpr Duration kStartupTime = Milliseconds(1500);
+constexpr Duration kExcuseSampleInterval = Milliseconds(500);
 constexpr Duration kTargetPollInterval = Milliseconds(250);
 constexpr Duration kTargetPollTimeout = Milliseconds(200);
 /// Time after the recovery in which no request may fail.
@@ -328,6 +329,13 @@
   const TimePoint calm_start =
       FLAGS_calm ? load_start : faults_end + kRecoveryTime;
   const TimePoint calm_end = (FLAGS_calm ? faults_end : calm_start + kCalmTime);
+  m_loop.Every(kExcuseSampleInterval, [this, load_start, faults_end] {
+    for (const auto& server : m_servers) {
+      if (SteadyTime() >= load_start && SteadyTime() < faults_end) {
+        m_checker.SampleExcuse(*server);
+      }
+    }
+  });
   const TimePoint startup_end = SteadyTime() + kStartupTime;
   m_router->SetCheckFailedHook([this, startup_end, calm_start](uint32_t ip) {
     const TimePoint now = SteadyTime();
@@ -390,6 +398,7 @@
             << " asked=" << fault_counts.asked
             << " served=" << fault_counts.served
             << " failed=" << fault_counts.failed
+            << " excused_percent=" << m_checker.ExcusedPercent()
             << " calm_asked=" << calm_counts.asked
             << " calm_failed=" << calm_counts.failed
             << " clean_stop=" << clean_stop
