--- a/soak/load_generator.cc
+++ b/soak/load_generator.cc
@@ -1,6 +1,8 @@
 // @file load_generator.cc Requests of callers, their attempts and flows.
 #include "soak/load_generator.h"
 
+#include <algorithm>
+
 #include "platform/packet_header.h"
 #include "platform/standin/packet_writer.h"
 
@@ -47,6 +49,7 @@
 }
 
 void LoadGenerator::Start() {
+  m_next_arrivals.assign(m_classes->size(), SteadyTime());
   for (size_t i = 0; i < m_classes->size(); ++i) {
     ScheduleArrival(i);
   }
@@ -56,8 +59,10 @@
   const RequestClass& request_class = (*m_classes)[class_index];
   const double wait_s = std::exponential_distribution<>(
       request_class.arrivals_per_second)(m_random);
-  m_loop->After(Duration(static_cast<int64_t>(wait_s * 1e9)), [this,
-                                                               class_index] {
+  m_next_arrivals[class_index] += Duration(static_cast<int64_t>(wait_s * 1e9));
+  const Duration wait =
+      std::max(Duration(), m_next_arrivals[class_index] - SteadyTime());
+  m_loop->After(wait, [this, class_index] {
     if (!m_accepting_arrivals) {
       return;
     }
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -90,6 +90,7 @@
   uint64_t m_next_request_id = 1;          ///< Id of the next request.
   uint32_t m_next_port = 1024;             ///< Port of the latest flow.
   bool m_accepting_arrivals = true;        ///< See Stop.
+  std::vector<TimePoint> m_next_arrivals;  ///< Next request of each class.
 };
 
 }  // namespace medlargauge::soak
