Codechange: Tests of the soak wait for events, at addresses of their own

One of 13 cases failed once beside other load (load average 19.8); the output did not say which. All waited for fixed times of 30 to 300 ms, and used fixed addresses, which two test programs at once cannot bind.

The summary of the soak also counts the resets of open flows that a fault excuses.

--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -145,10 +145,11 @@
 void InvariantChecker::OnFlowReset(const FlowKey& flow) {
   const auto found = m_flows.find(flow);
   const TimePoint now = m_clock();
-  const bool is_violated = found != m_flows.end() &&
-                           found->second.owner->HasOpenFlow(flow) &&
-                           !IsExcusedByFault(now, *found->second.owner);
-  if (is_violated) {
+  const bool is_open =
+      found != m_flows.end() && found->second.owner->HasOpenFlow(flow);
+  if (is_open && IsExcusedByFault(now, *found->second.owner)) {
+    ++m_excused_resets;
+  } else if (is_open) {
     ReportViolation("FLOW an open flow was reset, " + DescribeFlow(flow) +
                     ", owner " + DescribeServer(*found->second.owner));
   }
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -77,6 +77,8 @@
   uint64_t ExcusedPercent() const {
     return m_samples == 0 ? 0 : m_excused_samples * 100 / m_samples;
   }
+  /// Returns how many resets of open flows a fault has excused.
+  uint64_t ExcusedResets() const { return m_excused_resets; }
   /// Returns the counts of the requests that arrived from `begin` to before
   /// `end`, in steps of one second.
   RequestCounts CountRequests(TimePoint begin, TimePoint end) const;
@@ -130,6 +132,7 @@
   size_t m_violation_count = 0;           ///< See ViolationCount.
   uint64_t m_samples = 0;                 ///< Calls of SampleExcuse.
   uint64_t m_excused_samples = 0;         ///< Those with an excuse.
+  uint64_t m_excused_resets = 0;          ///< See ExcusedResets.
 };
 
 }  // namespace medlargauge::soak
--- a/soak/invariant_checker_test.cc
+++ b/soak/invariant_checker_test.cc
@@ -5,13 +5,17 @@
 
 #include "platform/packet_header.h"
 #include "platform/standin/packet_writer.h"
+#include "platform/standin/test_tools.h"
 #include "src/core/error.h"
 #include "src/runtime/flow_log.h"
 
 namespace medlargauge::soak {
 namespace {
 
-constexpr uint32_t kFirstIp = 0x7F150201;
+using platform::standin::RunUntil;
+
+constexpr Duration kMaxWait = Seconds(10);
+const uint32_t kFirstIp = platform::standin::TestIp(1);
 
 /// Two servers of different services, with agents that are never started.
 struct Fixture {
@@ -22,9 +26,9 @@
                               [](const std::string& text) { FAIL(text); }};
   std::vector<std::unique_ptr<ServerStandin>> servers;
   std::unique_ptr<InvariantChecker> checker;
-  UdpSocket agent_socket;        ///< Stands in for the agent of servers[0].
-  uint32_t server_sequence = 0;  ///< Sequence number of its last packet.
-  Duration clock_offset{};       ///< How far the checker's clock is ahead.
+  UdpSocket agent_socket;         ///< Stands in for the agent of servers[0].
+  uint32_t server_sequence = 0;   ///< Sequence number of its last packet.
+  TimePoint time = SteadyTime();  ///< Time of the checker.
   FlowKey flow{{0x7F150301, 1044}, {0xC6120001, 8441}};
 
   Fixture() {
@@ -42,8 +46,8 @@
       servers.push_back(
           std::make_unique<ServerStandin>(&loop, options, hooks, i));
     }
-    checker = std::make_unique<InvariantChecker>(
-        &classes, &processes, [this] { return SteadyTime() + clock_offset; });
+    checker = std::make_unique<InvariantChecker>(&classes, &processes,
+                                                 [this] { return time; });
   }
   /// Lets the first server accept the flow, and lets all excuses expire.
   void OpenFlow() {
@@ -53,29 +57,35 @@
     FlowPacket packet;
     packet.flow = flow;
     packet.syn = true;
-    Exchange(packet);
+    Send(packet);
+    REQUIRE(RunUntil(&loop, kMaxWait, [this] { return ReadAnswer(); }));
     packet.syn = false;
     packet.ack = true;
     packet.sequence = 1;
     packet.acknowledged = server_sequence + 1;
-    Exchange(packet);
-    REQUIRE(servers[0]->HasOpenFlow(flow));
-    clock_offset = kFaultExcuseTime + Seconds(1);
+    Send(packet);
+    REQUIRE(RunUntil(&loop, kMaxWait,
+                     [this] { return servers[0]->HasOpenFlow(flow); }));
+    time = SteadyTime() + kFaultExcuseTime + Seconds(1);
     checker->OnCallerPacket(servers[0].get(), flow, true);
   }
-  /// Sends a packet to the first server and reads the number of its answer.
-  void Exchange(const FlowPacket& packet) {
+  /// Sends a packet to the first server.
+  void Send(const FlowPacket& packet) {
     const std::string bytes = platform::standin::WritePacket(packet, {});
     agent_socket.Send(
         {kFirstIp, kServerPort},
         {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()});
-    loop.After(Milliseconds(60), [this] { loop.Stop(); });
-    loop.Run();
-    agent_socket.Receive([this](SocketAddress4, ByteSpan datagram) {
+  }
+  /// Reads the sequence number of the server's answer. @return whether it came
+  bool ReadAnswer() {
+    bool has_come = false;
+    agent_socket.Receive([&](SocketAddress4, ByteSpan datagram) {
       server_sequence =
           platform::ReadPacket(ByteView(datagram.data, datagram.size), false)
               ->sequence;
+      has_come = true;
     });
+    return has_come;
   }
   /// Returns whether there was exactly one violation and it contains `text`.
   bool ReportedOnly(std::string_view text) const {
@@ -123,13 +133,14 @@
     fixture.checker->OnFlowReset(fixture.flow);
     CHECK(fixture.ReportedOnly(
         "FLOW an open flow was reset, flow=" + FlowName(fixture.flow) +
-        " caller=127.21.3.1:1044, owner 127.21.2.1"));
+        " caller=127.21.3.1:1044, owner " + FormatIp(kFirstIp)));
   }
   SUBCASE("a recent fault of the agent excuses it") {
     ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kFirstIp),
                                  Seconds(2));
     fixture.checker->OnFlowReset(fixture.flow);
     CHECK(fixture.checker->ViolationCount() == 0);
+    CHECK(fixture.checker->ExcusedResets() == 1);
   }
   SUBCASE("a fault of another agent does not excuse it") {
     ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kFirstIp + 1),
@@ -146,7 +157,7 @@
   const auto visit = [&fixture](Duration pause) {
     fixture.checker->OnCallerPacket(fixture.servers[1].get(), fixture.flow,
                                     false);
-    fixture.clock_offset += pause;
+    fixture.time += pause;
   };
   SUBCASE("the third visit ends the two seconds") {
     visit(Seconds(1));
--- a/soak/process_supervisor_test.cc
+++ b/soak/process_supervisor_test.cc
@@ -5,9 +5,16 @@
 
 #include <csignal>
 
+#include "platform/standin/test_tools.h"
+
 namespace medlargauge::soak {
 namespace {
 
+using platform::standin::RunUntil;
+using platform::standin::TestIp;
+
+constexpr Duration kMaxWait = Seconds(10);
+
 /// Runs one process for a while. @return the reports about it
 std::vector<std::string> RunProcess(const char* program, int signal) {
   EventLoop loop;
@@ -15,11 +22,10 @@
   ProcessSupervisor processes(
       &loop, program, "/tmp",
       [&reports](const std::string& text) { reports.push_back(text); });
-  processes.Add("process-supervisor-test", 0x7F150601, false, "{}");
+  processes.Add("process-supervisor-test", TestIp(1), false, "{}");
   processes.Start(&processes.Daemons()[0]);
   processes.SendSignal(&processes.Daemons()[0], signal);
-  loop.After(Milliseconds(200), [&loop] { loop.Stop(); });
-  loop.Run();
+  RunUntil(&loop, kMaxWait, [&reports] { return !reports.empty(); });
   return reports;
 }
 
@@ -42,7 +48,7 @@
                               [&reports](const std::string&) { ++reports; });
   constexpr int kProcesses = 20;
   for (int i = 0; i < kProcesses; ++i) {
-    processes.Add("process-supervisor-test", 0x7F150601 + i, false, "{}");
+    processes.Add("process-supervisor-test", TestIp(1) + i, false, "{}");
   }
   loop.After(Milliseconds(20), [&processes] {
     for (Daemon& daemon : processes.Daemons()) {
@@ -50,10 +56,9 @@
       processes.SendSignal(&daemon, SIGTERM);
     }
   });
-  loop.After(Milliseconds(300), [&loop] { loop.Stop(); });
-  loop.Run();
+  CHECK(
+      RunUntil(&loop, kMaxWait, [&reports] { return reports == kProcesses; }));
   CHECK(own_signals == 0);
-  CHECK(reports == kProcesses);
 }
 
 }  // namespace
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -399,6 +399,7 @@
             << " served=" << fault_counts.served
             << " failed=" << fault_counts.failed
             << " excused_percent=" << m_checker.ExcusedPercent()
+            << " excused_resets=" << m_checker.ExcusedResets()
             << " calm_asked=" << calm_counts.asked
             << " calm_failed=" << calm_counts.failed
             << " clean_stop=" << clean_stop
