Codechange: A fault of all links of a balancer no longer excuses the flows of all agents

It now excuses only what that balancer itself does: the resets that it sends, and the packets that it forwards. A reset names its sender, and a server the balancer that forwarded a packet. Other faults of a balancer excuse no flow, as before.

Tests: two subcases of "the reset of an open flow is reported with the name of the flow".

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -264,8 +264,6 @@
                                  Daemon* to,
                                  const LinkFault& fault,
                                  Duration duration) {
-  ProcessSupervisor::MarkFault(from, duration);
-  ProcessSupervisor::MarkFault(to, duration);
   m_targets.network->SetLinkFault(from->ip, to->ip, fault);
   const std::pair<uint32_t, uint32_t> link{from->ip, to->ip};
   const uint64_t fault_number = ++m_link_fault_numbers[link];
@@ -285,6 +283,7 @@
   m_log.back() += std::string(incoming ? " in" : "") +
                   (outgoing ? " out" : "") + " for " +
                   std::to_string(ToMilliseconds(duration)) + " ms";
+  ProcessSupervisor::MarkIsolation(daemon, duration);
   for (Daemon& other : m_targets.processes->Daemons()) {
     if (!m_targets.network->AreLinked(daemon->ip, other.ip)) {
       continue;
@@ -320,6 +319,8 @@
   if (balancer == other) {
     return;
   }
+  ProcessSupervisor::MarkFault(balancer, duration);
+  ProcessSupervisor::MarkFault(other, duration);
   if (direction != 1) {
     SetLinkFault(balancer, other, fault, duration);
   }
@@ -340,6 +341,8 @@
   const LinkFault fault = DrawDelayAndLoss();
   const Duration duration = DrawDuration(200, 8000);
   if (balancer != other) {
+    ProcessSupervisor::MarkFault(balancer, duration);
+    ProcessSupervisor::MarkFault(other, duration);
     SetLinkFault(balancer, other, fault, duration);
     SetLinkFault(other, balancer, fault, duration);
   }
--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -42,6 +42,12 @@
          now - server.StateChangedAt() < kFaultExcuseTime;
 }
 
+bool InvariantChecker::IsExcusedByIsolation(TimePoint now, uint32_t ip) const {
+  const Daemon* daemon = m_processes->FindByIp(ip);
+  return daemon != nullptr &&
+         now - daemon->isolation_ends_at < kFaultExcuseTime;
+}
+
 void InvariantChecker::SampleExcuse(const ServerStandin& server) {
   ++m_samples;
   m_excused_samples += IsExcusedByFault(m_clock(), server) ? 1 : 0;
@@ -56,7 +62,8 @@
 
 void InvariantChecker::OnCallerPacket(ServerStandin* server,
                                       const FlowKey& flow,
-                                      bool held) {
+                                      bool held,
+                                      uint32_t balancer_ip) {
   const TimePoint now = m_clock();
   const auto found = m_flows.find(flow);
   if (held) {
@@ -75,6 +82,7 @@
   flow_state.misrouted_since =
       flow_state.misrouted_packets == 0 ? now : flow_state.misrouted_since;
   flow_state.misrouted_until = now;
+  flow_state.misrouted_by = balancer_ip;
   flow_state.last_misrouted_to = server;
   ++flow_state.misrouted_packets;
   CheckMisrouting(now, now, flow, &flow_state);
@@ -88,12 +96,14 @@
       flow_state->misrouted_packets >= kMisroutedPackets &&
       now - flow_state->misrouted_since >= kMisroutingBound &&
       flow_state->owner->HasOpenFlow(flow) &&
-      !IsExcusedByFault(excused_at, *flow_state->owner);
+      !IsExcusedByFault(excused_at, *flow_state->owner) &&
+      !IsExcusedByIsolation(excused_at, flow_state->misrouted_by);
   if (is_violated) {
     ReportViolation("FLOW packets of an open flow reach another server, " +
                     DescribeFlow(flow) + ", owner " +
                     DescribeServer(*flow_state->owner) + ", reached " +
-                    DescribeServer(*flow_state->last_misrouted_to));
+                    DescribeServer(*flow_state->last_misrouted_to) + " from " +
+                    FormatIp(flow_state->misrouted_by));
     flow_state->misrouted_packets = 0;
   }
 }
@@ -142,16 +152,18 @@
   }
 }
 
-void InvariantChecker::OnFlowReset(const FlowKey& flow) {
+void InvariantChecker::OnFlowReset(const FlowKey& flow, uint32_t sender_ip) {
   const auto found = m_flows.find(flow);
   const TimePoint now = m_clock();
   const bool is_open =
       found != m_flows.end() && found->second.owner->HasOpenFlow(flow);
-  if (is_open && IsExcusedByFault(now, *found->second.owner)) {
+  if (is_open && (IsExcusedByFault(now, *found->second.owner) ||
+                  IsExcusedByIsolation(now, sender_ip))) {
     ++m_excused_resets;
   } else if (is_open) {
     ReportViolation("FLOW an open flow was reset, " + DescribeFlow(flow) +
-                    ", owner " + DescribeServer(*found->second.owner));
+                    ", owner " + DescribeServer(*found->second.owner) +
+                    ", reset by " + FormatIp(sender_ip));
   }
 }
 
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -43,15 +43,19 @@
   /// A server has accepted a new flow. `left` is as in ServerHooks.
   void OnFlowAccepted(const FlowKey& flow, bool left);
   /// A packet of a caller reached a server. `held` tells whether the server has
-  /// the flow open.
-  void OnCallerPacket(ServerStandin* server, const FlowKey& flow, bool held);
+  /// the flow open, `balancer_ip` is the balancer that forwarded it.
+  void OnCallerPacket(ServerStandin* server,
+                      const FlowKey& flow,
+                      bool held,
+                      uint32_t balancer_ip);
   /// A server has begun to work on a request.
   void OnRequestStarted(const ServerStandin& server,
                         const FlowKey& flow,
                         uint64_t request_id);
 
-  /// A caller received a reset of an open flow that no server sent.
-  void OnFlowReset(const FlowKey& flow);
+  /// A caller received a reset of an open flow that no server sent, but the
+  /// process at `sender_ip`.
+  void OnFlowReset(const FlowKey& flow, uint32_t sender_ip);
   /// A caller has closed or abandoned a flow.
   void OnFlowEnded(const FlowKey& flow);
   /// A caller received an answer that does not match its request.
@@ -93,6 +97,7 @@
     uint32_t misrouted_packets = 0;  ///< Packets at others since the owner's.
     TimePoint misrouted_since;       ///< Arrival of the first of them.
     TimePoint misrouted_until;       ///< Arrival of the last of them.
+    uint32_t misrouted_by = 0;       ///< Balancer that forwarded that one.
     /// Server that the last of them reached.
     const ServerStandin* last_misrouted_to = nullptr;
   };
@@ -101,6 +106,9 @@
   /// recent enough to excuse the loss of flows. A planned stop of the agent is
   /// no excuse.
   bool IsExcusedByFault(TimePoint now, const ServerStandin& server) const;
+  /// Returns whether a fault of all links of a process is recent enough to
+  /// excuse what it did to flows. Other faults of a balancer are no excuse.
+  bool IsExcusedByIsolation(TimePoint now, uint32_t ip) const;
   /// Records a violation if too many packets of a flow have reached only other
   /// servers for too long until `now`.
   /// @param excused_at when a fault must have been recent enough to excuse it
--- a/soak/invariant_checker_test.cc
+++ b/soak/invariant_checker_test.cc
@@ -15,6 +15,7 @@
 using platform::standin::RunUntil;
 
 constexpr Duration kMaxWait = Seconds(10);
+const uint32_t kBalancerIp = platform::standin::TestIp(9);
 const uint32_t kFirstIp = platform::standin::TestIp(1);
 
 /// Two servers of different services, with agents that are never started.
@@ -42,10 +43,11 @@
       options.reports = {ip, kHeartbeatPort};
       platform::standin::ServerHooks hooks;
       hooks.on_flow_accepted = [](const FlowKey&, bool) {};
-      hooks.on_packet = [](const FlowKey&, bool) {};
+      hooks.on_packet = [](const FlowKey&, bool, uint32_t) {};
       servers.push_back(
           std::make_unique<ServerStandin>(&loop, options, hooks, i));
     }
+    processes.Add("invariant-checker-test", kBalancerIp, false, "{}");
     checker = std::make_unique<InvariantChecker>(&classes, &processes,
                                                  [this] { return time; });
   }
@@ -67,7 +69,7 @@
     REQUIRE(RunUntil(&loop, kMaxWait,
                      [this] { return servers[0]->HasOpenFlow(flow); }));
     time = SteadyTime() + kFaultExcuseTime + Seconds(1);
-    checker->OnCallerPacket(servers[0].get(), flow, true);
+    checker->OnCallerPacket(servers[0].get(), flow, true, kBalancerIp);
   }
   /// Sends a packet to the first server.
   void Send(const FlowPacket& packet) {
@@ -121,8 +123,10 @@
 
 TEST_CASE("a reset of a flow that its server does not have open is allowed") {
   Fixture fixture;
-  fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow, true);
-  fixture.checker->OnFlowReset(fixture.flow);  // The server has no open flow.
+  fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow, true,
+                                  kBalancerIp);
+  fixture.checker->OnFlowReset(fixture.flow,
+                               kBalancerIp);  // The server has no open flow.
   CHECK(fixture.checker->ViolationCount() == 0);
 }
 
@@ -130,22 +134,35 @@
   Fixture fixture;
   fixture.OpenFlow();
   SUBCASE("nothing excuses it") {
-    fixture.checker->OnFlowReset(fixture.flow);
+    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
     CHECK(fixture.ReportedOnly(
         "FLOW an open flow was reset, flow=" + FlowName(fixture.flow) +
-        " caller=127.21.3.1:1044, owner " + FormatIp(kFirstIp)));
+        " caller=127.21.3.1:1044, owner " + FormatIp(kFirstIp) + ", reset by " +
+        FormatIp(kBalancerIp)));
   }
   SUBCASE("a recent fault of the agent excuses it") {
     ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kFirstIp),
                                  Seconds(2));
-    fixture.checker->OnFlowReset(fixture.flow);
+    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
     CHECK(fixture.checker->ViolationCount() == 0);
     CHECK(fixture.checker->ExcusedResets() == 1);
   }
+  SUBCASE("a fault of all links of its sender excuses it") {
+    ProcessSupervisor::MarkIsolation(fixture.processes.FindByIp(kBalancerIp),
+                                     Seconds(2));
+    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
+    CHECK(fixture.checker->ViolationCount() == 0);
+  }
+  SUBCASE("another fault of its sender does not excuse it") {
+    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kBalancerIp),
+                                 Seconds(2));
+    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
+    CHECK(fixture.ReportedOnly("FLOW an open flow was reset"));
+  }
   SUBCASE("a fault of another agent does not excuse it") {
     ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kFirstIp + 1),
                                  Seconds(2));
-    fixture.checker->OnFlowReset(fixture.flow);
+    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
     CHECK(fixture.ReportedOnly("FLOW an open flow was reset"));
   }
 }
@@ -156,7 +173,7 @@
   fixture.OpenFlow();
   const auto visit = [&fixture](Duration pause) {
     fixture.checker->OnCallerPacket(fixture.servers[1].get(), fixture.flow,
-                                    false);
+                                    false, kBalancerIp);
     fixture.time += pause;
   };
   SUBCASE("the third visit ends the two seconds") {
@@ -172,7 +189,7 @@
     visit(Milliseconds(1800));
     CHECK(fixture.checker->ViolationCount() == 0);
     fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow,
-                                    true);
+                                    true, kBalancerIp);
     CHECK(fixture.ReportedOnly("FLOW packets of an open flow"));
   }
   SUBCASE("the caller gives up") {
@@ -187,7 +204,7 @@
     visit(Milliseconds(100));
     visit(Milliseconds(1700));
     fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow,
-                                    true);
+                                    true, kBalancerIp);
     visit(Milliseconds(200));
     CHECK(fixture.checker->ViolationCount() == 0);
   }
--- a/soak/load_generator.cc
+++ b/soak/load_generator.cc
@@ -133,7 +133,9 @@
   }
 }
 
-void LoadGenerator::OnDatagram(size_t socket, ByteSpan datagram) {
+void LoadGenerator::OnDatagram(size_t socket,
+                               SocketAddress4 from,
+                               ByteSpan datagram) {
   const ByteView view(datagram.data, datagram.size);
   const std::optional<FlowPacket> packet = platform::ReadPacket(view, false);
   if (!packet.has_value()) {
@@ -150,7 +152,7 @@
         !flow.stream->AcceptsReset(packet->sequence)) {
       return;
     }
-    OnReset(entry, !platform::standin::HasValidChecksum(view));
+    OnReset(entry, from, !platform::standin::HasValidChecksum(view));
     return;
   }
   if (!platform::standin::HasValidChecksum(view)) {
@@ -185,11 +187,13 @@
   }
 }
 
-void LoadGenerator::OnReset(FlowMap::iterator entry, bool is_synthetic) {
+void LoadGenerator::OnReset(FlowMap::iterator entry,
+                            SocketAddress4 from,
+                            bool is_synthetic) {
   const uint64_t request_id = entry->second.request_id;
   const bool was_open = entry->second.stream != nullptr;
   if (was_open && is_synthetic) {
-    m_checker->OnFlowReset(entry->first);
+    m_checker->OnFlowReset(entry->first, from.ip);
   }
   m_checker->OnFlowEnded(entry->first);
   m_flows.erase(entry);
@@ -257,8 +261,8 @@
 
 void LoadGenerator::Tick() {
   for (size_t i = 0; i < m_sockets.size(); ++i) {
-    m_sockets[i]->Receive([this, i](SocketAddress4, ByteSpan datagram) {
-      OnDatagram(i, datagram);
+    m_sockets[i]->Receive([this, i](SocketAddress4 from, ByteSpan datagram) {
+      OnDatagram(i, from, datagram);
     });
   }
   const TimePoint now = SteadyTime();
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -64,10 +64,10 @@
             const FlowPacket& packet,
             std::string_view data,
             size_t socket);
-  void OnDatagram(size_t socket, ByteSpan datagram);
+  void OnDatagram(size_t socket, SocketAddress4 from, ByteSpan datagram);
   /// Handles a reset. `is_synthetic` tells whether an agent or a balancer made
   /// it instead of a server.
-  void OnReset(FlowMap::iterator entry, bool is_synthetic);
+  void OnReset(FlowMap::iterator entry, SocketAddress4 from, bool is_synthetic);
   void OnAnswer(FlowMap::iterator entry,
                 const platform::standin::WorkAnswer& answer);
   /// Retries a request after a pause, or ends it if it has no attempts left or
--- a/soak/process_supervisor.cc
+++ b/soak/process_supervisor.cc
@@ -157,6 +157,12 @@
       std::max(daemon->fault_ends_at, SteadyTime() + duration);
 }
 
+void ProcessSupervisor::MarkIsolation(Daemon* daemon, Duration duration) {
+  MarkFault(daemon, duration);
+  daemon->isolation_ends_at =
+      std::max(daemon->isolation_ends_at, SteadyTime() + duration);
+}
+
 void ProcessSupervisor::SendSignal(Daemon* daemon, int signal) {
   if (daemon->pid != 0) {
     kill(daemon->pid, signal);
--- a/soak/process_supervisor.h
+++ b/soak/process_supervisor.h
@@ -27,6 +27,7 @@
   TimePoint started_at;         ///< Last start.
   TimePoint stop_requested_at;  ///< When SIGTERM was sent.
   TimePoint fault_ends_at;      ///< End of the injected faults so far.
+  TimePoint isolation_ends_at;  ///< End of the last fault of all its links.
   uint64_t start_count = 0;     ///< Number of starts so far.
 };
 
@@ -69,6 +70,8 @@
   void Pause(Daemon* daemon, Duration duration);
   /// Records a fault of the network of a process that lasts for `duration`.
   static void MarkFault(Daemon* daemon, Duration duration);
+  /// Likewise, for a fault of all links of the process.
+  static void MarkIsolation(Daemon* daemon, Duration duration);
   /// Sends a signal to a process, if it is running.
   void SendSignal(Daemon* daemon, int signal);
   /// Stops all processes as planned and waits for them, at most the grace
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -205,8 +205,9 @@
   hooks.on_flow_accepted = [this](const FlowKey& flow, bool left) {
     m_checker.OnFlowAccepted(flow, left);
   };
-  hooks.on_packet = [this, index](const FlowKey& flow, bool held) {
-    m_checker.OnCallerPacket(m_servers[index].get(), flow, held);
+  hooks.on_packet = [this, index](const FlowKey& flow, bool held,
+                                  uint32_t balancer_ip) {
+    m_checker.OnCallerPacket(m_servers[index].get(), flow, held, balancer_ip);
   };
   hooks.on_request_started = [this, index](const FlowKey& flow,
                                            uint64_t request) {
