--- a/soak/invariant_checker_test.cc
+++ b/soak/invariant_checker_test.cc
@@ -15,8 +15,8 @@
 using platform::standin::RunUntil;
 
 constexpr Duration kMaxWait = Seconds(10);
-const uint32_t kBalancerIp = platform::standin::TestIp(9);
-const uint32_t kFirstIp = platform::standin::TestIp(1);
+const uint32_t balancer_ip = platform::standin::TestIp(9);
+const uint32_t first_ip = platform::standin::TestIp(1);
 
 /// Two servers of different services, with agents that are never started.
 struct Fixture {
@@ -34,7 +34,7 @@
 
   Fixture() {
     for (uint32_t i = 0; i < 2; ++i) {
-      const uint32_t ip = kFirstIp + i;
+      const uint32_t ip = first_ip + i;
       processes.Add("invariant-checker-test", ip, true, "{}");
       platform::standin::ServerStandinOptions options;
       options.service = i == 0 ? "stock" : "media";
@@ -47,14 +47,14 @@
       servers.push_back(
           std::make_unique<ServerStandin>(&loop, options, hooks, i));
     }
-    processes.Add("invariant-checker-test", kBalancerIp, false, "{}");
+    processes.Add("invariant-checker-test", balancer_ip, false, "{}");
     checker = std::make_unique<InvariantChecker>(&classes, &processes,
                                                  [this] { return time; });
   }
   /// Lets the first server accept the flow, and lets all excuses expire.
   void OpenFlow() {
     Error reason;
-    REQUIRE(agent_socket.Bind({kFirstIp, kOutboundPort}, &reason));
+    REQUIRE(agent_socket.Bind({first_ip, kOutboundPort}, &reason));
     REQUIRE(servers[0]->Start(false, &reason));
     FlowPacket packet;
     packet.flow = flow;
@@ -69,13 +69,13 @@
     REQUIRE(RunUntil(&loop, kMaxWait,
                      [this] { return servers[0]->HasOpenFlow(flow); }));
     time = SteadyTime() + kFaultExcuseTime + Seconds(1);
-    checker->OnCallerPacket(servers[0].get(), flow, true, kBalancerIp);
+    checker->OnCallerPacket(servers[0].get(), flow, true, balancer_ip);
   }
   /// Sends a packet to the first server.
   void Send(const FlowPacket& packet) {
     const std::string bytes = platform::standin::WritePacket(packet, {});
     agent_socket.Send(
-        {kFirstIp, kServerPort},
+        {first_ip, kServerPort},
         {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()});
   }
   /// Reads the sequence number of the server's answer. @return whether it came
@@ -124,9 +124,9 @@
 TEST_CASE("a reset of a flow that its server does not have open is allowed") {
   Fixture fixture;
   fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow, true,
-                                  kBalancerIp);
+                                  balancer_ip);
   fixture.checker->OnFlowReset(fixture.flow,
-                               kBalancerIp);  // The server has no open flow.
+                               balancer_ip);  // The server has no open flow.
   CHECK(fixture.checker->ViolationCount() == 0);
 }
 
@@ -134,35 +134,35 @@
   Fixture fixture;
   fixture.OpenFlow();
   SUBCASE("nothing excuses it") {
-    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
+    fixture.checker->OnFlowReset(fixture.flow, balancer_ip);
     CHECK(fixture.ReportedOnly(
         "FLOW an open flow was reset, flow=" + FlowName(fixture.flow) +
-        " caller=127.21.3.1:1044, owner " + FormatIp(kFirstIp) + ", reset by " +
-        FormatIp(kBalancerIp)));
+        " caller=127.21.3.1:1044, owner " + FormatIp(first_ip) + ", reset by " +
+        FormatIp(balancer_ip)));
   }
   SUBCASE("a recent fault of the agent excuses it") {
-    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kFirstIp),
+    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(first_ip),
                                  Seconds(2));
-    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
+    fixture.checker->OnFlowReset(fixture.flow, balancer_ip);
     CHECK(fixture.checker->ViolationCount() == 0);
     CHECK(fixture.checker->ExcusedResets() == 1);
   }
   SUBCASE("a fault of all links of its sender excuses it") {
-    ProcessSupervisor::MarkIsolation(fixture.processes.FindByIp(kBalancerIp),
+    ProcessSupervisor::MarkIsolation(fixture.processes.FindByIp(balancer_ip),
                                      Seconds(2));
-    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
+    fixture.checker->OnFlowReset(fixture.flow, balancer_ip);
     CHECK(fixture.checker->ViolationCount() == 0);
   }
   SUBCASE("another fault of its sender does not excuse it") {
-    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kBalancerIp),
+    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(balancer_ip),
                                  Seconds(2));
-    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
+    fixture.checker->OnFlowReset(fixture.flow, balancer_ip);
     CHECK(fixture.ReportedOnly("FLOW an open flow was reset"));
   }
   SUBCASE("a fault of another agent does not excuse it") {
-    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(kFirstIp + 1),
+    ProcessSupervisor::MarkFault(fixture.processes.FindByIp(first_ip + 1),
                                  Seconds(2));
-    fixture.checker->OnFlowReset(fixture.flow, kBalancerIp);
+    fixture.checker->OnFlowReset(fixture.flow, balancer_ip);
     CHECK(fixture.ReportedOnly("FLOW an open flow was reset"));
   }
 }
@@ -173,7 +173,7 @@
   fixture.OpenFlow();
   const auto visit = [&fixture](Duration pause) {
     fixture.checker->OnCallerPacket(fixture.servers[1].get(), fixture.flow,
-                                    false, kBalancerIp);
+                                    false, balancer_ip);
     fixture.time += pause;
   };
   SUBCASE("the third visit ends the two seconds") {
@@ -189,7 +189,7 @@
     visit(Milliseconds(1800));
     CHECK(fixture.checker->ViolationCount() == 0);
     fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow,
-                                    true, kBalancerIp);
+                                    true, balancer_ip);
     CHECK(fixture.ReportedOnly("FLOW packets of an open flow"));
   }
   SUBCASE("the caller gives up") {
@@ -204,7 +204,7 @@
     visit(Milliseconds(100));
     visit(Milliseconds(1700));
     fixture.checker->OnCallerPacket(fixture.servers[0].get(), fixture.flow,
-                                    true, kBalancerIp);
+                                    true, balancer_ip);
     visit(Milliseconds(200));
     CHECK(fixture.checker->ViolationCount() == 0);
   }
--- a/soak/process_network_test.cc
+++ b/soak/process_network_test.cc
@@ -12,9 +12,9 @@
 
 using platform::standin::TestIp;
 
-const uint32_t kStore = TestIp(1);
-const uint32_t kBalancers[] = {TestIp(2), TestIp(3)};
-const uint32_t kAgent = TestIp(4);
+const uint32_t store_ip = TestIp(1);
+const uint32_t balancer_ips[] = {TestIp(2), TestIp(3)};
+const uint32_t agent_ip = TestIp(4);
 
 /// Sockets of two balancers and an agent on a network.
 struct Fixture {
@@ -24,11 +24,11 @@
   std::map<uint32_t, std::unique_ptr<UdpSocket>> sockets;
 
   Fixture() {
-    network.Add(kBalancers[0], false);
-    network.Add(kBalancers[1], false);
-    network.Add(kAgent, true);
-    REQUIRE(network.Start({kStore, kStorePort}, &reason));
-    for (const uint32_t ip : {kBalancers[0], kBalancers[1], kAgent}) {
+    network.Add(balancer_ips[0], false);
+    network.Add(balancer_ips[1], false);
+    network.Add(agent_ip, true);
+    REQUIRE(network.Start({store_ip, kStorePort}, &reason));
+    for (const uint32_t ip : {balancer_ips[0], balancer_ips[1], agent_ip}) {
       sockets[ip] = std::make_unique<UdpSocket>();
       REQUIRE(sockets[ip]->Bind({ip, network.ControlPort(ip)}, &reason));
     }
@@ -54,38 +54,41 @@
 
 TEST_CASE("datagrams arrive from the address of the process that sent them") {
   Fixture fixture;
-  CHECK(fixture.Deliver(kBalancers[0], kAgent, kMaxWait) == kBalancers[0]);
-  CHECK(fixture.Deliver(kAgent, kBalancers[0], kMaxWait) == kAgent);
-  CHECK(fixture.Deliver(kBalancers[0], kBalancers[1], kMaxWait) ==
-        kBalancers[0]);
+  CHECK(fixture.Deliver(balancer_ips[0], agent_ip, kMaxWait) ==
+        balancer_ips[0]);
+  CHECK(fixture.Deliver(agent_ip, balancer_ips[0], kMaxWait) == agent_ip);
+  CHECK(fixture.Deliver(balancer_ips[0], balancer_ips[1], kMaxWait) ==
+        balancer_ips[0]);
 }
 
 TEST_CASE("a cut of one way leaves the way back and other processes alone") {
   Fixture fixture;
   LinkFault cut;
   cut.cut = true;
-  fixture.network.SetLinkFault(kBalancers[0], kAgent, cut);
-  CHECK(fixture.Deliver(kBalancers[0], kAgent, kShortWait) == 0);
-  CHECK(fixture.Deliver(kAgent, kBalancers[0], kMaxWait) == kAgent);
-  CHECK(fixture.Deliver(kBalancers[1], kAgent, kMaxWait) == kBalancers[1]);
-  fixture.network.SetLinkFault(kBalancers[0], kAgent, LinkFault());
-  CHECK(fixture.Deliver(kBalancers[0], kAgent, kMaxWait) == kBalancers[0]);
+  fixture.network.SetLinkFault(balancer_ips[0], agent_ip, cut);
+  CHECK(fixture.Deliver(balancer_ips[0], agent_ip, kShortWait) == 0);
+  CHECK(fixture.Deliver(agent_ip, balancer_ips[0], kMaxWait) == agent_ip);
+  CHECK(fixture.Deliver(balancer_ips[1], agent_ip, kMaxWait) ==
+        balancer_ips[1]);
+  fixture.network.SetLinkFault(balancer_ips[0], agent_ip, LinkFault());
+  CHECK(fixture.Deliver(balancer_ips[0], agent_ip, kMaxWait) ==
+        balancer_ips[0]);
 }
 
 TEST_CASE("datagrams arrive late on a way with delay, never on one with loss") {
   Fixture fixture;
   LinkFault fault;
   fault.delay = Milliseconds(200);
-  fixture.network.SetLinkFault(kAgent, kBalancers[1], fault);
+  fixture.network.SetLinkFault(agent_ip, balancer_ips[1], fault);
   const TimePoint begin = SteadyTime();
   for (int i = 0; i < 5; ++i) {
-    CHECK(fixture.Deliver(kAgent, kBalancers[1], kMaxWait) == kAgent);
+    CHECK(fixture.Deliver(agent_ip, balancer_ips[1], kMaxWait) == agent_ip);
   }
   CHECK(SteadyTime() - begin >= fault.delay);
   fault = LinkFault();
   fault.loss_probability = 1;
-  fixture.network.SetLinkFault(kAgent, kBalancers[0], fault);
-  CHECK(fixture.Deliver(kAgent, kBalancers[0], kShortWait) == 0);
+  fixture.network.SetLinkFault(agent_ip, balancer_ips[0], fault);
+  CHECK(fixture.Deliver(agent_ip, balancer_ips[0], kShortWait) == 0);
 }
 
 TEST_CASE("connections are silent or reset as long as their way has a fault") {
@@ -93,12 +96,12 @@
   HttpServer store(&fixture.loop, [](const HttpRequest&) {
     return HttpResponse{200, "stored"};
   });
-  REQUIRE(store.Listen({kStore, kStorePort}, &fixture.reason));
+  REQUIRE(store.Listen({store_ip, kStorePort}, &fixture.reason));
   HttpServer balancer(&fixture.loop, [](const HttpRequest&) {
     return HttpResponse{200, "targets"};
   });
   REQUIRE(balancer.Listen(
-      {kBalancers[1], fixture.network.ControlPort(kBalancers[1])},
+      {balancer_ips[1], fixture.network.ControlPort(balancer_ips[1])},
       &fixture.reason));
   const auto get = [&fixture](SocketAddress4 address,
                               Duration wait = kMaxWait) {
@@ -113,23 +116,23 @@
     }
     return body;
   };
-  const SocketAddress4 to_store{kStore, fixture.network.StorePort(kAgent)};
-  const SocketAddress4 to_balancer{kBalancers[1],
-                                   fixture.network.ControlPort(kBalancers[0])};
+  const SocketAddress4 to_store{store_ip, fixture.network.StorePort(agent_ip)};
+  const SocketAddress4 to_balancer{
+      balancer_ips[1], fixture.network.ControlPort(balancer_ips[0])};
   CHECK(get(to_store) == "stored");
   CHECK(get(to_balancer) == "targets");
   for (const TcpRelayMode mode :
        {TcpRelayMode::kSilent, TcpRelayMode::kReset}) {
-    fixture.network.SetStoreLinkMode(kAgent, mode);
+    fixture.network.SetStoreLinkMode(agent_ip, mode);
     CHECK(get(to_store, kShortWait).empty());
-    fixture.network.SetStoreLinkMode(kAgent, TcpRelayMode::kForward);
+    fixture.network.SetStoreLinkMode(agent_ip, TcpRelayMode::kForward);
     CHECK(get(to_store) == "stored");
   }
   LinkFault cut;
   cut.cut = true;
-  fixture.network.SetLinkFault(kBalancers[1], kBalancers[0], cut);
+  fixture.network.SetLinkFault(balancer_ips[1], balancer_ips[0], cut);
   CHECK(get(to_balancer, kShortWait).empty());
-  fixture.network.SetLinkFault(kBalancers[1], kBalancers[0], LinkFault());
+  fixture.network.SetLinkFault(balancer_ips[1], balancer_ips[0], LinkFault());
   CHECK(get(to_balancer) == "targets");
 }
 
