Feature: The soak kills balancers, or most processes, while the store is away

Two new faults: the store refuses or ignores calls for 3 to 11 s while seven of eight of all processes, or all balancers, are killed. Balancers then start without the store and, if the balancers that they know from their settings are down, without any other.

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -29,6 +29,10 @@
       {"kill all agents", &FaultInjector::KillAllAgents, 0.3},
       {"kill half of the processes", &FaultInjector::KillHalfOfProcesses, 0.4},
       {"kill seven of eight processes", &FaultInjector::KillMostProcesses, 0.4},
+      {"kill seven of eight processes, store away",
+       &FaultInjector::KillMostProcessesAndStore, 0.4},
+      {"kill all balancers, store away",
+       &FaultInjector::KillAllBalancersAndStore, 0.4},
       {"restart a balancer", &FaultInjector::RestartBalancer, 1},
       {"restart an agent", &FaultInjector::RestartAgent, 1},
       {"pause a balancer", &FaultInjector::PauseBalancer, 1},
@@ -180,6 +184,24 @@
   KillProcesses(0.875, [](const Daemon&) { return true; });
 }
 
+void FaultInjector::KillMostProcessesAndStore() {
+  KillMostProcesses();
+  TakeStoreAway();
+}
+
+void FaultInjector::KillAllBalancersAndStore() {
+  KillAllBalancers();
+  TakeStoreAway();
+}
+
+void FaultInjector::TakeStoreAway() {
+  const bool answers = m_random() % 2 == 0;
+  m_log.back() += answers ? " refusing" : " silent";
+  SetStoreFaultMode(
+      answers ? StoreFaultMode::kUnavailable : StoreFaultMode::kExecutesLate,
+      DrawDuration(3000, 11000));
+}
+
 void FaultInjector::RestartBalancer() {
   m_targets.processes->Restart(ChooseDaemon(false), DrawDuration(50, 600));
 }
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -88,6 +88,9 @@
   void SetStoreFaultMode(platform::standin::StoreFaultMode mode,
                          Duration duration);
 
+  /// Lets the store refuse or ignore calls for some seconds.
+  void TakeStoreAway();
+
   void KillBalancer();
   void KillAgent();
   void KillAllProcesses();
@@ -95,6 +98,8 @@
   void KillAllAgents();
   void KillHalfOfProcesses();
   void KillMostProcesses();
+  void KillMostProcessesAndStore();
+  void KillAllBalancersAndStore();
   void RestartBalancer();
   void RestartAgent();
   void PauseBalancer();
