Fix: A soak that was ended by a signal kept what it had found to itself

Faults, violations and counts were printed only at the planned end. The summary is now printed at SIGTERM and SIGINT, too. test/soak_signal_test.sh failed before and passes.

--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -362,7 +362,10 @@
   }
   m_loop.Run();
   if (m_received_signal != 0) {
-    std::cout << "soak ended by signal " << m_received_signal << '\n';
+    std::cout << "soak ended by signal " << m_received_signal
+              << ", checked until then:\n";
+    PrintSummary(false, m_checker.CountRequests(load_start, SteadyTime()),
+                 RequestCounts());
     return kSignalExitCodeBase + m_received_signal;
   }
   const bool clean_stop = m_processes.StopAll();
--- a/test/soak_signal_test.sh
+++ b/test/soak_signal_test.sh
@@ -38,6 +38,10 @@
   kill -"$signal" "$pid"
   wait "$pid" 2>/dev/null || true
   sleep 0.5
+  if [ "$signal" != KILL ] && ! grep -q '^soak seed=1 broken=' "$run/output"; then
+    echo "soak_signal_test.sh: no summary after SIG$signal" >&2
+    failed=1
+  fi
   left=$(running "$run" | wc -l)
   if [ "$left" -ne 0 ]; then
     echo "soak_signal_test.sh: $left processes are left after SIG$signal" >&2
