--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -173,12 +173,19 @@
                   DescribeFlow(flow));
 }
 
-void InvariantChecker::OnRequestEnded(TimePoint arrived_at, bool served) {
+void InvariantChecker::OnRequestEnded(TimePoint arrived_at,
+                                      bool served,
+                                      uint64_t request_id,
+                                      const FlowKey& flow) {
   RequestCounts& counts =
       m_counts[ToMilliseconds(arrived_at - m_started_at) / 1000];
   ++counts.asked;
   counts.served += served ? 1 : 0;
   counts.failed += served ? 0 : 1;
+  if (!served && counts.first_failure.empty()) {
+    counts.first_failure =
+        "request=" + std::to_string(request_id) + " " + DescribeFlow(flow);
+  }
 }
 
 void InvariantChecker::OnTargetWritten(TimePoint now, uint64_t revision) {
@@ -233,6 +240,8 @@
       sum.asked += counts.asked;
       sum.served += counts.served;
       sum.failed += counts.failed;
+      sum.first_failure =
+          sum.first_failure.empty() ? counts.first_failure : sum.first_failure;
     }
   }
   return sum;
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -18,9 +18,10 @@
 
 /// Numbers of requests by how they ended.
 struct RequestCounts {
-  uint64_t asked = 0;   ///< Requests that ended.
-  uint64_t served = 0;  ///< Requests with a successful answer.
-  uint64_t failed = 0;  ///< Requests without one.
+  uint64_t asked = 0;         ///< Requests that ended.
+  uint64_t served = 0;        ///< Requests with a successful answer.
+  uint64_t failed = 0;        ///< Requests without one.
+  std::string first_failure;  ///< Describes the first of the latter.
 };
 
 /// Receives the events of a run and records violations of the invariants that
@@ -60,8 +61,12 @@
   void OnFlowEnded(const FlowKey& flow);
   /// A caller received an answer that does not match its request.
   void OnWrongAnswer(const FlowKey& flow, uint64_t request_id);
-  /// A request that arrived at `arrived_at` has ended.
-  void OnRequestEnded(TimePoint arrived_at, bool served);
+  /// A request that arrived at `arrived_at` has ended. `flow` is that of its
+  /// last attempt.
+  void OnRequestEnded(TimePoint arrived_at,
+                      bool served,
+                      uint64_t request_id,
+                      const FlowKey& flow);
 
   /// The store has accepted a new target of the operators.
   void OnTargetWritten(TimePoint now, uint64_t revision);
--- a/soak/load_generator.cc
+++ b/soak/load_generator.cc
@@ -67,7 +67,7 @@
       return;
     }
     const uint64_t request_id = m_next_request_id++;
-    m_requests[request_id] = {class_index, SteadyTime(), 0};
+    m_requests[request_id] = {class_index, SteadyTime(), 0, {}};
     StartAttempt(request_id);
     const Duration caller_timeout = (*m_classes)[class_index].caller_timeout;
     m_loop->After(caller_timeout,
@@ -86,6 +86,7 @@
                       !flow.stream->HasPeerFinished() && now >= flow.idle_until;
     if (idle) {
       flow.request_id = request_id;
+      request.last_flow = key;
       SendRequest(&flow);
       return;
     }
@@ -94,6 +95,7 @@
   m_next_port = m_next_port == UINT16_MAX ? 1024 : m_next_port + 1;
   const FlowKey key{{m_ips[socket], static_cast<uint16_t>(m_next_port)},
                     (*m_classes)[request.class_index].route};
+  request.last_flow = key;
   Flow& flow = m_flows[key];
   flow.class_index = request.class_index;
   flow.socket = socket;
@@ -247,7 +249,8 @@
   if (entry == m_requests.end()) {
     return;
   }
-  m_checker->OnRequestEnded(entry->second.arrived_at, served);
+  m_checker->OnRequestEnded(entry->second.arrived_at, served, request_id,
+                            entry->second.last_flow);
   m_requests.erase(entry);
 }
 
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -41,6 +41,7 @@
     size_t class_index = 0;  ///< Index of its class.
     TimePoint arrived_at;    ///< Start of the first attempt.
     int attempts = 0;        ///< Attempts so far.
+    FlowKey last_flow;       ///< Flow of the last attempt.
   };
   struct Flow {
     size_t class_index = 0;         ///< Class of its requests.
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -378,7 +378,8 @@
   if (calm_counts.failed > 0 || calm_counts.asked == 0) {
     m_checker.ReportViolation("RECOVER " + std::to_string(calm_counts.failed) +
                               " of " + std::to_string(calm_counts.asked) +
-                              " requests failed after the recovery time");
+                              " requests failed after the recovery time, " +
+                              calm_counts.first_failure);
   }
   PrintSummary(clean_stop, m_checker.CountRequests(load_start, faults_end),
                calm_counts);
