Fix: Callers of the soak tried again on an open flow to the same busy server

On the platform each further attempt uses a new flow from a new port. The soak's callers used an idle flow if there was one. After a loss of most servers the idle flows of a class lead to few of them, so all three attempts could meet the same full queue.

A new flow takes a port that no other flow of the callers has.

--- a/soak/load_generator.cc
+++ b/soak/load_generator.cc
@@ -20,6 +20,7 @@
 constexpr Duration kOpeningTimeout = Milliseconds(1400);
 constexpr Duration kRetryDelay = Milliseconds(60);
 constexpr int kMaxAttempts = 3;
+constexpr uint32_t kFirstPort = 1024;
 constexpr int kStatusServed = 200;
 constexpr int kStatusNotExecuted = 503;
 
@@ -80,21 +81,23 @@
   Request& request = m_requests[request_id];
   ++request.attempts;
   const TimePoint now = SteadyTime();
-  for (auto& [key, flow] : m_flows) {
-    const bool idle = flow.class_index == request.class_index &&
-                      flow.request_id == 0 && flow.stream != nullptr &&
-                      !flow.stream->HasPeerFinished() && now >= flow.idle_until;
-    if (idle) {
-      flow.request_id = request_id;
-      request.last_flow = key;
-      SendRequest(&flow);
-      return;
-    }
+  // Each further attempt uses a new flow.
+  const auto idle =
+      request.attempts > 1
+          ? m_flows.end()
+          : std::find_if(m_flows.begin(), m_flows.end(),
+                         [&request, now](const FlowMap::value_type& entry) {
+                           return IsIdle(entry.second, request.class_index,
+                                         now);
+                         });
+  if (idle != m_flows.end()) {
+    idle->second.request_id = request_id;
+    request.last_flow = idle->first;
+    SendRequest(&idle->second);
+    return;
   }
   const size_t socket = m_random() % m_sockets.size();
-  m_next_port = m_next_port == UINT16_MAX ? 1024 : m_next_port + 1;
-  const FlowKey key{{m_ips[socket], static_cast<uint16_t>(m_next_port)},
-                    (*m_classes)[request.class_index].route};
+  const FlowKey key = ChooseFlowKey(socket, request.class_index);
   request.last_flow = key;
   Flow& flow = m_flows[key];
   flow.class_index = request.class_index;
@@ -105,6 +108,23 @@
   SendOpening(key, &flow);
 }
 
+bool LoadGenerator::IsIdle(const Flow& flow,
+                           size_t class_index,
+                           TimePoint now) {
+  return flow.class_index == class_index && flow.request_id == 0 &&
+         flow.stream != nullptr && !flow.stream->HasPeerFinished() &&
+         now >= flow.idle_until;
+}
+
+FlowKey LoadGenerator::ChooseFlowKey(size_t socket, size_t class_index) {
+  FlowKey key{{m_ips[socket], 0}, (*m_classes)[class_index].route};
+  do {
+    m_next_port = m_next_port == UINT16_MAX ? kFirstPort : m_next_port + 1;
+    key.caller.port = static_cast<uint16_t>(m_next_port);
+  } while (m_flows.count(key) > 0);
+  return key;
+}
+
 void LoadGenerator::SendOpening(const FlowKey& key, Flow* flow) {
   FlowPacket packet;
   packet.flow = key;
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -57,7 +57,12 @@
   using FlowMap = std::map<FlowKey, Flow>;
 
   void ScheduleArrival(size_t class_index);
-  /// Sends a request on an idle flow of its class, or opens a new flow.
+  /// Returns whether a flow can carry a request of a class now.
+  static bool IsIdle(const Flow& flow, size_t class_index, TimePoint now);
+  /// Returns a new flow's key, which no flow has now.
+  FlowKey ChooseFlowKey(size_t socket, size_t class_index);
+  /// Sends the first attempt of a request on an idle flow of its class, if
+  /// there is one; otherwise opens a new flow.
   void StartAttempt(uint64_t request_id);
   void SendOpening(const FlowKey& key, Flow* flow);
   void SendRequest(Flow* flow);
