Feature: After a loss of many processes in the soak, agents may be back before balancers

A third order of starts: agents after 0.2 to 2.5 s, balancers after 6 to 10 s. Agents that have forgotten the balancers then have run for longer than the time that excuses broken flows when the balancers come back one by one.

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -141,18 +141,23 @@
 void FaultInjector::KillProcesses(
     double probability,
     const std::function<bool(const Daemon&)>& filter) {
-  const bool start_together = m_random() % 2 == 0;
+  enum class Order : uint64_t { kTogether, kScattered, kAgentsFirst };
+  const auto order = static_cast<Order>(m_random() % 3);
   const Duration common_downtime = DrawDowntime();
-  m_log.back() +=
-      start_together
-          ? " for " + std::to_string(ToMilliseconds(common_downtime)) + " ms"
-          : "";
+  m_log.back() += order == Order::kTogether    ? ", back together"
+                  : order == Order::kScattered ? ", back one by one"
+                                               : ", agents back first";
   for (Daemon& daemon : m_targets.processes->Daemons()) {
-    if (filter(daemon) && std::bernoulli_distribution(probability)(m_random)) {
-      m_targets.processes->Kill(
-          &daemon, start_together ? common_downtime + DrawDuration(0, 300)
-                                  : DrawDowntime());
+    if (!filter(daemon) ||
+        !std::bernoulli_distribution(probability)(m_random)) {
+      continue;
     }
+    const Duration downtime = order == Order::kTogether
+                                  ? common_downtime + DrawDuration(0, 300)
+                              : order == Order::kScattered ? DrawDowntime()
+                              : daemon.is_agent ? DrawDuration(200, 2500)
+                                                : DrawDuration(6000, 10000);
+    m_targets.processes->Kill(&daemon, downtime);
   }
 }
 
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -64,8 +64,9 @@
   /// Draws how long a process that was killed stays down: often up to 2.5 s,
   /// at times up to 10 s.
   Duration DrawDowntime();
-  /// Kills each process with this probability. All start again nearly at once,
-  /// or each after a time of its own.
+  /// Kills each process that passes the filter with this probability. All start
+  /// again nearly at once, each after a time of its own, or the agents well
+  /// before the balancers.
   void KillProcesses(double probability,
                      const std::function<bool(const Daemon&)>& filter);
   /// Sets the fault of the way from one process to another; unless replaced by
