--- a/soak/load_generator.cc
+++ b/soak/load_generator.cc
@@ -1,6 +1,8 @@
 // @file load_generator.cc Requests of callers, their attempts and flows.
 #include "soak/load_generator.h"
 
+#include <algorithm>
+
 #include "platform/packet_header.h"
 #include "platform/standin/packet_writer.h"
 
@@ -18,6 +20,7 @@
 constexpr Duration kOpeningTimeout = Milliseconds(1400);
 constexpr Duration kRetryDelay = Milliseconds(60);
 constexpr int kMaxAttempts = 3;
+constexpr uint32_t kFirstPort = 1024;
 constexpr int kStatusServed = 200;
 constexpr int kStatusNotExecuted = 503;
 
@@ -47,6 +50,7 @@
 }
 
 void LoadGenerator::Start() {
+  m_next_arrivals.assign(m_classes->size(), SteadyTime());
   for (size_t i = 0; i < m_classes->size(); ++i) {
     ScheduleArrival(i);
   }
@@ -56,13 +60,15 @@
   const RequestClass& request_class = (*m_classes)[class_index];
   const double wait_s = std::exponential_distribution<>(
       request_class.arrivals_per_second)(m_random);
-  m_loop->After(Duration(static_cast<int64_t>(wait_s * 1e9)), [this,
-                                                               class_index] {
+  m_next_arrivals[class_index] += Duration(static_cast<int64_t>(wait_s * 1e9));
+  const Duration wait =
+      std::max(Duration(), m_next_arrivals[class_index] - SteadyTime());
+  m_loop->After(wait, [this, class_index] {
     if (!m_accepting_arrivals) {
       return;
     }
     const uint64_t request_id = m_next_request_id++;
-    m_requests[request_id] = {class_index, SteadyTime(), 0};
+    m_requests[request_id] = {class_index, SteadyTime(), 0, {}};
     StartAttempt(request_id);
     const Duration caller_timeout = (*m_classes)[class_index].caller_timeout;
     m_loop->After(caller_timeout,
@@ -75,20 +81,24 @@
   Request& request = m_requests[request_id];
   ++request.attempts;
   const TimePoint now = SteadyTime();
-  for (auto& [key, flow] : m_flows) {
-    const bool idle = flow.class_index == request.class_index &&
-                      flow.request_id == 0 && flow.stream != nullptr &&
-                      !flow.stream->HasPeerFinished() && now >= flow.idle_until;
-    if (idle) {
-      flow.request_id = request_id;
-      SendRequest(&flow);
-      return;
-    }
+  // Each further attempt uses a new flow.
+  const auto idle =
+      request.attempts > 1
+          ? m_flows.end()
+          : std::find_if(m_flows.begin(), m_flows.end(),
+                         [&request, now](const FlowMap::value_type& entry) {
+                           return IsIdle(entry.second, request.class_index,
+                                         now);
+                         });
+  if (idle != m_flows.end()) {
+    idle->second.request_id = request_id;
+    request.last_flow = idle->first;
+    SendRequest(&idle->second);
+    return;
   }
   const size_t socket = m_random() % m_sockets.size();
-  m_next_port = m_next_port == UINT16_MAX ? 1024 : m_next_port + 1;
-  const FlowKey key{{m_ips[socket], static_cast<uint16_t>(m_next_port)},
-                    (*m_classes)[request.class_index].route};
+  const FlowKey key = ChooseFlowKey(socket, request.class_index);
+  request.last_flow = key;
   Flow& flow = m_flows[key];
   flow.class_index = request.class_index;
   flow.socket = socket;
@@ -98,6 +108,23 @@
   SendOpening(key, &flow);
 }
 
+bool LoadGenerator::IsIdle(const Flow& flow,
+                           size_t class_index,
+                           TimePoint now) {
+  return flow.class_index == class_index && flow.request_id == 0 &&
+         flow.stream != nullptr && !flow.stream->HasPeerFinished() &&
+         now >= flow.idle_until;
+}
+
+FlowKey LoadGenerator::ChooseFlowKey(size_t socket, size_t class_index) {
+  FlowKey key{{m_ips[socket], 0}, (*m_classes)[class_index].route};
+  do {
+    m_next_port = m_next_port == UINT16_MAX ? kFirstPort : m_next_port + 1;
+    key.caller.port = static_cast<uint16_t>(m_next_port);
+  } while (m_flows.count(key) > 0);
+  return key;
+}
+
 void LoadGenerator::SendOpening(const FlowKey& key, Flow* flow) {
   FlowPacket packet;
   packet.flow = key;
@@ -128,7 +155,9 @@
   }
 }
 
-void LoadGenerator::OnDatagram(size_t socket, ByteSpan datagram) {
+void LoadGenerator::OnDatagram(size_t socket,
+                               SocketAddress4 from,
+                               ByteSpan datagram) {
   const ByteView view(datagram.data, datagram.size);
   const std::optional<FlowPacket> packet = platform::ReadPacket(view, false);
   if (!packet.has_value()) {
@@ -145,7 +174,7 @@
         !flow.stream->AcceptsReset(packet->sequence)) {
       return;
     }
-    OnReset(entry, !platform::standin::HasValidChecksum(view));
+    OnReset(entry, from, !platform::standin::HasValidChecksum(view));
     return;
   }
   if (!platform::standin::HasValidChecksum(view)) {
@@ -180,11 +209,13 @@
   }
 }
 
-void LoadGenerator::OnReset(FlowMap::iterator entry, bool is_synthetic) {
+void LoadGenerator::OnReset(FlowMap::iterator entry,
+                            SocketAddress4 from,
+                            bool is_synthetic) {
   const uint64_t request_id = entry->second.request_id;
   const bool was_open = entry->second.stream != nullptr;
   if (was_open && is_synthetic) {
-    m_checker->OnFlowReset(entry->first);
+    m_checker->OnFlowReset(entry->first, from.ip);
   }
   m_checker->OnFlowEnded(entry->first);
   m_flows.erase(entry);
@@ -238,7 +269,8 @@
   if (entry == m_requests.end()) {
     return;
   }
-  m_checker->OnRequestEnded(entry->second.arrived_at, served);
+  m_checker->OnRequestEnded(entry->second.arrived_at, served, request_id,
+                            entry->second.last_flow);
   m_requests.erase(entry);
 }
 
@@ -252,8 +284,8 @@
 
 void LoadGenerator::Tick() {
   for (size_t i = 0; i < m_sockets.size(); ++i) {
-    m_sockets[i]->Receive([this, i](SocketAddress4, ByteSpan datagram) {
-      OnDatagram(i, datagram);
+    m_sockets[i]->Receive([this, i](SocketAddress4 from, ByteSpan datagram) {
+      OnDatagram(i, from, datagram);
     });
   }
   const TimePoint now = SteadyTime();
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -41,6 +41,7 @@
     size_t class_index = 0;  ///< Index of its class.
     TimePoint arrived_at;    ///< Start of the first attempt.
     int attempts = 0;        ///< Attempts so far.
+    FlowKey last_flow;       ///< Flow of the last attempt.
   };
   struct Flow {
     size_t class_index = 0;         ///< Class of its requests.
@@ -56,7 +57,12 @@
   using FlowMap = std::map<FlowKey, Flow>;
 
   void ScheduleArrival(size_t class_index);
-  /// Sends a request on an idle flow of its class, or opens a new flow.
+  /// Returns whether a flow can carry a request of a class now.
+  static bool IsIdle(const Flow& flow, size_t class_index, TimePoint now);
+  /// Returns a new flow's key, which no flow has now.
+  FlowKey ChooseFlowKey(size_t socket, size_t class_index);
+  /// Sends the first attempt of a request on an idle flow of its class, if
+  /// there is one; otherwise opens a new flow.
   void StartAttempt(uint64_t request_id);
   void SendOpening(const FlowKey& key, Flow* flow);
   void SendRequest(Flow* flow);
@@ -64,10 +70,10 @@
             const FlowPacket& packet,
             std::string_view data,
             size_t socket);
-  void OnDatagram(size_t socket, ByteSpan datagram);
+  void OnDatagram(size_t socket, SocketAddress4 from, ByteSpan datagram);
   /// Handles a reset. `is_synthetic` tells whether an agent or a balancer made
   /// it instead of a server.
-  void OnReset(FlowMap::iterator entry, bool is_synthetic);
+  void OnReset(FlowMap::iterator entry, SocketAddress4 from, bool is_synthetic);
   void OnAnswer(FlowMap::iterator entry,
                 const platform::standin::WorkAnswer& answer);
   /// Retries a request after a pause, or ends it if it has no attempts left or
@@ -90,6 +96,7 @@
   uint64_t m_next_request_id = 1;          ///< Id of the next request.
   uint32_t m_next_port = 1024;             ///< Port of the latest flow.
   bool m_accepting_arrivals = true;        ///< See Stop.
+  std::vector<TimePoint> m_next_arrivals;  ///< Next request of each class.
 };
 
 }  // namespace medlargauge::soak
--- a/soak/process_supervisor.cc
+++ b/soak/process_supervisor.cc
@@ -2,11 +2,13 @@
 #include "soak/process_supervisor.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <climits>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -76,8 +78,22 @@
   if (daemon->pid != 0) {
     return;
   }
+  // Until it runs the program, the child has the handlers of the soak, which
+  // would report its signals to the loop of the soak.
+  sigset_t handled{};
+  sigset_t previous{};
+  sigemptyset(&handled);
+  sigaddset(&handled, SIGTERM);
+  sigaddset(&handled, SIGINT);
+  sigprocmask(SIG_BLOCK, &handled, &previous);
   const pid_t pid = fork();
   if (pid == 0) {
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGINT, SIG_DFL);
+    sigprocmask(SIG_SETMASK, &previous, nullptr);
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // A connection does not end while another process holds it.
+    close_range(STDERR_FILENO + 1, UINT_MAX, 0);
     const int log_fd =
         open(daemon->log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log_fd, STDOUT_FILENO);
@@ -86,10 +102,12 @@
     execl(m_program.c_str(), m_program.c_str(), nullptr);
     _exit(127);
   }
+  sigprocmask(SIG_SETMASK, &previous, nullptr);
   if (pid < 0) {
     m_report("process " + daemon->name + " cannot be started: fork failed");
     return;
   }
+  std::ofstream(m_directory + "/pids", std::ios::app) << pid << '\n';
   daemon->pid = pid;
   daemon->paused = false;
   daemon->stopping = false;
@@ -104,7 +122,7 @@
   kill(daemon->pid, SIGKILL);
   waitpid(daemon->pid, nullptr, 0);
   daemon->pid = 0;
-  daemon->fault_ends_at = SteadyTime() + downtime;
+  MarkFault(daemon, downtime);
   m_loop->After(downtime, [this, daemon] { Start(daemon); });
 }
 
@@ -125,7 +143,7 @@
   const pid_t pid = daemon->pid;
   kill(pid, SIGSTOP);
   daemon->paused = true;
-  daemon->fault_ends_at = SteadyTime() + duration;
+  MarkFault(daemon, duration);
   m_loop->After(duration, [daemon, pid] {
     if (daemon->pid == pid) {
       kill(pid, SIGCONT);
@@ -134,6 +152,17 @@
   });
 }
 
+void ProcessSupervisor::MarkFault(Daemon* daemon, Duration duration) {
+  daemon->fault_ends_at =
+      std::max(daemon->fault_ends_at, SteadyTime() + duration);
+}
+
+void ProcessSupervisor::MarkIsolation(Daemon* daemon, Duration duration) {
+  MarkFault(daemon, duration);
+  daemon->isolation_ends_at =
+      std::max(daemon->isolation_ends_at, SteadyTime() + duration);
+}
+
 void ProcessSupervisor::SendSignal(Daemon* daemon, int signal) {
   if (daemon->pid != 0) {
     kill(daemon->pid, signal);
@@ -160,11 +189,17 @@
   daemon->pid = 0;
   const bool exited_cleanly = WIFEXITED(status) && WEXITSTATUS(status) == 0;
   const bool in_time =
+      !daemon->stopping ||
       SteadyTime() - daemon->stop_requested_at <= kStopGracePeriod;
   if (!daemon->stopping || !exited_cleanly || !in_time) {
     m_report("process " + daemon->name + " ended" +
              (daemon->stopping ? " on request" : " unexpectedly") +
-             ", status " + std::to_string(status) +
+             (WIFSIGNALED(status)
+                  ? ", signal " + std::to_string(WTERMSIG(status))
+                  : ", exit code " + std::to_string(WEXITSTATUS(status))) +
+             ", " +
+             std::to_string(ToMilliseconds(SteadyTime() - daemon->started_at)) +
+             " ms after its start" +
              (in_time ? "" : ", after the grace period"));
   }
   const auto restart =
@@ -187,6 +222,10 @@
   }
 }
 
+uint64_t ProcessSupervisor::OwnPeakMemoryKb() {
+  return ReadPeakMemoryKb(getpid());
+}
+
 uint64_t ProcessSupervisor::CpuTimeMs() const {
   rusage usage{};
   getrusage(RUSAGE_CHILDREN, &usage);
--- a/soak/process_supervisor.h
+++ b/soak/process_supervisor.h
@@ -26,7 +26,8 @@
   bool stopping = false;        ///< SIGTERM was sent for a planned stop.
   TimePoint started_at;         ///< Last start.
   TimePoint stop_requested_at;  ///< When SIGTERM was sent.
-  TimePoint fault_ends_at;      ///< End of the last injected kill or pause.
+  TimePoint fault_ends_at;      ///< End of the injected faults so far.
+  TimePoint isolation_ends_at;  ///< End of the last fault of all its links.
   uint64_t start_count = 0;     ///< Number of starts so far.
 };
 
@@ -44,7 +45,8 @@
                     std::string program,
                     std::string directory,
                     ReportHook report);
-  /// Kills the processes that still run.
+  /// Kills the processes that still run. They are also killed if the thread
+  /// that started them ends without this call.
   ~ProcessSupervisor();
 
   /// Adds a process without starting it, and writes its settings to the
@@ -54,7 +56,8 @@
            bool is_agent,
            const std::string& settings);
 
-  /// Starts a process unless it is running.
+  /// Starts a process unless it is running, and appends its process id to the
+  /// file "pids" in the directory.
   void Start(Daemon* daemon);
   /// Kills a process without warning and starts it again after `downtime`. No
   /// effect unless it is running.
@@ -65,6 +68,10 @@
   /// Suspends a process for `duration`. No effect unless it is running, not
   /// paused and not stopping.
   void Pause(Daemon* daemon, Duration duration);
+  /// Records a fault of the network of a process that lasts for `duration`.
+  static void MarkFault(Daemon* daemon, Duration duration);
+  /// Likewise, for a fault of all links of the process.
+  static void MarkIsolation(Daemon* daemon, Duration duration);
   /// Sends a signal to a process, if it is running.
   void SendSignal(Daemon* daemon, int signal);
   /// Stops all processes as planned and waits for them, at most the grace
@@ -79,6 +86,8 @@
   Daemon* FindByIp(uint32_t ip);
   /// Returns the largest resident memory of any process so far, in KB.
   uint64_t PeakMemoryKb() const { return m_peak_memory_kb; }
+  /// Returns the largest resident memory of this process so far, in KB.
+  static uint64_t OwnPeakMemoryKb();
   /// Returns the CPU time of all child processes that were reaped, in ms.
   uint64_t CpuTimeMs() const;
 
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -3,12 +3,14 @@
 #include <gflags/gflags.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "soak/fault_injector.h"
 #include "soak/load_generator.h"
+#include "soak/process_network.h"
 #include "src/core/error.h"
 
 DEFINE_uint64(seed, 1, "seed of the faults and the load");
@@ -18,6 +20,10 @@
 DEFINE_uint32(media_servers, 3, "number of servers of the service \"media\"");
 DEFINE_double(load, 1.0, "factor on the arrival rates");
 DEFINE_bool(calm, false, "inject no faults");
+DEFINE_bool(relays,
+            true,
+            "connect the daemons through relays, which the faults between two "
+            "daemons need; takes two sockets for each two linked daemons");
 DEFINE_bool(verbose, false, "also print the injected faults");
 DEFINE_string(program, "build/medlargauged-platform", "path of the daemon");
 DEFINE_string(directory,
@@ -35,16 +41,21 @@
 constexpr char kTargetKey[] = "op/config";
 constexpr uint32_t kDomains = 3;
 constexpr uint32_t kCallerHosts = 4;
+/// The host's number is the last octet of its address.
+constexpr uint32_t kMaxHostsOfRole = 250;
 /// Time from the start of the daemons until the load and the faults start.
 constexpr Duration kWarmup = Seconds(4);
 /// Time from the first start of the daemons until all must be ready.
 constexpr Duration kStartupTime = Milliseconds(1500);
+constexpr Duration kExcuseSampleInterval = Milliseconds(500);
 constexpr Duration kTargetPollInterval = Milliseconds(250);
 constexpr Duration kTargetPollTimeout = Milliseconds(200);
 /// Time after the recovery in which no request may fail.
 constexpr Duration kCalmTime = Seconds(6);
 /// Wait for the last answers; as long as the longest timeout of callers.
 constexpr Duration kFinalAnswerTime = Seconds(4);
+/// Exit code of a run ended by a signal, less the signal's number.
+constexpr int kSignalExitCodeBase = 128;
 constexpr uint16_t kRouteFirstPort = 8440;
 constexpr uint32_t kRouteIp = 0xC6120001;  ///< 198.18.0.1
 constexpr uint32_t kExtraRoutes = 5;
@@ -63,6 +74,13 @@
   return classes;
 }
 
+/// Returns whether each process can get an address of its own.
+bool AreCountsValid() {
+  const uint64_t servers = uint64_t{FLAGS_stock_servers} + FLAGS_media_servers;
+  return FLAGS_balancers >= 1 && FLAGS_balancers <= kMaxHostsOfRole &&
+         servers >= 1 && servers <= kMaxHostsOfRole;
+}
+
 std::string DomainName(uint32_t index) {
   return std::string(1, static_cast<char>('a' + index % kDomains));
 }
@@ -79,7 +97,8 @@
                       m_checker.ReportViolation("PROCESS " + text);
                     }),
         m_checker(&m_classes, &m_processes),
-        m_store(&m_loop) {}
+        m_store(&m_loop),
+        m_network(&m_loop, FLAGS_relays, FLAGS_seed) {}
 
   bool SetUp(Error* reason);
   int Run();
@@ -108,12 +127,14 @@
   ProcessSupervisor m_processes;
   InvariantChecker m_checker;
   StoreStandin m_store;
+  ProcessNetwork m_network;
   std::unique_ptr<RouterStandin> m_router;
   std::unique_ptr<LoadGenerator> m_load_generator;
   std::unique_ptr<FaultInjector> m_fault_injector;
   std::vector<std::unique_ptr<ServerStandin>> m_servers;
   std::vector<std::unique_ptr<HttpClient>> m_target_clients;
   uint64_t m_target_version = 0;
+  int m_received_signal = 0;  ///< Signal that ends the run; 0: none.
 };
 
 bool Soak::ChooseAddresses(Error* reason) {
@@ -136,17 +157,18 @@
   const std::string host_prefix = FormatIp(ip) + ":";
   json seeds = json::array();
   for (uint32_t i = 0; i < std::min(FLAGS_balancers, 2U); ++i) {
-    seeds.push_back(FormatIp(m_addresses.BalancerIp(i)) + ":" +
-                    std::to_string(kControlPort));
+    const uint32_t seed_ip = m_addresses.BalancerIp(i);
+    seeds.push_back(FormatAddress({seed_ip, m_network.ControlPort(seed_ip)}));
   }
   return json({{"name", name},
                {"role", "balancer"},
                {"failure_domain", domain},
                {"data_address", host_prefix + std::to_string(kPacketPort)},
-               {"control_address", host_prefix + std::to_string(kControlPort)},
+               {"control_address",
+                host_prefix + std::to_string(m_network.ControlPort(ip))},
                {"admin_address", host_prefix + std::to_string(kAdminPort)},
-               {"store_address", FormatIp(m_addresses.StoreIp()) + ":" +
-                                     std::to_string(kStorePort)},
+               {"store_address", FormatAddress({m_addresses.StoreIp(),
+                                                m_network.StorePort(ip)})},
                {"stop_grace_ms", ToMilliseconds(kStopGracePeriod)},
                {"seeds", seeds}})
       .dump(2);
@@ -183,8 +205,9 @@
   hooks.on_flow_accepted = [this](const FlowKey& flow, bool left) {
     m_checker.OnFlowAccepted(flow, left);
   };
-  hooks.on_packet = [this, index](const FlowKey& flow, bool held) {
-    m_checker.OnCallerPacket(m_servers[index].get(), flow, held);
+  hooks.on_packet = [this, index](const FlowKey& flow, bool held,
+                                  uint32_t balancer_ip) {
+    m_checker.OnCallerPacket(m_servers[index].get(), flow, held, balancer_ip);
   };
   hooks.on_request_started = [this, index](const FlowKey& flow,
                                            uint64_t request) {
@@ -199,6 +222,16 @@
   if (!ChooseAddresses(reason)) {
     return false;
   }
+  const uint32_t server_count = FLAGS_stock_servers + FLAGS_media_servers;
+  for (uint32_t i = 0; i < FLAGS_balancers; ++i) {
+    m_network.Add(m_addresses.BalancerIp(i), false);
+  }
+  for (uint32_t i = 0; i < server_count; ++i) {
+    m_network.Add(m_addresses.AgentIp(i), true);
+  }
+  if (!m_network.Start({m_addresses.StoreIp(), kStorePort}, reason)) {
+    return false;
+  }
   std::vector<uint32_t> balancers;
   for (uint32_t i = 0; i < FLAGS_balancers; ++i) {
     const uint32_t ip = m_addresses.BalancerIp(i);
@@ -206,9 +239,8 @@
     m_processes.Add(name, ip, false, BalancerSettings(name, ip, DomainName(i)));
     balancers.push_back(ip);
     m_target_clients.push_back(std::make_unique<HttpClient>(
-        &m_loop, SocketAddress4{ip, kControlPort}));
+        &m_loop, SocketAddress4{ip, m_network.ControlPort(ip)}));
   }
-  const uint32_t server_count = FLAGS_stock_servers + FLAGS_media_servers;
   for (uint32_t i = 0; i < server_count; ++i) {
     const bool is_stock = i < FLAGS_stock_servers;
     if (!AddAgentAndServer(i, is_stock ? "stock" : "media", reason)) {
@@ -228,6 +260,7 @@
   targets.processes = &m_processes;
   targets.store = &m_store;
   targets.router = m_router.get();
+  targets.network = &m_network;
   targets.checker = &m_checker;
   targets.servers = &m_servers;
   targets.write_target = [this] { WriteTarget(); };
@@ -297,6 +330,13 @@
   const TimePoint calm_start =
       FLAGS_calm ? load_start : faults_end + kRecoveryTime;
   const TimePoint calm_end = (FLAGS_calm ? faults_end : calm_start + kCalmTime);
+  m_loop.Every(kExcuseSampleInterval, [this, load_start, faults_end] {
+    for (const auto& server : m_servers) {
+      if (SteadyTime() >= load_start && SteadyTime() < faults_end) {
+        m_checker.SampleExcuse(*server);
+      }
+    }
+  });
   const TimePoint startup_end = SteadyTime() + kStartupTime;
   m_router->SetCheckFailedHook([this, startup_end, calm_start](uint32_t ip) {
     const TimePoint now = SteadyTime();
@@ -314,7 +354,20 @@
   m_loop.After(calm_end - SteadyTime(), [this] { m_load_generator->Stop(); });
   m_loop.After(calm_end + kFinalAnswerTime - SteadyTime(),
                [this] { m_loop.Stop(); });
+  for (const int signal : {SIGTERM, SIGINT}) {
+    m_loop.OnSignal(signal, [this, signal] {
+      m_received_signal = signal;
+      m_loop.Stop();
+    });
+  }
   m_loop.Run();
+  if (m_received_signal != 0) {
+    std::cout << "soak ended by signal " << m_received_signal
+              << ", checked until then:\n";
+    PrintSummary(false, m_checker.CountRequests(load_start, SteadyTime()),
+                 RequestCounts());
+    return kSignalExitCodeBase + m_received_signal;
+  }
   const bool clean_stop = m_processes.StopAll();
   if (!clean_stop) {
     m_checker.ReportViolation(
@@ -325,7 +378,8 @@
   if (calm_counts.failed > 0 || calm_counts.asked == 0) {
     m_checker.ReportViolation("RECOVER " + std::to_string(calm_counts.failed) +
                               " of " + std::to_string(calm_counts.asked) +
-                              " requests failed after the recovery time");
+                              " requests failed after the recovery time, " +
+                              calm_counts.first_failure);
   }
   PrintSummary(clean_stop, m_checker.CountRequests(load_start, faults_end),
                calm_counts);
@@ -349,10 +403,13 @@
             << " asked=" << fault_counts.asked
             << " served=" << fault_counts.served
             << " failed=" << fault_counts.failed
+            << " excused_percent=" << m_checker.ExcusedPercent()
+            << " excused_resets=" << m_checker.ExcusedResets()
             << " calm_asked=" << calm_counts.asked
             << " calm_failed=" << calm_counts.failed
             << " clean_stop=" << clean_stop
             << " peak_kb=" << m_processes.PeakMemoryKb()
+            << " own_kb=" << ProcessSupervisor::OwnPeakMemoryKb()
             << " processor_ms=" << m_processes.CpuTimeMs()
             << " store_calls=" << m_store.Calls() << " logs=" << FLAGS_directory
             << '\n';
@@ -372,6 +429,14 @@
   }
   std::error_code failure;
   std::filesystem::create_directories(FLAGS_directory, failure);
+  if (!medlargauge::soak::AreCountsValid()) {
+    std::cerr
+        << "medlargauge-soak: --balancers, and the sum of --stock_servers "
+           "and --media_servers, must be from 1 to "
+        << medlargauge::soak::kMaxHostsOfRole << '\n';
+    return medlargauge::Describe(medlargauge::ErrorKind::kMalformedValue)
+        .exit_code;
+  }
   medlargauge::soak::Soak soak;
   medlargauge::Error reason;
   if (failure || !soak.SetUp(&reason)) {
