Feature: Agents keep the targets for balancers that start without the store

What callers saw: all balancers killed while the store was silent: no answer until the store was back, although all servers and their agents were alive. Only balancers held the targets.

Agents now keep the newest targets, undecoded, tell the revision in their statuses and serve them like balancers. A balancer fetches from any member with a newer revision; it goes on to ask the store, and a lower revision never replaces a higher one.

--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -63,6 +63,7 @@
       m_peer_address(*ParseAddress4(settings.control_address)),
       m_members(m_self.id, MembershipTimeouts()),
       m_status_schedule(role, kTickInterval, m_self.id.value),
+      m_target_keeper(m_self.id, TargetKeeperLimits()),
       m_target_reader(SteadyTime(), m_self.id.value, TargetReaderLimits()),
       m_http_server(loop,
                     [this](const HttpRequest& request) {
@@ -150,11 +151,11 @@
                              now - m_balancer_heard_at >= kForgottenTime;
     m_next_registration = was_cut_off ? now : m_next_registration;
     m_balancer_heard_at = now;
-    const bool is_behind = m_self.role == MemberRole::kBalancer &&
-                           sender->member.revision > m_routes.Revision();
-    if (is_behind) {
-      FetchTargetsFromPeer(from.ip);
-    }
+  }
+  const bool is_behind = m_self.role == MemberRole::kBalancer &&
+                         sender->member.revision > m_routes.Revision();
+  if (is_behind) {
+    FetchTargetsFromPeer(from.ip);
   }
   if (is_new || status.wants_members()) {
     SendMemberList(now, from.ip, sender->member.role, status.wants_members());
@@ -182,7 +183,7 @@
 
 proto::PeerStatus FleetNode::MakeStatus(TimePoint now) {
   m_hooks.update_self(now, &m_self);
-  m_self.revision = m_routes.Revision();
+  m_self.revision = m_stored_targets.revision;
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(now, m_self);
   status.set_sequence(++m_status_sequence);
@@ -244,6 +245,8 @@
   }
   if (m_self.role == MemberRole::kBalancer) {
     ReadTargets(now);
+  } else {
+    KeepTargets(now);
   }
 }
 
@@ -281,7 +284,10 @@
   stats.Set(Stat::members_heard,
             m_members.CountReachable(now, MemberRole::kBalancer) +
                 m_members.CountReachable(now, MemberRole::kAgent));
-  stats.Set(Stat::target_revision, m_routes.Revision());
+  stats.Set(Stat::target_revision, m_stored_targets.revision);
+  stats.Set(Stat::target_bytes, m_stored_targets.value.size());
+  stats.Set(Stat::target_fetches, m_target_fetches);
+  stats.Set(Stat::targets_served, m_targets_served);
   stats.Set(Stat::store_calls, m_store_calls);
   stats.Set(Latency::store_call_ms, m_store_latency);
   if (m_target_reader.LastStoreContact() != TimePoint()) {
@@ -305,6 +311,7 @@
       request.path == kTargetsPath && m_stored_targets.revision != 0;
   response.status = has_targets ? 200 : 404;
   if (has_targets) {
+    ++m_targets_served;
     response.body = std::to_string(m_stored_targets.revision) + "\n" +
                     m_stored_targets.value;
   }
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -12,6 +12,7 @@
 #include "src/forwarding/active_routes.h"
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/status_schedule.h"
+#include "src/forwarding/target_keeper.h"
 #include "src/forwarding/target_reader.h"
 #include "src/runtime/event_loop.h"
 #include "src/runtime/http.h"
@@ -83,7 +84,7 @@
   const FleetMember& Self() const { return m_self; }
 
  private:
-  /// URL path at which other balancers fetch the targets in force.
+  /// URL path at which other members fetch the newest targets.
   static constexpr std::string_view kTargetsPath = "/targets";
 
   void OnDatagram(SocketAddress4 from, ByteSpan datagram);
@@ -121,11 +122,16 @@
   /// Puts targets in force if they are valid and newer, and broadcasts that.
   /// @param source where they come from, for the log
   void ApplyTargets(const StoredTargets& targets, std::string_view source);
-  /// Requests the targets from another balancer unless a request is in flight.
+  /// Keeps targets for balancers that start, without putting them in force, if
+  /// this agent is one of those that do so.
+  void KeepTargets(TimePoint now);
+  /// Replaces the kept targets if these are newer.
+  void StoreTargets(const StoredTargets& targets);
+  /// Requests the targets from another member unless a request is in flight.
   void FetchTargetsFromPeer(uint32_t ip);
   /// Logs when the store becomes unreachable or reachable again.
   void LogStoreTransition(StoreResult result, std::string_view call);
-  /// Serves the metrics, and the targets for other balancers.
+  /// Serves the metrics, and the targets for other members.
   HttpResponse HandleHttpRequest(const HttpRequest& request);
   std::string RenderStats();
 
@@ -138,11 +144,13 @@
   MembershipTable m_members;         ///< All other members.
   StatusSchedule m_status_schedule;  ///< When to broadcast the own status.
   ActiveRoutes m_routes;             ///< Routes in force.
-  StoredTargets m_stored_targets;    ///< Their encoded form, for peers.
-  TargetReader m_target_reader;      ///< Decides when to read the targets.
-  UdpSocket m_peer_socket;           ///< Datagrams between processes.
-  PeerFrameWriter m_frame_writer;    ///< Builds datagrams.
-  HttpServer m_http_server;          ///< Serves metrics and targets.
+  /// Newest targets in encoded form, for peers; those in force at a balancer.
+  StoredTargets m_stored_targets;
+  TargetKeeper m_target_keeper;    ///< Agents: when to fetch the targets.
+  TargetReader m_target_reader;    ///< Decides when to read the targets.
+  UdpSocket m_peer_socket;         ///< Datagrams between processes.
+  PeerFrameWriter m_frame_writer;  ///< Builds datagrams.
+  HttpServer m_http_server;        ///< Serves metrics and targets.
   /// Fetches the targets from the peer that was asked last; null before.
   std::unique_ptr<HttpClient> m_target_client;
   uint32_t m_status_sequence = 0;  ///< Sequence number of the last status.
@@ -154,6 +162,8 @@
   bool m_store_unreachable = false;  ///< The last call to the store failed.
   LatencyHistogram m_store_latency;  ///< Of reads, not of watches.
   uint64_t m_store_calls = 0;        ///< Calls to the store since the start.
+  uint64_t m_target_fetches = 0;     ///< Requests for targets since the start.
+  uint64_t m_targets_served = 0;     ///< Answers with targets since the start.
   TimePoint m_next_member_request;   ///< When RequestMembers is due.
   /// Consecutive requests to the seeds while no balancer was reachable.
   uint32_t m_join_attempts = 0;
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -225,12 +225,36 @@
   BroadcastStatus();
 }
 
+void FleetNode::KeepTargets(TimePoint now) {
+  if (!m_target_keeper.IsKeeper(m_members)) {
+    m_stored_targets = StoredTargets();
+    return;
+  }
+  const std::optional<MemberId> balancer =
+      m_target_keeper.Next(now, m_members, m_stored_targets.revision);
+  if (balancer.has_value()) {
+    FetchTargetsFromPeer(m_members.Find(*balancer)->member.ip);
+  }
+}
+
+void FleetNode::StoreTargets(const StoredTargets& targets) {
+  if (targets.revision <= m_stored_targets.revision) {
+    return;
+  }
+  EventLine(Severity::kInfo, "targets_kept")
+      .With("revision", targets.revision)
+      .With("before", m_stored_targets.revision)
+      .With("bytes", targets.value.size());
+  m_stored_targets = targets;
+}
+
 void FleetNode::FetchTargetsFromPeer(uint32_t ip) {
   if (m_target_client != nullptr && m_target_client->IsBusy()) {
     return;
   }
   m_target_client = std::make_unique<HttpClient>(
       m_loop, SocketAddress4{ip, m_peer_address.port});
+  ++m_target_fetches;
   m_target_client->Send(
       "GET", std::string(kTargetsPath), "", kTargetFetchTimeout,
       [this, ip](const HttpResponse& response) {
@@ -248,7 +272,11 @@
           return;
         }
         targets.value.assign(number.ptr + 1, end);
-        ApplyTargets(targets, "peer");
+        if (m_self.role == MemberRole::kBalancer) {
+          ApplyTargets(targets, "peer");
+        } else {
+          StoreTargets(targets);
+        }
       });
 }
 
