Feature: The load that fetched targets put on one process is bounded

Cause: nothing limited how many members ask one process at a time. At 1,800 balancers, all that start together hear the same agent first: 1,800 times 180 KB. A balancer whose request was refused or lost waited for the next status with a newer revision.

A process serves at most 2 MB of targets a second and answers further requests with 503. A balancer whose fetch failed asks again after 0.3 s, a member chosen by hash among those that have the newest targets.

Evidence: "a balancer whose request for targets was refused asks no more" failed before (no targets after 1.1 s).

--- a/src/forwarding/target_keeper.cc
+++ b/src/forwarding/target_keeper.cc
@@ -1,8 +1,7 @@
-// @file target_keeper.cc Spread of the agents' fetches over time and balancers.
+// @file target_keeper.cc Spread of the fetches of targets over time and
+// members.
 #include "src/forwarding/target_keeper.h"
 
-#include <algorithm>
-
 #include "src/core/hash.h"
 
 namespace medlargauge {
@@ -15,6 +14,31 @@
 
 }  // namespace
 
+std::optional<MemberId> ChooseTargetSource(TimePoint now,
+                                           const MembershipTable& members,
+                                           MemberId self,
+                                           uint64_t held,
+                                           uint64_t attempt) {
+  std::optional<MemberId> chosen;
+  uint64_t newest = held;
+  uint64_t lowest_hash = 0;
+  for (const auto& [id, entry] : members.Entries()) {
+    const uint64_t revision = entry.member.revision;
+    if (revision <= held || revision < newest ||
+        !members.IsReachable(now, entry)) {
+      continue;
+    }
+    const uint64_t hash =
+        MixHash(MixHash(self.value, revision + attempt), id.value);
+    if (revision > newest || hash < lowest_hash) {
+      chosen = id;
+      newest = revision;
+      lowest_hash = hash;
+    }
+  }
+  return chosen;
+}
+
 bool TargetKeeper::IsKeeper(const MembershipTable& members) const {
   const size_t agents =
       members.FleetSize(MemberRole::kAgent) + 1 - members.Entries().size();
@@ -26,38 +50,23 @@
 std::optional<MemberId> TargetKeeper::Next(TimePoint now,
                                            const MembershipTable& members,
                                            uint64_t held) {
-  uint64_t newest = held;
-  for (const auto& [id, entry] : members.Entries()) {
-    if (members.IsReachable(now, entry)) {
-      newest = std::max(newest, entry.member.revision);
-    }
-  }
-  if (newest == held) {
+  const std::optional<MemberId> source =
+      ChooseTargetSource(now, members, m_self, held, m_attempts);
+  if (!source.has_value()) {
     m_fetch_at = TimePoint();
     m_attempts = 0;
     return std::nullopt;
   }
+  const uint64_t newest = members.Find(*source)->member.revision;
   if (m_fetch_at == TimePoint()) {
     m_fetch_at = now + SpreadDelay(newest);
   }
   if (now < m_fetch_at) {
     return std::nullopt;
   }
-  std::optional<MemberId> chosen;
-  uint64_t lowest_hash = 0;
-  for (const auto& [id, entry] : members.Entries()) {
-    const uint64_t hash =
-        MixHash(MixHash(m_self.value, newest + m_attempts), id.value);
-    const bool has_newest =
-        entry.member.revision == newest && members.IsReachable(now, entry);
-    if (has_newest && (!chosen.has_value() || hash < lowest_hash)) {
-      chosen = id;
-      lowest_hash = hash;
-    }
-  }
   ++m_attempts;
   m_fetch_at = now + m_limits.retry_delay + SpreadDelay(newest + m_attempts);
-  return chosen;
+  return source;
 }
 
 Duration TargetKeeper::SpreadDelay(uint64_t revision) const {
--- a/src/forwarding/target_keeper.h
+++ b/src/forwarding/target_keeper.h
@@ -1,5 +1,5 @@
-// @file target_keeper.h Decides when an agent fetches the targets, and from
-// which balancer.
+// @file target_keeper.h Decides from which member a process fetches targets,
+// and when an agent does so.
 #ifndef MEDLARGAUGE_FORWARDING_TARGET_KEEPER_H_
 #define MEDLARGAUGE_FORWARDING_TARGET_KEEPER_H_
 
@@ -9,6 +9,18 @@
 
 namespace medlargauge {
 
+/// Returns a reachable member that has the newest targets of all, chosen by
+/// hash so that processes ask different members; nullopt if no member has newer
+/// ones than this process. Thread-safe.
+/// @param self id of this process
+/// @param held revision of this process's targets; 0: none
+/// @param attempt a different number chooses another member
+std::optional<MemberId> ChooseTargetSource(TimePoint now,
+                                           const MembershipTable& members,
+                                           MemberId self,
+                                           uint64_t held,
+                                           uint64_t attempt);
+
 /// Settings of how agents keep the targets.
 struct TargetKeeperLimits {
   /// Agents spread their fetches of one revision over this time.
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -29,6 +29,8 @@
 constexpr Duration kIntroductionTime = Seconds(3);
 /// Smaller differences arise because the two clocks are not read at once.
 constexpr Duration kMinReportedSuspension = Milliseconds(200);
+/// Limit of the targets served to other members when many start at once.
+constexpr uint64_t kMaxServedBytesPerSecond = 2'000'000;
 constexpr std::string_view kMetricsPath = "/metrics";
 
 /// Returns the IP address of a seed; 0 if it is invalid.
@@ -63,6 +65,7 @@
       m_peer_address(*ParseAddress4(settings.control_address)),
       m_members(m_self.id, MembershipTimeouts()),
       m_status_schedule(role, kTickInterval, m_self.id.value),
+      m_serving_budget(kMaxServedBytesPerSecond),
       m_target_keeper(m_self.id, TargetKeeperLimits()),
       m_target_reader(SteadyTime(), m_self.id.value, TargetReaderLimits()),
       m_http_server(loop,
@@ -244,6 +247,7 @@
     RegisterInStore(now);
   }
   if (m_self.role == MemberRole::kBalancer) {
+    RetryTargetFetch(now);
     ReadTargets(now);
   } else {
     KeepTargets(now);
@@ -309,8 +313,11 @@
   }
   const bool has_targets =
       request.path == kTargetsPath && m_stored_targets.revision != 0;
-  response.status = has_targets ? 200 : 404;
-  if (has_targets) {
+  const bool may_serve =
+      has_targets &&
+      m_serving_budget.Take(SteadyTime(), m_stored_targets.value.size());
+  response.status = may_serve ? 200 : has_targets ? 503 : 404;
+  if (may_serve) {
     ++m_targets_served;
     response.body = std::to_string(m_stored_targets.revision) + "\n" +
                     m_stored_targets.value;
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -10,6 +10,7 @@
 
 #include "src/daemon/settings_type.h"
 #include "src/forwarding/active_routes.h"
+#include "src/forwarding/byte_budget.h"
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/status_schedule.h"
 #include "src/forwarding/target_keeper.h"
@@ -127,6 +128,8 @@
   void KeepTargets(TimePoint now);
   /// Replaces the kept targets if these are newer.
   void StoreTargets(const StoredTargets& targets);
+  /// Requests newer targets again if an earlier request has failed.
+  void RetryTargetFetch(TimePoint now);
   /// Requests the targets from another member unless a request is in flight.
   void FetchTargetsFromPeer(uint32_t ip);
   /// Logs when the store becomes unreachable or reachable again.
@@ -146,6 +149,8 @@
   ActiveRoutes m_routes;             ///< Routes in force.
   /// Newest targets in encoded form, for peers; those in force at a balancer.
   StoredTargets m_stored_targets;
+  ByteBudget m_serving_budget;     ///< Limits what HandleHttpRequest serves.
+  TimePoint m_next_target_fetch;   ///< When RetryTargetFetch may fetch.
   TargetKeeper m_target_keeper;    ///< Agents: when to fetch the targets.
   TargetReader m_target_reader;    ///< Decides when to read the targets.
   UdpSocket m_peer_socket;         ///< Datagrams between processes.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -19,6 +19,8 @@
 /// If no balancer was heard for this long, the store is asked for balancers.
 constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
 constexpr Duration kTargetFetchTimeout = Milliseconds(800);
+/// Time after the start of a fetch before the next one that no status prompts.
+constexpr Duration kTargetRetryInterval = Milliseconds(300);
 
 }  // namespace
 
@@ -248,6 +250,17 @@
   m_stored_targets = targets;
 }
 
+void FleetNode::RetryTargetFetch(TimePoint now) {
+  if (now < m_next_target_fetch) {
+    return;
+  }
+  const std::optional<MemberId> source = ChooseTargetSource(
+      now, m_members, m_self.id, m_routes.Revision(), m_target_fetches);
+  if (source.has_value()) {
+    FetchTargetsFromPeer(m_members.Find(*source)->member.ip);
+  }
+}
+
 void FleetNode::FetchTargetsFromPeer(uint32_t ip) {
   if (m_target_client != nullptr && m_target_client->IsBusy()) {
     return;
@@ -255,6 +268,7 @@
   m_target_client = std::make_unique<HttpClient>(
       m_loop, SocketAddress4{ip, m_peer_address.port});
   ++m_target_fetches;
+  m_next_target_fetch = SteadyTime() + kTargetRetryInterval;
   m_target_client->Send(
       "GET", std::string(kTargetsPath), "", kTargetFetchTimeout,
       [this, ip](const HttpResponse& response) {
--- a/src/runtime/fleet_node_targets_test.cc
+++ b/src/runtime/fleet_node_targets_test.cc
@@ -10,7 +10,7 @@
 
 constexpr uint32_t kNetwork = 0x7FC90000;  ///< 127.201.0.0
 constexpr uint16_t kFirstPort = 39600;
-constexpr uint32_t kFakeBalancer = kNetwork + 1;
+constexpr uint32_t kFakeIp = kNetwork + 1;
 constexpr uint32_t kBalancer = kNetwork + 2;
 constexpr uint32_t kAgent = kNetwork + 10;
 constexpr Duration kPollInterval = Milliseconds(10);
@@ -26,29 +26,30 @@
   return table;
 }
 
-/// Stands for a balancer that has targets: it sends statuses to one member and
-/// serves the targets. Ends when it is destroyed.
-class FakeBalancer {
+/// Stands for a member that has targets: it sends statuses and serves the
+/// targets after refusing some requests. Ends when it is destroyed.
+class FakeMember {
  public:
-  FakeBalancer(EventLoop* loop, uint16_t port, uint64_t revision)
+  FakeMember(EventLoop* loop, uint16_t port, uint64_t revision)
       : m_port(port), m_revision(revision), m_server(loop, [this](const auto&) {
           ++m_requests;
           HttpResponse response;
-          response.status = 200;
+          response.status = m_requests <= refusals ? 503 : 200;
           response.body = std::to_string(m_revision) + "\ntargets " +
-                          std::to_string(m_revision);
+                          std::to_string(m_revision) + padding;
           return response;
         }) {}
 
   bool Start() {
     Error reason;
-    return m_socket.Bind({kFakeBalancer, m_port}, &reason) &&
-           m_server.Listen({kFakeBalancer, m_port}, &reason);
+    return m_socket.Bind({kFakeIp, m_port}, &reason) &&
+           m_server.Listen({kFakeIp, m_port}, &reason);
   }
-  void SendStatus(uint32_t ip) {
+  void SendStatus(uint32_t ip, MemberRole role) {
     FleetMember self;
     self.id = MemberId{77};
-    self.ip = kFakeBalancer;
+    self.role = role;
+    self.ip = kFakeIp;
     self.incarnation = 1;
     self.revision = m_revision;
     proto::PeerStatus status;
@@ -59,6 +60,9 @@
   }
   size_t Requests() const { return m_requests; }
 
+  size_t refusals = 0;  ///< Number of requests to refuse first.
+  std::string padding;  ///< Appended to the targets; makes them invalid.
+
  private:
   uint16_t m_port;
   uint64_t m_revision;
@@ -75,7 +79,7 @@
   EventLoop loop;
   PlatformHooks silent_platform = MakePlatform(0, Duration());
   std::vector<PlatformHooks> platforms{};
-  std::unique_ptr<FakeBalancer> fake;
+  std::unique_ptr<FakeMember> fake;
   std::unique_ptr<FleetNode> agent;
   uint16_t port = kFirstPort;
   std::function<bool()> is_done;
@@ -83,7 +87,7 @@
   TargetsFixture() {
     platforms.reserve(4);
     for (; port < kFirstPort + 20; ++port) {
-      fake = std::make_unique<FakeBalancer>(&loop, port, 5);
+      fake = std::make_unique<FakeMember>(&loop, port, 5);
       agent = MakeNode(MemberRole::kAgent, kAgent, &silent_platform);
       Error reason;
       if (fake->Start() && agent->Start(&reason)) {
@@ -166,7 +170,7 @@
     TimePoint next_status;
     const bool given = RunUntil(Seconds(3), [&] {
       if (SteadyTime() >= next_status) {
-        fake->SendStatus(kAgent);
+        fake->SendStatus(kAgent, MemberRole::kBalancer);
         next_status = SteadyTime() + Milliseconds(100);
       }
       return agent->Self().revision == 5;
@@ -208,11 +212,50 @@
       fixture.StartBalancer(9, Duration());
   REQUIRE(fixture.RunUntil(Seconds(1),
                            [&] { return balancer->Routes().Revision() == 9; }));
-  fixture.fake->SendStatus(kBalancer);
+  fixture.fake->SendStatus(kBalancer, MemberRole::kAgent);
   CHECK_FALSE(fixture.RunUntil(
       Milliseconds(1500), [&] { return balancer->Routes().Revision() != 9; }));
   CHECK(fixture.fake->Requests() == 0);
 }
 
+TEST_CASE("a balancer whose request for targets was refused asks no more") {
+  TargetsFixture fixture;
+  const std::unique_ptr<FleetNode> balancer =
+      fixture.StartBalancer(0, Duration());
+  fixture.fake->refusals = 2;
+  fixture.fake->SendStatus(kBalancer, MemberRole::kAgent);
+  CHECK(fixture.RunUntil(Milliseconds(1100),
+                         [&] { return balancer->Routes().Revision() == 5; }));
+  CHECK(fixture.fake->Requests() == 3);
+}
+
+TEST_CASE("one process serves targets to all that start, without limit") {
+  constexpr size_t kBytes = 400'000;
+  constexpr size_t kBytesPerSecond = 2'000'000;
+  TargetsFixture fixture;
+  fixture.fake->padding.assign(kBytes, ' ');
+  REQUIRE(fixture.GiveTargetsToAgent());
+  HttpClient client(&fixture.loop, {kAgent, fixture.port});
+  const TimePoint start = SteadyTime();
+  size_t served = 0;
+  size_t refused = 0;
+  CHECK_FALSE(fixture.RunUntil(Milliseconds(1500), [&] {
+    if (!client.IsBusy()) {
+      client.Send("GET", "/targets", "", Seconds(1), [&](const auto& response) {
+        served += response.status == 200 ? 1 : 0;
+        refused += response.status == 503 ? 1 : 0;
+      });
+    }
+    return false;
+  }));
+  MESSAGE("served: " << served << ", refused: " << refused);
+  CHECK(served >= 5);
+  const auto elapsed_ms =
+      static_cast<size_t>(ToMilliseconds(SteadyTime() - start));
+  CHECK(served * kBytes <=
+        kBytesPerSecond * (elapsed_ms + 1000) / 1000 + kBytes);
+  CHECK(refused > 0);
+}
+
 }  // namespace
 }  // namespace medlargauge
