Fix: Callers waited in vain for a balancer that could not get targets

What callers saw: while a balancer had no targets, a new flow was held and silently dropped after 1.2 s; its caller noticed after 1.4 s, again and again.

A new flow that waited in vain is now reset 1.2 s after its first opening packet. When no member has targets, no fetch is in flight and the store has been silent for 10 s, longer than callers wait in all tries, it is reset at once. UnroutedDeadline decides; only opening packets are reset, packets of open flows stay held.

Evidence: with UnroutedDeadline replaced by "never" (as before), "a new flow waits although the store has been silent for long", "a new flow waits to its limit for a store that stays silent" and "a caller that waited in vain for the targets is not told" fail.

A reset uses up one of the caller's tries, so early ones lose requests that are served late otherwise.

--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -36,13 +36,11 @@
                                                 const FlowPacket& packet,
                                                 ByteView raw) {
   RemoveFlow(packet.flow);
-  const bool has_targets = m_routes->Revision() != 0;
-  if (!has_targets && HoldUnrouted(now, packet, raw)) {
-    return Reject(DirectorDecision::Kind::kHold, ErrorKind::kUnknownAddress);
+  if (m_routes->Revision() == 0) {
+    return HoldUnrouted(now, packet, raw);
   }
   const bool route_removed = m_routes->HadRoute(packet.flow.route);
-  const bool must_reset =
-      has_targets && !packet.rst && (packet.syn || route_removed);
+  const bool must_reset = !packet.rst && (packet.syn || route_removed);
   return Reject(must_reset ? DirectorDecision::Kind::kReset
                            : DirectorDecision::Kind::kDrop,
                 ErrorKind::kUnknownAddress);
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -20,6 +20,7 @@
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/opening_queue.h"
 #include "src/forwarding/placement.h"
+#include "src/forwarding/target_outlook.h"
 
 namespace medlargauge {
 
@@ -58,6 +59,10 @@
   /// A new flow that waits for a server is reset after this time, counted from
   /// its first opening packet; its caller gives up after 1.4 s.
   Duration max_opening_wait = Milliseconds(1200);
+  /// A balancer without targets resets new flows at once when the store has
+  /// been silent for longer. Callers give up all their tries within 8 s, and a
+  /// reset uses up a try.
+  Duration store_patience = Seconds(10);
   /// A packet of a flow whose owner is unknown is kept for at most this long.
   Duration max_packet_hold = Seconds(2);
   size_t max_held_bytes = 4'000'000;  ///< Limit of each buffer of packets.
@@ -120,6 +125,7 @@
   uint64_t busy_returns = 0;     ///< Opening packets returned by busy agents.
   uint64_t queued = 0;           ///< New flows that had to wait for a server.
   uint64_t held = 0;             ///< Other packets that had to wait.
+  uint64_t target_resets = 0;    ///< New flows reset for lack of targets.
   std::array<uint64_t, kErrorKindCount> rejected{};  ///< By ErrorKind.
 };
 
@@ -168,6 +174,12 @@
   /// @return decisions about stored packets
   std::vector<DeferredDecision> OnTick(TimePoint now);
 
+  /// Sets what is known about getting the first targets. Without it they are
+  /// expected at any time.
+  void SetTargetOutlook(const TargetOutlook& outlook) {
+    m_target_outlook = outlook;
+  }
+
   /// Returns and clears the queued pointers. Short-lived flows get none.
   std::vector<OwnerPointer> TakePointers();
 
@@ -298,8 +310,16 @@
   /// Returns when the next copy of an opening packet is overdue; zero if it was
   /// the last one. @param arrived arrival of the packet
   static TimePoint CopyDeadline(TimePoint arrived, const FlowPacket& packet);
-  /// Keeps a packet that came before the first targets, if it may be of use.
-  bool HoldUnrouted(TimePoint now, const FlowPacket& packet, ByteView raw);
+  /// Handles a packet that came before the first targets: keeps it if it may be
+  /// of use. A new flow that no targets are expected for in time is reset.
+  DirectorDecision HoldUnrouted(TimePoint now,
+                                const FlowPacket& packet,
+                                ByteView raw);
+  /// Returns whether a new flow has to be given up for lack of targets.
+  bool IsUnservable(TimePoint now, TimePoint wait_deadline) const {
+    return now >= UnroutedDeadline(m_target_outlook, wait_deadline,
+                                   m_limits.store_patience);
+  }
   /// Keeps a packet that carries data while the owner of its flow is searched.
   void HoldForSearch(TimePoint now, const FlowPacket& packet, ByteView raw);
   /// Returns whether every agent that may hold flows is known by now, and why.
@@ -322,6 +342,8 @@
                           std::vector<DeferredDecision>* decisions);
   void RouteHeldPackets(TimePoint now,
                         std::vector<DeferredDecision>* decisions);
+  void RejectUnservableFlows(TimePoint now,
+                             std::vector<DeferredDecision>* decisions);
   void ContinueSearches(TimePoint now,
                         std::vector<DeferredDecision>* decisions);
   /// Returns a decision to drop, hold or reset, and counts it by error.
@@ -344,6 +366,7 @@
   std::deque<std::pair<TimePoint, FlowKey>> m_opening_deadlines;
   std::map<ServiceId, OpeningQueue> m_opening_queues;  ///< By service.
   HeldPackets m_unrouted_packets;  ///< Received before the first targets.
+  TargetOutlook m_target_outlook;  ///< See SetTargetOutlook.
   HeldPackets m_search_packets;    ///< Of flows in phase kSearching.
   TimePoint m_next_hold_check;     ///< When waiting packets are next checked.
   TimePoint m_discovery_seen;      ///< Last discovery that searches considered.
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -55,18 +55,38 @@
                    kCopyDelay;
 }
 
-bool FlowDirector::HoldUnrouted(TimePoint now,
-                                const FlowPacket& packet,
-                                ByteView raw) {
-  const bool is_request = packet.data_length > 0 && !packet.rst;
-  if (!packet.syn && !is_request) {
-    return false;
-  }
+DirectorDecision FlowDirector::HoldUnrouted(TimePoint now,
+                                            const FlowPacket& packet,
+                                            ByteView raw) {
   const TimePoint expires = packet.syn ? OpeningDeadline(now, 0, packet)
                                        : now + m_limits.max_packet_hold;
-  const bool held = m_unrouted_packets.Hold(now, packet, raw, expires);
+  if (packet.syn && IsUnservable(now, expires)) {
+    m_unrouted_packets.Erase(packet.flow);
+    ++m_counters.target_resets;
+    return Reject(DirectorDecision::Kind::kReset, ErrorKind::kUnknownAddress);
+  }
+  const bool is_request = packet.data_length > 0 && !packet.rst;
+  const bool held = (packet.syn || is_request) &&
+                    m_unrouted_packets.Hold(now, packet, raw, expires);
   m_counters.held += held ? 1 : 0;
-  return held;
+  return Reject(
+      held ? DirectorDecision::Kind::kHold : DirectorDecision::Kind::kDrop,
+      ErrorKind::kUnknownAddress);
+}
+
+void FlowDirector::RejectUnservableFlows(
+    TimePoint now,
+    std::vector<DeferredDecision>* decisions) {
+  const auto is_unservable = [&](const HeldPacket& held) {
+    return held.packet.syn && IsUnservable(now, held.expires);
+  };
+  for (const HeldPacket& held : m_unrouted_packets.TakeIf(is_unservable)) {
+    ++m_counters.target_resets;
+    decisions->push_back(
+        {held.packet,
+         {},
+         Reject(DirectorDecision::Kind::kReset, ErrorKind::kUnknownAddress)});
+  }
 }
 
 void FlowDirector::HoldForSearch(TimePoint now,
@@ -114,6 +134,7 @@
   ResendUnansweredOpenings(now, &decisions);
   if (now >= m_next_hold_check) {
     m_next_hold_check = now + kHoldPollInterval;
+    RejectUnservableFlows(now, &decisions);
     RejectExpiredFlows(now, &decisions);
     ContinueSearches(now, &decisions);
   }
--- a/src/forwarding/flow_waiting_test.cc
+++ b/src/forwarding/flow_waiting_test.cc
@@ -145,6 +145,74 @@
   CHECK(director.OnTick(fixture.now).empty());
 }
 
+/// A balancer that has no targets yet.
+struct NoTargetsFixture : DirectorFixture {
+  ActiveRoutes no_routes;
+  FlowDirector new_director{now,        DomainId{1},      &members,
+                            &no_routes, DirectorLimits(), &PlaceByResponseTime};
+
+  DirectorDecision SendToNew(const FlowPacket& packet) {
+    return new_director.OnCallerPacket(now, packet, Raw());
+  }
+
+  /// Runs the timers until a flow is reset. @return false if none is in time
+  bool IsResetWithin(Duration time) {
+    for (const TimePoint end = now + time; now < end; now += Milliseconds(20)) {
+      for (const DeferredDecision& deferred : new_director.OnTick(now)) {
+        CHECK(deferred.decision.kind == Kind::kReset);
+        CHECK(deferred.packet.syn);
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+TEST_CASE("a new flow waits although the store has been silent for long") {
+  NoTargetsFixture fixture;
+  fixture.new_director.SetTargetOutlook(
+      {false, fixture.now - Milliseconds(10100)});
+  CHECK(fixture.SendToNew(MakeOpeningPacket(1)).kind == Kind::kReset);
+  CHECK(fixture.new_director.HeldCount() == 0);
+}
+
+TEST_CASE("a new flow waits to its limit for a store that stays silent") {
+  NoTargetsFixture fixture;
+  fixture.new_director.SetTargetOutlook(
+      {false, fixture.now - Milliseconds(9700)});
+  CHECK(fixture.SendToNew(MakeOpeningPacket(1)).kind == Kind::kHold);
+  CHECK_FALSE(fixture.IsResetWithin(Milliseconds(280)));
+  CHECK(fixture.IsResetWithin(Milliseconds(60)));
+  CHECK(fixture.new_director.HeldCount() == 0);
+}
+
+TEST_CASE("a new flow is reset although a peer has the targets") {
+  NoTargetsFixture fixture;
+  fixture.new_director.SetTargetOutlook({true, fixture.now - Seconds(30)});
+  CHECK(fixture.SendToNew(MakeOpeningPacket(1)).kind == Kind::kHold);
+  CHECK_FALSE(fixture.IsResetWithin(Milliseconds(1100)));
+  fixture.ReceiveAllStatuses();
+  fixture.no_routes.Adopt(MakeRouteTable(1, {MakeRoute(kRoute, "stock")}));
+  const std::vector<DeferredDecision> decisions =
+      fixture.new_director.OnTick(fixture.now);
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].decision.kind == Kind::kForward);
+}
+
+TEST_CASE("a caller that waited in vain for the targets is not told") {
+  NoTargetsFixture fixture;
+  fixture.new_director.SetTargetOutlook({true, TimePoint()});
+  CHECK(fixture.SendToNew(MakeOpeningPacket(1)).kind == Kind::kHold);
+  CHECK(fixture.IsResetWithin(Milliseconds(1300)));
+}
+
+TEST_CASE("an open flow is reset because the balancer lacks targets") {
+  NoTargetsFixture fixture;
+  fixture.new_director.SetTargetOutlook({false, fixture.now - Seconds(30)});
+  CHECK(fixture.SendToNew(MakeLaterPacket(1)).kind == Kind::kHold);
+  CHECK_FALSE(fixture.IsResetWithin(Seconds(3)));
+}
+
 TEST_CASE("a search goes on without the caller when an agent stays silent") {
   DirectorFixture fixture;
   const DirectorDecision first = fixture.Send(MakeLaterPacket(1));
--- a/src/forwarding/held_packets.cc
+++ b/src/forwarding/held_packets.cc
@@ -77,13 +77,21 @@
 }
 
 std::vector<HeldPacket> HeldPackets::TakeAll() {
+  return TakeIf([](const HeldPacket&) { return true; });
+}
+
+std::vector<HeldPacket> HeldPackets::TakeIf(
+    const std::function<bool(const HeldPacket&)>& is_taken) {
   std::vector<HeldPacket> packets;
-  packets.reserve(m_packets.size());
-  for (auto& [flow, held] : m_packets) {
-    packets.push_back(std::move(held));
+  for (auto it = m_packets.begin(); it != m_packets.end();) {
+    if (!is_taken(it->second)) {
+      ++it;
+      continue;
+    }
+    m_bytes -= SizeOf(it->second);
+    packets.push_back(std::move(it->second));
+    it = m_packets.erase(it);
   }
-  m_packets.clear();
-  m_bytes = 0;
   std::sort(packets.begin(), packets.end(),
             [](const HeldPacket& a, const HeldPacket& b) {
               return a.order < b.order;
--- a/src/forwarding/held_packets.h
+++ b/src/forwarding/held_packets.h
@@ -3,6 +3,7 @@
 #ifndef MEDLARGAUGE_FORWARDING_HELD_PACKETS_H_
 #define MEDLARGAUGE_FORWARDING_HELD_PACKETS_H_
 
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +46,11 @@
   /// Removes the packets that have expired.
   void EraseExpired(TimePoint now);
 
+  /// Returns and removes the packets for which `is_taken` holds, in order of
+  /// the flows' first ones.
+  std::vector<HeldPacket> TakeIf(
+      const std::function<bool(const HeldPacket&)>& is_taken);
+
   /// Returns the flows that have a packet, in order of their first one.
   std::vector<FlowKey> Flows() const;
   /// Returns and removes all packets, in order of the flows' first ones.
--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -30,6 +30,9 @@
     return ReadAction::kNothing;
   }
   m_call_in_progress = true;
+  if (m_unanswered_since == TimePoint()) {
+    m_unanswered_since = now;
+  }
   return m_read_required || revision == 0 ? ReadAction::kRead
                                           : ReadAction::kWatch;
 }
@@ -98,6 +101,7 @@
 void TargetReader::RecordResult(TimePoint now, StoreResult result) {
   if (result == StoreResult::kOk || result == StoreResult::kNotFound) {
     m_failures = 0;
+    m_unanswered_since = TimePoint();
     m_last_store_contact = now;
     return;
   }
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -72,6 +72,9 @@
   /// Returns when the store last answered; zero if it never did or if the last
   /// call failed.
   TimePoint LastStoreContact() const { return m_last_store_contact; }
+  /// Returns the start of the first call since the store's last answer; zero
+  /// if there is none.
+  TimePoint UnansweredSince() const { return m_unanswered_since; }
   /// Returns the revision at which the next watch continues.
   uint64_t Position() const { return m_position; }
   /// Returns whether the last call to the store failed.
@@ -89,6 +92,7 @@
   TimePoint m_started_at;           ///< Start of the process.
   TimePoint m_retry_at;             ///< Earliest time of the next call.
   TimePoint m_last_store_contact;   ///< See LastStoreContact.
+  TimePoint m_unanswered_since;     ///< See UnansweredSince.
   uint64_t m_position = 0;          ///< See Position.
   uint32_t m_failures = 0;          ///< Consecutive failed calls.
   uint32_t m_compactions = 0;       ///< Consecutive kHistoryCompacted results.
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -87,6 +87,7 @@
   }
   m_loop->OnReadable(m_caller_socket.Descriptor(), [this] {
     const TimePoint now = SteadyTime();
+    UpdateTargetOutlook(now);
     m_caller_socket.Receive(
         [this, now](SocketAddress4 /*from*/, ByteSpan datagram) {
           OnCallerDatagram(now, datagram);
@@ -258,7 +259,14 @@
   ArmTimer();
 }
 
+void BalancerRuntime::UpdateTargetOutlook(TimePoint now) {
+  if (m_fleet_node.Routes().Revision() == 0) {
+    m_director.SetTargetOutlook(m_fleet_node.Outlook(now));
+  }
+}
+
 void BalancerRuntime::ExecuteDeferredDecisions(TimePoint now) {
+  UpdateTargetOutlook(now);
   for (const DeferredDecision& deferred : m_director.OnTick(now)) {
     if (deferred.unanswered &&
         m_flow_log.AllowLine(now, FlowLineClass::kRefusal)) {
@@ -306,6 +314,7 @@
   stats->Set(Stat::packets_waiting, m_director.HeldCount());
   stats->Set(Stat::resets_overload, rejected(ErrorKind::kOverloaded));
   stats->Set(Stat::resets_no_agent, rejected(ErrorKind::kNoAgent));
+  stats->Set(Stat::resets_no_targets, counters.target_resets);
   stats->Set(Stat::resets_unknown, rejected(ErrorKind::kFlowUnknown));
   stats->Set(Stat::resets_silence, counters.silence_resets);
   stats->Set(Stat::unrouted, rejected(ErrorKind::kUnknownAddress));
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -52,6 +52,8 @@
                      const FlowPacket& packet);
   /// Executes deferred decisions and sends flow pointers.
   void OnTimer();
+  /// Tells the director what to expect while no targets are in force.
+  void UpdateTargetOutlook(TimePoint now);
   /// Executes the decisions about stored packets that are due.
   void ExecuteDeferredDecisions(TimePoint now);
   /// Sends the flow pointers that FlowDirector has queued.
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -14,6 +14,7 @@
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/status_schedule.h"
 #include "src/forwarding/target_keeper.h"
+#include "src/forwarding/target_outlook.h"
 #include "src/forwarding/target_reader.h"
 #include "src/runtime/event_loop.h"
 #include "src/runtime/http.h"
@@ -81,6 +82,8 @@
   PeerFrameWriter& Writer() { return m_frame_writer; }
   /// Returns the state of reading targets from the store.
   const TargetReader& Reader() const { return m_target_reader; }
+  /// Returns what is known about getting the first targets.
+  TargetOutlook Outlook(TimePoint now) const;
   /// Returns the own member as of the last status.
   const FleetMember& Self() const { return m_self; }
 
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -185,6 +185,15 @@
   }
 }
 
+TargetOutlook FleetNode::Outlook(TimePoint now) const {
+  const bool is_fetching =
+      m_target_client != nullptr && m_target_client->IsBusy();
+  const bool is_peer_ahead = ChooseTargetSource(now, m_members, m_self.id,
+                                                m_stored_targets.revision, 0)
+                                 .has_value();
+  return {is_fetching || is_peer_ahead, m_target_reader.UnansweredSince()};
+}
+
 void FleetNode::LogStoreTransition(StoreResult result, std::string_view call) {
   const bool unreachable =
       result == StoreResult::kRefused || result == StoreResult::kNoAnswer;
