--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -36,6 +36,8 @@
 constexpr int64_t kMaxEraAgeMs = 3600LL * 1000;
 /// Smaller differences arise because the two clocks are not read at once.
 constexpr Duration kMinReportedSuspension = Milliseconds(200);
+/// Limit of the targets served to other members when many start at once.
+constexpr uint64_t kMaxServedBytesPerSecond = 2'000'000;
 constexpr std::string_view kMetricsPath = "/metrics";
 
 /// Returns the IP address of a seed; 0 if it is invalid.
@@ -70,6 +72,8 @@
       m_peer_address(*ParseAddress4(settings.control_address)),
       m_members(m_self.id, MembershipTimeouts()),
       m_status_schedule(role, kTickInterval, m_self.id.value),
+      m_serving_budget(kMaxServedBytesPerSecond),
+      m_target_keeper(m_self.id, TargetKeeperLimits()),
       m_target_reader(SteadyTime(), m_self.id.value, TargetReaderLimits()),
       m_http_server(loop,
                     [this](const HttpRequest& request) {
@@ -168,13 +172,13 @@
                              now - m_balancer_heard_at >= kForgottenTime;
     m_next_registration = was_cut_off ? now : m_next_registration;
     m_balancer_heard_at = now;
-    const bool is_behind =
-        m_self.role == MemberRole::kBalancer &&
-        sender->member.targets.version != m_useless_version &&
-        MayBeNewer(sender->member.targets, m_routes.Identity());
-    if (is_behind) {
-      FetchTargetsFromPeer(from.ip);
-    }
+  }
+  const bool is_behind =
+      m_self.role == MemberRole::kBalancer &&
+      sender->member.targets.version != m_useless_version &&
+      MayBeNewer(sender->member.targets, m_routes.Identity());
+  if (is_behind) {
+    FetchTargetsFromPeer(from.ip);
   }
   if (is_new || status.wants_members()) {
     SendMemberList(now, from.ip, sender->member.role, status.wants_members());
@@ -202,7 +206,7 @@
 
 proto::PeerStatus FleetNode::MakeStatus(TimePoint now) {
   m_hooks.update_self(now, &m_self);
-  m_self.targets = m_routes.Identity();
+  m_self.targets = StoredIdentity();
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(now, m_self);
   status.set_sequence(++m_status_sequence);
@@ -276,7 +280,10 @@
     RegisterInStore(now);
   }
   if (m_self.role == MemberRole::kBalancer) {
+    RetryTargetFetch(now);
     ReadTargets(now);
+  } else {
+    KeepTargets(now);
   }
 }
 
@@ -341,7 +348,10 @@
   stats.Set(Stat::members_heard,
             m_members.CountReachable(now, MemberRole::kBalancer) +
                 m_members.CountReachable(now, MemberRole::kAgent));
-  stats.Set(Stat::target_revision, m_routes.Revision());
+  stats.Set(Stat::target_revision, m_stored_targets.version.revision);
+  stats.Set(Stat::target_bytes, m_stored_targets.value.size());
+  stats.Set(Stat::target_fetches, m_target_fetches);
+  stats.Set(Stat::targets_served, m_targets_served);
   stats.Set(Stat::store_calls, m_store_calls);
   stats.Set(Stat::store_era, m_era.Era());
   stats.Set(Stat::store_answers_ignored, m_unusable_store_answers);
@@ -365,8 +375,12 @@
   }
   const bool has_targets =
       request.path == kTargetsPath && m_stored_targets.version.revision != 0;
-  response.status = has_targets ? 200 : 404;
-  if (has_targets) {
+  const bool may_serve =
+      has_targets &&
+      m_serving_budget.Take(SteadyTime(), m_stored_targets.value.size());
+  response.status = may_serve ? 200 : has_targets ? 503 : 404;
+  if (may_serve) {
+    ++m_targets_served;
     const TargetVersion& version = m_stored_targets.version;
     response.body =
         std::to_string(version.revision) + "\n" + m_stored_targets.value;
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -10,9 +10,12 @@
 
 #include "src/daemon/settings_type.h"
 #include "src/forwarding/active_routes.h"
+#include "src/forwarding/byte_budget.h"
 #include "src/forwarding/era_tracker.h"
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/status_schedule.h"
+#include "src/forwarding/target_keeper.h"
+#include "src/forwarding/target_outlook.h"
 #include "src/forwarding/target_reader.h"
 #include "src/runtime/event_loop.h"
 #include "src/runtime/http.h"
@@ -80,11 +83,13 @@
   PeerFrameWriter& Writer() { return m_frame_writer; }
   /// Returns the state of reading targets from the store.
   const TargetReader& Reader() const { return m_target_reader; }
+  /// Returns what is known about getting the first targets.
+  TargetOutlook Outlook(TimePoint now) const;
   /// Returns the own member as of the last status.
   const FleetMember& Self() const { return m_self; }
 
  private:
-  /// URL path at which other balancers fetch the targets in force.
+  /// URL path at which other members fetch the newest targets.
   static constexpr std::string_view kTargetsPath = "/targets";
   /// Header of that document: the era of its revision; missing for era 0.
   static constexpr char kTargetsEraHeader[] = "Targets-Era";
@@ -135,7 +140,16 @@
   /// Puts targets in force if they are valid and newer, and broadcasts that.
   /// @param source where they come from, for the log
   void ApplyTargets(const StoredTargets& targets, std::string_view source);
-  /// Requests the targets from another balancer unless a request is in flight.
+  /// Keeps targets for balancers that start, without putting them in force, if
+  /// this agent is one of those that do so.
+  void KeepTargets(TimePoint now);
+  /// Replaces the kept targets if these are valid and newer.
+  void StoreTargets(const StoredTargets& targets);
+  /// Identifies the targets in force or, at an agent, those that it keeps.
+  const TargetIdentity& StoredIdentity() const;
+  /// Requests newer targets again if an earlier request has failed.
+  void RetryTargetFetch(TimePoint now);
+  /// Requests the targets from another member unless a request is in flight.
   void FetchTargetsFromPeer(uint32_t ip);
   /// Checks the era in an answer of the store, and starts a new one if it rose.
   /// @return the result of the call; kRefused if the era makes the answer
@@ -152,7 +166,7 @@
   void WithdrawObsoleteAgentList();
   /// Logs when the store becomes unreachable or reachable again.
   void LogStoreTransition(StoreResult result, std::string_view call);
-  /// Serves the metrics, and the targets for other balancers.
+  /// Serves the metrics, and the targets for other members.
   HttpResponse HandleHttpRequest(const HttpRequest& request);
   std::string RenderStats();
 
@@ -167,7 +181,12 @@
   ActiveRoutes m_routes;             ///< Routes in force.
   /// Targets of a peer that were fetched and did not replace those in force.
   TargetVersion m_useless_version;
-  StoredTargets m_stored_targets;  ///< Their encoded form, for peers.
+  TargetIdentity m_kept_identity;  ///< Agents: identifies m_stored_targets.
+  /// Newest targets in encoded form, for peers; those in force at a balancer.
+  StoredTargets m_stored_targets;
+  ByteBudget m_serving_budget;     ///< Limits what HandleHttpRequest serves.
+  TimePoint m_next_target_fetch;   ///< When RetryTargetFetch may fetch.
+  TargetKeeper m_target_keeper;    ///< Agents: when to fetch the targets.
   TargetReader m_target_reader;    ///< Decides when to read the targets.
   UdpSocket m_peer_socket;         ///< Datagrams between processes.
   PeerFrameWriter m_frame_writer;  ///< Builds datagrams.
@@ -189,6 +208,8 @@
   bool m_store_unreachable = false;  ///< The last call to the store failed.
   LatencyHistogram m_store_latency;  ///< Of reads, not of watches.
   uint64_t m_store_calls = 0;        ///< Calls to the store since the start.
+  uint64_t m_target_fetches = 0;     ///< Requests for targets since the start.
+  uint64_t m_targets_served = 0;     ///< Answers with targets since the start.
   TimePoint m_next_member_request;   ///< When RequestMembers is due.
   /// Consecutive requests to the seeds while no balancer was reachable.
   uint32_t m_join_attempts = 0;
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -26,6 +26,8 @@
 /// Source of targets that a peer has delivered, in logs.
 constexpr std::string_view kPeerSource = "peer";
 constexpr Duration kTargetFetchTimeout = Milliseconds(800);
+/// Time after the start of a fetch before the next one that no status prompts.
+constexpr Duration kTargetRetryInterval = Milliseconds(300);
 
 /// Parses a text that is a number as a whole. @return false if it is none
 bool ParseWhole(std::string_view text, uint64_t* number) {
@@ -246,6 +248,15 @@
   }
 }
 
+TargetOutlook FleetNode::Outlook(TimePoint now) const {
+  const bool is_fetching =
+      m_target_client != nullptr && m_target_client->IsBusy();
+  const bool is_peer_ahead =
+      ChooseTargetSource(now, m_members, m_self.id, StoredIdentity(), 0)
+          .has_value();
+  return {is_fetching || is_peer_ahead, m_target_reader.UnansweredSince()};
+}
+
 void FleetNode::LogStoreTransition(StoreResult result, std::string_view call) {
   const bool unreachable =
       result == StoreResult::kRefused || result == StoreResult::kNoAnswer;
@@ -304,6 +315,53 @@
   BroadcastStatus();
 }
 
+void FleetNode::KeepTargets(TimePoint now) {
+  if (!m_target_keeper.IsKeeper(m_members)) {
+    m_stored_targets = StoredTargets();
+    m_kept_identity = TargetIdentity();
+    return;
+  }
+  const std::optional<MemberId> balancer =
+      m_target_keeper.Next(now, m_members, m_kept_identity);
+  if (balancer.has_value()) {
+    FetchTargetsFromPeer(m_members.Find(*balancer)->member.ip);
+  }
+}
+
+void FleetNode::StoreTargets(const StoredTargets& targets) {
+  Error reason;
+  const std::optional<RouteTable> table =
+      m_platform->parse_targets(targets, &reason);
+  if (!table.has_value() || !Supersedes(table->identity, m_kept_identity)) {
+    return;
+  }
+  EventLine(Severity::kInfo, "targets_kept")
+      .With("era", targets.version.era)
+      .With("revision", targets.version.revision)
+      .With("before", m_kept_identity.version.revision)
+      .With("bytes", targets.value.size());
+  m_stored_targets = targets;
+  m_kept_identity = table->identity;
+}
+
+const TargetIdentity& FleetNode::StoredIdentity() const {
+  return m_self.role == MemberRole::kBalancer ? m_routes.Identity()
+                                              : m_kept_identity;
+}
+
+void FleetNode::RetryTargetFetch(TimePoint now) {
+  if (now < m_next_target_fetch) {
+    return;
+  }
+  const std::optional<MemberId> source = ChooseTargetSource(
+      now, m_members, m_self.id, m_routes.Identity(), m_target_fetches);
+  const FleetMember* member =
+      source.has_value() ? &m_members.Find(*source)->member : nullptr;
+  if (member != nullptr && member->targets.version != m_useless_version) {
+    FetchTargetsFromPeer(member->ip);
+  }
+}
+
 void FleetNode::FetchTargetsFromPeer(uint32_t ip) {
   if (m_target_client != nullptr && m_target_client->IsBusy()) {
     return;
@@ -311,6 +369,8 @@
   m_target_client = std::make_unique<HttpClient>(
       m_loop, SocketAddress4{ip, m_peer_address.port},
       std::vector<std::string>{kTargetsEraHeader});
+  ++m_target_fetches;
+  m_next_target_fetch = SteadyTime() + kTargetRetryInterval;
   m_target_client->Send(
       "GET", std::string(kTargetsPath), "", kTargetFetchTimeout,
       [this, ip](const HttpResponse& response) {
@@ -333,7 +393,11 @@
           return;
         }
         targets.value.assign(number.ptr + 1, end);
-        ApplyTargets(targets, kPeerSource);
+        if (m_self.role == MemberRole::kBalancer) {
+          ApplyTargets(targets, kPeerSource);
+        } else {
+          StoreTargets(targets);
+        }
       });
 }
 
