Fix: A server that stopped made its agent reset flows that another server held

What callers could get: a reset with sequence number 0 of an open flow, 40 s after its opening. Callers ignore it unless their own number is near 0 (about one in 28,000).

Cause: of two servers that answer one opening packet, the one that the caller did not take stays half-open at its agent for 60 s; when it stopped, the agent reset all flows that were not unverified.

Evidence: the new test got one reset 10 s after the server's answer.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -354,7 +354,11 @@
 std::vector<FlowReset> AgentForwarder::OnServerDown(TimePoint now) {
   std::vector<FlowReset> resets;
   for (auto& [key, flow] : m_flows) {
-    if (flow.stage != Stage::kUnverified) {
+    // A caller decides between the answers of two servers while it opens the
+    // flow; later, a half-open flow belongs to another server.
+    const bool is_elsewhere = flow.stage == Stage::kAccepted &&
+                              now - flow.accepted_at > m_limits.opening;
+    if (flow.stage != Stage::kUnverified && !is_elsewhere) {
       // A caller that accepted another server ignores a reset with the
       // acknowledgement number 0.
       const bool is_established = flow.stage == Stage::kEstablished;
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -176,6 +176,14 @@
   }
 }
 
+TEST_CASE("a server that stops resets no flow that another server may hold") {
+  ForwarderFixture fixture;
+  fixture.Forward(MakePacket(1, true));
+  fixture.SendSynAck(1, 500);
+  fixture.now += Seconds(10);  // The caller has chosen a server by now.
+  CHECK(fixture.forwarder.OnServerDown(fixture.now).empty());
+}
+
 TEST_CASE("requests are active from their arrival to the first answer byte") {
   ForwarderFixture fixture;
   fixture.OpenAndRequest(1);
