Fix: A refused probe that was read late ended the flows of the next server

Found by the review (read, not run): the connection to a stopped server is refused, the next server starts, sends a heartbeat and accepts a flow, and up to 50 ms later the agent read the refusal and reset the new flow. The refusal now counts only if a probe is still needed.

--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -287,7 +287,8 @@
     getsockopt(m_probe_fd, SOL_SOCKET, SO_ERROR, &socket_error, &length);
     close(m_probe_fd);
     m_probe_fd = -1;
-    if (socket_error == ECONNREFUSED) {
+    // A heartbeat or packet that came meanwhile is newer than the refusal.
+    if (socket_error == ECONNREFUSED && m_forwarder.NeedsServerProbe(now)) {
       OnServerDown(now);
     }
     return;
