--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -200,8 +200,11 @@
   // A reset makes the caller retry at once rather than after its own timeout.
   const bool retry_elsewhere =
       owner_dead || (route.repeatable && m_members->IsSuspected(now, *owner));
+  // Another member that hears more agents may hear the owner.
   const bool reaches_agents =
-      m_members->CountReachable(now, MemberRole::kAgent) > 0;
+      retry_elsewhere &&
+      m_members->CountReachable(now, MemberRole::kAgent) > 0 &&
+      m_members->CountLiveAgents(now) >= m_members->LargestReportedAgents(now);
   if (retry_elsewhere && reaches_agents &&
       (owner == nullptr || !flow.owner_proven)) {
     // The caller may have accepted another server, for example if a balancer
@@ -332,7 +335,8 @@
   // A server retransmits its SYN-ACK even if the caller has accepted the one of
   // another server, so an unproven confirmation is ignored during a search.
   const bool is_conclusive = proven || flow.phase == Phase::kOpening;
-  if (flow.phase != Phase::kOwnerKnown && is_conclusive) {
+  const bool corrects_owner = proven && !flow.owner_proven;
+  if (is_conclusive && (flow.phase != Phase::kOwnerKnown || corrects_owner)) {
     flow.agent = from;
     flow.phase = Phase::kOwnerKnown;
     flow.tried.clear();
--- a/src/forwarding/flow_director_test.cc
+++ b/src/forwarding/flow_director_test.cc
@@ -290,6 +290,47 @@
         DirectorDecision::Kind::kForward);
 }
 
+TEST_CASE("a planned restart of an agent that takes 7 s resets its flows") {
+  SilentOwnerFixture fixture;
+  fixture.ReceiveStatus(fixture.opening.agent.value, "stock",
+                        AgentState::kReady, 0, true);
+  for (int i = 0; i < 14; ++i) {
+    fixture.RunFor(Milliseconds(500), ProbeOutcome::kRefused);
+    CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
+          DirectorDecision::Kind::kForward);
+  }
+  fixture.RunFor(MembershipTimeouts().planned_restart, ProbeOutcome::kRefused);
+  CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
+        DirectorDecision::Kind::kReset);
+}
+
+TEST_CASE("a flow is reset for silence although a balancer hears its agent") {
+  SilentOwnerFixture fixture;
+  ServiceRoute route = MakeRoute(kRoute, "stock");
+  route.repeatable = false;
+  fixture.routes.Adopt(MakeRouteTable(3, {route}));
+  FleetMember peer;
+  peer.id = MemberId{50};
+  peer.ip = 50;
+  peer.incarnation = 1;
+  proto::PeerStatus status;
+  for (uint32_t i = 1; i <= 16; ++i) {
+    fixture.RunFor(Milliseconds(500), ProbeOutcome::kNoAnswer);
+    *status.mutable_self() = EncodeMember(fixture.now, peer);
+    status.set_sequence(i);
+    status.set_agents_heard(4);
+    fixture.members.OnStatus(fixture.now, status);
+    CHECK(fixture.Send(MakeLaterPacket(1)).kind !=
+          DirectorDecision::Kind::kReset);
+  }
+  *status.mutable_self() = EncodeMember(fixture.now, peer);
+  status.set_sequence(17);
+  status.set_agents_heard(3);
+  fixture.members.OnStatus(fixture.now, status);
+  CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
+        DirectorDecision::Kind::kReset);
+}
+
 TEST_CASE("a search ended without a silent agent whose host accepts probes") {
   SilentOwnerFixture fixture;
   fixture.RunFor(Seconds(8), ProbeOutcome::kAccepted);
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -151,6 +151,34 @@
   }
 }
 
+TEST_CASE("a status that arrives late proves no owner") {
+  DirectorFixture fixture;
+  const DirectorDecision opened = fixture.Send(MakeOpeningPacket(1));
+  fixture.director.OnFlowConfirmed(fixture.now, opened.agent,
+                                   MakeOpeningPacket(1).flow, false);
+  fixture.Send(MakeLaterPacket(1));
+  fixture.now += Milliseconds(200);
+  const uint32_t newest = std::exchange(fixture.sequence, 0);
+  fixture.ReceiveStatus(opened.agent.value, "stock");
+  fixture.sequence = newest;
+  fixture.Send(MakeLaterPacket(1));
+  fixture.incarnation = 2;
+  fixture.ReceiveAllStatuses();
+  CHECK(fixture.Send(MakeLaterPacket(1)).header.search);
+}
+
+TEST_CASE("the proof of an agent is ignored for an owner without proof") {
+  DirectorFixture fixture;
+  const DirectorDecision opened = fixture.Send(MakeOpeningPacket(1));
+  fixture.director.OnFlowConfirmed(fixture.now, opened.agent,
+                                   MakeOpeningPacket(1).flow, false);
+  const MemberId other =
+      opened.agent == MemberId{11} ? MemberId{12} : MemberId{11};
+  fixture.director.OnFlowConfirmed(fixture.now, other,
+                                   MakeOpeningPacket(1).flow, true);
+  CHECK(fixture.Send(MakeLaterPacket(1)).agent == other);
+}
+
 TEST_CASE("a search includes agents that did not confirm the opening packet") {
   DirectorFixture fixture;
   const DirectorDecision first = fixture.Send(MakeOpeningPacket(1));
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -36,11 +36,11 @@
   entry.probe = ProbeState();
   const bool is_new = entry.heard == TimePoint() ||
                       entry.member.incarnation != member.incarnation;
-  entry.status_at = now;
   if (!is_new && status.sequence() <= entry.sequence) {
     entry.heard = now;
     return false;  // Reordered: a newer status has arrived already.
   }
+  entry.status_at = now;
   if (entry.discovered_at == TimePoint()) {
     entry.discovered_at = now;
     RecordDiscovery(now, member);
@@ -110,13 +110,19 @@
 
 bool MembershipTable::SetRegisteredAgents(TimePoint now,
                                           const std::vector<uint32_t>& ips) {
+  std::set<uint32_t> unheard;
   for (const uint32_t ip : ips) {
     const MemberEntry* entry = FindByAddress(ip, MemberRole::kAgent);
     if (entry == nullptr || entry->heard == TimePoint()) {
-      m_unheard_agents.insert(ip);
+      unheard.insert(ip);
     }
   }
-  m_registered_at = now;
+  // Reading the list again gives agents that were listed before no more time.
+  const bool is_news =
+      !std::includes(m_unheard_agents.begin(), m_unheard_agents.end(),
+                     unheard.begin(), unheard.end());
+  m_registered_at = is_news ? now : m_registered_at;
+  m_unheard_agents = std::move(unheard);
   // An agent that is heard but not listed has not registered yet, or its
   // registration was lost; the same may hold for agents that are not heard.
   m_listed_agents = std::set<uint32_t>(ips.begin(), ips.end());
@@ -224,6 +230,10 @@
       continue;
     }
     forgotten.push_back(it->second.member);
+    if (m_listed_agents.count(it->second.member.ip) > 0 &&
+        it->second.member.role == MemberRole::kAgent) {
+      m_unheard_agents.insert(it->second.member.ip);
+    }
     m_by_address.erase({it->second.member.ip, it->second.member.role});
     it = m_entries.erase(it);
   }
@@ -275,8 +285,12 @@
 
 bool MembershipTable::IsPresumedDead(TimePoint now,
                                      const MemberEntry& entry) const {
+  const bool is_restarting = entry.leaving &&
+                             entry.member.state != AgentState::kGone &&
+                             entry.probe.outcome == ProbeOutcome::kRefused;
   return CountedSilence(now, entry) >
-         std::max(m_timeouts.presumed_dead,
+         std::max(is_restarting ? m_timeouts.planned_restart
+                                : m_timeouts.presumed_dead,
                   kTimeoutsToPresumeDead * ReachabilityTimeout(entry));
 }
 
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -29,6 +29,9 @@
   /// Presumed dead, so that its flows are reset. Longer than the planned
   /// restart of an agent and than an outage that a host may have.
   Duration presumed_dead = Milliseconds(5000);
+  /// The same for an agent that announced a planned stop while its server ran,
+  /// and whose host refuses probes: the grace period and a start.
+  Duration planned_restart = Seconds(15);
   /// Removed from the table; the longest lifetime of a flow.
   Duration removal = Seconds(60);
   /// Between two probes of a silent agent.
@@ -169,7 +172,7 @@
     return m_has_met_fleet || m_has_registered_agents;
   }
 
-  /// Adds the addresses of the registered agents.
+  /// Sets the addresses of the registered agents.
   /// @return false if the list is evidently incomplete, because it is empty or
   ///     lacks an agent that is heard; it is then not taken for complete
   bool SetRegisteredAgents(TimePoint now, const std::vector<uint32_t>& ips);
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -543,6 +543,53 @@
   CHECK(members.HasMetFleet());
 }
 
+/// A table that hears agents at addresses equal to their ids.
+struct ListFixture {
+  TimePoint now{Seconds(100)};
+  MembershipTable members{MemberId{1}, MembershipTimeouts()};
+  uint32_t sequence = 0;
+
+  void Hear(uint64_t id) {
+    FleetMember member;
+    member.id = MemberId{id};
+    member.role = MemberRole::kAgent;
+    member.ip = static_cast<uint32_t>(id);
+    member.incarnation = 1;
+    proto::PeerStatus status;
+    *status.mutable_self() = EncodeMember(now, member);
+    status.set_sequence(++sequence);
+    members.OnStatus(now, status);
+  }
+};
+
+TEST_CASE("an incomplete list keeps a dead agent missing for ever") {
+  ListFixture fixture;
+  for (int i = 0; i < 4; ++i) {
+    fixture.Hear(12);
+    fixture.Hear(13);
+    CHECK_FALSE(fixture.members.SetRegisteredAgents(fixture.now, {12, 99}));
+    fixture.now += Seconds(3);
+  }
+  CHECK_FALSE(fixture.members.IsRegisteredAgentMissing(fixture.now));
+  fixture.Hear(12);
+  fixture.Hear(13);
+  CHECK(fixture.members.SetRegisteredAgents(fixture.now, {12, 13}));
+  CHECK(fixture.members.HasHeardRegisteredAgents(fixture.now));
+}
+
+TEST_CASE("registered agents that were removed count as heard") {
+  ListFixture fixture;
+  fixture.Hear(11);
+  fixture.Hear(12);
+  CHECK(fixture.members.SetRegisteredAgents(fixture.now, {11, 12}));
+  fixture.now += Seconds(61);
+  CHECK(fixture.members.OnTick(fixture.now).size() == 2);
+  fixture.Hear(11);
+  CHECK_FALSE(fixture.members.HasHeardRegisteredAgents(fixture.now));
+  fixture.Hear(12);
+  CHECK(fixture.members.HasHeardRegisteredAgents(fixture.now));
+}
+
 TEST_CASE(
     "the expected response time grows with queue, warm-up and service time") {
   const TimePoint now{Seconds(100)};
--- a/src/runtime/fleet_node_era.cc
+++ b/src/runtime/fleet_node_era.cc
@@ -87,7 +87,7 @@
 
 void FleetNode::WithdrawObsoleteAgentList() {
   const TimePoint complete_at = m_era.RegistrationsCompleteAt();
-  if (m_agents_listed && m_agents_listed_at < complete_at) {
+  if (m_agents_listed_at < complete_at) {
     m_agents_listed = false;
     m_members.WithdrawRegisteredAgents();
     m_next_agent_list = complete_at;
