--- a/soak/process_supervisor_test.cc
+++ b/soak/process_supervisor_test.cc
@@ -3,6 +3,9 @@
 
 #include <doctest/doctest.h>
 
+#include <unistd.h>
+
+#include <array>
 #include <csignal>
 
 #include "platform/standin/test_tools.h"
@@ -15,8 +18,33 @@
 
 constexpr Duration kMaxWait = Seconds(10);
 
+/// Keeps standard input open without data, so that /bin/cat does not end by
+/// itself where the tests have none.
+class OpenStandardInput {
+ public:
+  OpenStandardInput() : m_saved(dup(STDIN_FILENO)) {
+    REQUIRE(pipe(m_pipe.data()) == 0);
+    dup2(m_pipe[0], STDIN_FILENO);
+  }
+  OpenStandardInput(const OpenStandardInput&) = delete;
+  OpenStandardInput& operator=(const OpenStandardInput&) = delete;
+  ~OpenStandardInput() {
+    if (m_saved >= 0) {
+      dup2(m_saved, STDIN_FILENO);
+      close(m_saved);
+    }
+    close(m_pipe[0]);
+    close(m_pipe[1]);
+  }
+
+ private:
+  int m_saved;
+  std::array<int, 2> m_pipe{};
+};
+
 /// Runs one process for a while. @return the reports about it
 std::vector<std::string> RunProcess(const char* program, int signal) {
+  const OpenStandardInput input;
   EventLoop loop;
   std::vector<std::string> reports;
   ProcessSupervisor processes(
@@ -40,6 +68,7 @@
 }
 
 TEST_CASE("a signal for a process that has just been started is not the own") {
+  const OpenStandardInput input;
   EventLoop loop;
   int own_signals = 0;
   loop.OnSignal(SIGTERM, [&own_signals] { ++own_signals; });
