--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -112,8 +112,8 @@
   /// Requests member lists from the balancers in the store, if this process has
   /// heard no balancer for some time.
   void DiscoverBalancersInStore(TimePoint now);
-  /// Reads once which agents the store lists, so that a balancer that starts
-  /// knows which ones it has yet to hear.
+  /// Reads which agents the store lists, so that a balancer that starts knows
+  /// which ones it has yet to hear; again as long as the list is incomplete.
   void ListAgentsInStore(TimePoint now);
   /// Tells agents that the store's list lacks them.
   void TellUnlistedAgents(TimePoint now);
@@ -217,7 +217,7 @@
   TimePoint m_next_store_discovery;
   TimePoint m_introductions_end;     ///< Until then introductions are frequent.
   TimePoint m_next_contact;          ///< When they are due after that.
-  uint32_t m_last_introduced = 0;    ///< Last agent that IntroduceToAgents met.
+  uint32_t m_last_introduced = 0;    ///< Last address that was contacted.
   TimePoint m_next_agent_list;       ///< When ListAgentsInStore is due.
   TimePoint m_registered_at;         ///< Last successful registration.
   TimePoint m_next_registration;     ///< When RegisterInStore is due.
