Fix: A search for a packet without data stood still until its caller sent another one

Cause, from the logs: a search visited four servers within 60 ms, then an agent that was suspended; no agent was asked after it, and the caller's next packet, 3.2 s later, was searched anew and visited three others first. Only packets with data were kept and went on by timer; that the first one was an acknowledgement is inferred, the logs do not show its length.

Every packet but a reset keeps its search going now; a request is not replaced by a packet without data. The first new test failed before (no further agent was asked).

--- a/soak/process_network.cc
+++ b/soak/process_network.cc
@@ -56,9 +56,9 @@
           OnDatagram(key, datagram);
         });
   });
-  const bool connects = !m_processes[IndexOf(from)].is_agent &&
-                        !m_processes[IndexOf(to)].is_agent;
-  if (!connects) {
+  // A relay would accept probes for an agent that does not run, so that
+  // connections to agents are refused.
+  if (m_processes[IndexOf(to)].is_agent) {
     return true;
   }
   link.relay =
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -335,7 +335,7 @@
     return now >= UnroutedDeadline(m_target_outlook, wait_deadline,
                                    m_limits.store_patience);
   }
-  /// Keeps a packet that carries data while the owner of its flow is searched.
+  /// Keeps a packet while the owner of its flow is searched.
   void HoldForSearch(TimePoint now, const FlowPacket& packet, ByteView raw);
   /// Returns whether every agent that may hold flows is known by now, and why.
   DiscoveryBasis Discovery(TimePoint now) const;
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -92,8 +92,12 @@
 void FlowDirector::HoldForSearch(TimePoint now,
                                  const FlowPacket& packet,
                                  ByteView raw) {
-  const bool is_request = packet.data_length > 0 && !packet.rst;
-  if (is_request &&
+  // The packet keeps the search going. A request must reach its server, so it
+  // is not replaced by a packet without data.
+  const HeldPacket* held = m_search_packets.Find(packet.flow);
+  const bool replaces_request = packet.data_length == 0 && held != nullptr &&
+                                held->packet.data_length > 0;
+  if (!packet.rst && !replaces_request &&
       m_search_packets.Hold(now, packet, raw, now + m_limits.max_packet_hold)) {
     ++m_counters.held;
   }
--- a/src/forwarding/flow_waiting_test.cc
+++ b/src/forwarding/flow_waiting_test.cc
@@ -224,6 +224,32 @@
   CHECK(decisions[0].raw == fixture.raw);
 }
 
+TEST_CASE(
+    "a search for a packet without data waits for the caller's next one") {
+  DirectorFixture fixture;
+  FlowPacket packet = MakeLaterPacket(1);
+  packet.data_length = 0;
+  const DirectorDecision first = fixture.Send(packet);
+  CHECK(first.kind == Kind::kForward);
+  const std::vector<DeferredDecision> decisions =
+      RunFor(&fixture, Milliseconds(150));
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].decision.kind == Kind::kForward);
+  CHECK(decisions[0].decision.agent != first.agent);
+}
+
+TEST_CASE("a packet without data replaces a request whose owner is searched") {
+  DirectorFixture fixture;
+  const DirectorDecision first = fixture.Send(MakeLaterPacket(1));
+  FlowPacket packet = MakeLaterPacket(1);
+  packet.data_length = 0;
+  fixture.Send(packet);
+  const std::vector<DeferredDecision> decisions =
+      RunFor(&fixture, Milliseconds(150));
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions[0].packet.data_length > 0);
+}
+
 TEST_CASE("a search that asked all known agents asks a new one at once") {
   DirectorFixture fixture;
   fixture.ReceiveStatus(14, "stock");  // More agents may be discovered soon.
