Fix: Packets of a flow whose agent was removed were dropped while counts of agents differed

Found by reading: the condition that no member hears more agents held for the search as well as for the reset, so that packets went to an agent that is no longer known. A search is no reset; only the reset asks for the counts. The new test failed before (no search).

--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -200,11 +200,8 @@
   // A reset makes the caller retry at once rather than after its own timeout.
   const bool retry_elsewhere =
       owner_dead || (route.repeatable && m_members->IsSuspected(now, *owner));
-  // Another member that hears more agents may hear the owner.
   const bool reaches_agents =
-      retry_elsewhere &&
-      m_members->CountReachable(now, MemberRole::kAgent) > 0 &&
-      m_members->CountLiveAgents(now) >= m_members->LargestReportedAgents(now);
+      m_members->CountReachable(now, MemberRole::kAgent) > 0;
   if (retry_elsewhere && reaches_agents &&
       (owner == nullptr || !flow.owner_proven)) {
     // The caller may have accepted another server, for example if a balancer
@@ -215,7 +212,11 @@
     HoldForSearch(now, packet, raw);
     return ContinueSearch(now, packet.flow, &flow);
   }
-  if (retry_elsewhere && reaches_agents) {
+  // Another member that hears more agents may hear the owner.
+  const bool may_reset =
+      retry_elsewhere && reaches_agents &&
+      m_members->CountLiveAgents(now) >= m_members->LargestReportedAgents(now);
+  if (may_reset) {
     DirectorDecision reset =
         Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
     reset.evidence.owner_heard = owner->heard;
--- a/src/forwarding/flow_director_test.cc
+++ b/src/forwarding/flow_director_test.cc
@@ -331,6 +331,28 @@
         DirectorDecision::Kind::kReset);
 }
 
+TEST_CASE(
+    "a flow of a removed agent is dropped while counts of agents differ") {
+  SilentOwnerFixture fixture;
+  const TimePoint removed_at = fixture.now + MembershipTimeouts().removal;
+  fixture.RunFor(removed_at + Seconds(1) - fixture.now,
+                 ProbeOutcome::kAccepted);
+  fixture.members.OnTick(fixture.now);
+  REQUIRE(fixture.members.Find(fixture.opening.agent) == nullptr);
+  FleetMember peer;
+  peer.id = MemberId{50};
+  peer.ip = 50;
+  peer.incarnation = 1;
+  proto::PeerStatus status;
+  *status.mutable_self() = EncodeMember(fixture.now, peer);
+  status.set_sequence(1);
+  status.set_agents_heard(9);
+  fixture.members.OnStatus(fixture.now, status);
+  const DirectorDecision decision = fixture.Send(MakeLaterPacket(1));
+  CHECK(decision.kind == DirectorDecision::Kind::kForward);
+  CHECK(decision.header.search);
+}
+
 TEST_CASE("a search ended without a silent agent whose host accepts probes") {
   SilentOwnerFixture fixture;
   fixture.RunFor(Seconds(8), ProbeOutcome::kAccepted);
