Codechange: One state machine decides how a process finds the fleet

FleetNode held the times of joining, introductions, lists and registration among its sockets, and the reset model repeated them by hand, constants included, so that the model could show a promise that the program does not keep. FleetDiscovery holds them now, without sockets or clock; FleetNode and the model run it (fleet_node.cc, fleet_node_store.cc, fleet_node_era.cc and fleet_node.h +101 -305 lines, lab +62 -181).

--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "src/forwarding/agent_forwarder.h"
+#include "src/forwarding/fleet_discovery.h"
 #include "src/forwarding/flow_director.h"
 
 namespace medlargauge::lab {
@@ -165,12 +166,11 @@
   void LeaveProcess(Process* process);
   void TickProcess(Process* process);
   void TickNode(Process* process);
-  void IntroduceToAgents(Process* process);
-  void IntroduceToSeeds(Process* process);
-  void ListAgents(Process* process);
-  void DiscoverBalancers(Process* process);
-  void Register(Process* process);
-  void RequestMembers(Process* process);
+  /// Makes the call to the store that is due, which ends at once.
+  void CallStore(Process* process);
+  std::vector<uint32_t> Listed(MemberRole role) const;
+  void SendContacts(Process* process,
+                    const std::vector<MemberContact>& contacts);
   proto::PeerStatus MakeStatus(Process* process);
   std::vector<uint32_t> SeedsOf(const Process& process) const;
   void Broadcast(Process* process);
--- a/lab/reset_world_events.cc
+++ b/lab/reset_world_events.cc
@@ -201,7 +201,7 @@
     case ModelAction::kLateDeparture:
       if (process->forwarder->OnDeregister(
               now, detail::StartId(server.starts - 1))) {
-        process->left_store = true;
+        process->discovery->Leave();
         m_state->registered.erase(process->index);
       }
       AnnounceState(process);
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -14,17 +14,6 @@
 constexpr Duration kPlannedRestartTime = Milliseconds(3000);
 constexpr Duration kDirectorTick = Milliseconds(20);
 constexpr Duration kForwarderTick = Milliseconds(50);
-constexpr Duration kStoreDiscoveryDelay = Milliseconds(60);
-constexpr Duration kStoreRetryInterval = Milliseconds(3000);
-constexpr Duration kFailedStoreRetryInterval = Milliseconds(200);
-constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
-constexpr Duration kIntroductionTime = Milliseconds(3000);
-constexpr Duration kContactInterval = Milliseconds(1000);
-constexpr Duration kIncompleteListRetryInterval = Milliseconds(700);
-constexpr size_t kAgentsToAsk = 3;
-constexpr Duration kMemberRefreshInterval = Milliseconds(5000);
-constexpr Duration kBalancerRegistrationDelay = Milliseconds(1500);
-constexpr Duration kRegistrationInterval = Seconds(600);
 
 }  // namespace
 
@@ -57,24 +46,21 @@
                           now - process->ended_at <= kPlannedRestartTime;
   process->impaired_at = is_planned ? process->impaired_at : now;
   process->members = MembershipTable(id, MembershipTimeouts());
-  if (SeedsOf(*process).empty()) {
-    process->members.OnFleetMet();
-  }
   process->schedule =
       StatusSchedule(process->role, detail::kNodeTick, id.value);
   process->statuses = 0;
-  process->join_attempts = 0;
-  process->agents_listed = false;
-  process->left_store = false;
   process->next_tick = now;
   process->next_director_tick = now;
-  process->next_member_request = TimePoint();
-  process->next_store_discovery = now + kStoreDiscoveryDelay;
-  process->next_agent_list = TimePoint();
-  process->next_contact = TimePoint();
-  process->introductions_end = now + kIntroductionTime;
-  process->balancer_heard_at = TimePoint();
-  process->next_registration = now;
+  FleetMember self;
+  self.id = id;
+  self.role = process->role;
+  self.ip = detail::IpOf(process->index);
+  process->discovery.emplace(now, self, &process->members);
+  std::vector<uint32_t> seeds = SeedsOf(*process);
+  if (seeds.empty()) {
+    process->members.OnFleetMet();
+  }
+  process->discovery->SetSeeds(std::move(seeds));
   if (process->role == MemberRole::kAgent) {
     process->forwarder.emplace(std::string(detail::kService),
                                SocketAddress4{detail::IpOf(process->index), 1},
@@ -82,7 +68,6 @@
     process->announced_state = AgentState::kJoining;
     return;
   }
-  process->next_registration = now + kBalancerRegistrationDelay;
   // Balancers prefer different agents, so that a copy of an opening packet
   // reaches another server.
   const bool prefers_last = process->index > 0;
@@ -140,163 +125,69 @@
   if (process->schedule.IsDue(now)) {
     Broadcast(process);
   }
-  if (now >= process->next_member_request) {
-    RequestMembers(process);
-  }
-  if (now < process->introductions_end) {
-    IntroduceToAgents(process);
-  } else if (now >= process->next_contact) {
-    process->next_contact = now + kContactInterval;
-    IntroduceToAgents(process);
-    IntroduceToSeeds(process);
-  }
-  ListAgents(process);
-  if (!process->leaving) {
-    DiscoverBalancers(process);
-    Register(process);
-  }
-}
-
-void ResetWorld::IntroduceToAgents(Process* process) {
-  if (process->members.UnheardRegisteredAgents().empty()) {
-    return;
-  }
-  const proto::PeerStatus status = MakeStatus(process);
-  for (const uint32_t ip : process->members.UnheardRegisteredAgents()) {
-    SendStatus(process->index, detail::ProcessAt(ip), status);
-  }
-}
-
-void ResetWorld::IntroduceToSeeds(Process* process) {
-  for (const uint32_t seed : SeedsOf(*process)) {
-    const MemberEntry* entry = process->members.FindByAddress(
-        detail::IpOf(seed), MemberRole::kBalancer);
-    if (process->role == MemberRole::kBalancer &&
-        (entry == nullptr ||
-         !process->members.IsReachable(m_state->now, *entry))) {
-      SendStatus(process->index, seed, MakeStatus(process));
-    }
-  }
+  SendContacts(process, process->discovery->TakeContacts(now));
+  CallStore(process);
 }
 
 std::vector<uint32_t> ResetWorld::SeedsOf(const Process& process) const {
   std::vector<uint32_t> seeds;
   for (uint32_t i = 0; i < std::min(m_config.seeds, m_config.balancers); ++i) {
     if (i != process.index) {
-      seeds.push_back(i);
+      seeds.push_back(detail::IpOf(i));
     }
   }
   return seeds;
 }
 
-void ResetWorld::ListAgents(Process* process) {
+void ResetWorld::CallStore(Process* process) {
   const TimePoint now = m_state->now;
-  process->agents_listed =
-      process->agents_listed && (now >= process->introductions_end ||
-                                 process->members.UnlistedAgents(now).empty());
-  const bool is_due = process->role == MemberRole::kBalancer &&
-                      !process->agents_listed &&
-                      now >= process->next_agent_list;
-  if (!is_due) {
-    return;
-  }
-  process->next_agent_list =
-      now + (now < process->introductions_end ? kFailedStoreRetryInterval
-                                              : kStoreRetryInterval);
-  if (!m_state->store_answers) {
-    return;
-  }
-  std::vector<uint32_t> ips;
-  for (const uint32_t index : m_state->registered) {
-    if (index >= m_config.balancers) {
-      ips.push_back(detail::IpOf(index));
-    }
-  }
-  process->agents_listed = process->members.SetRegisteredAgents(now, ips);
-  process->next_agent_list =
-      std::max(process->next_agent_list, now + kIncompleteListRetryInterval);
-  proto::PeerStatus told = MakeStatus(process);
-  told.set_not_registered(true);
-  for (const uint32_t ip : process->members.UnlistedAgents(now)) {
-    SendStatus(process->index, detail::ProcessAt(ip), told);
+  const MemberCall call = process->discovery->NextCall(now, process->leaving);
+  const bool answers = m_state->store_answers;
+  const StoreResult result =
+      answers ? StoreResult::kOk : StoreResult::kNoAnswer;
+  switch (call) {
+    case MemberCall::kNone:
+      return;
+    case MemberCall::kListBalancers:
+      SendContacts(process, process->discovery->OnBalancersListed(
+                                now, answers, Listed(MemberRole::kBalancer)));
+      return;
+    case MemberCall::kListAgents:
+      SendContacts(process, process->discovery->OnAgentsListed(
+                                now, result, Listed(MemberRole::kAgent)));
+      return;
+    case MemberCall::kRegister:
+      process->discovery->OnRegistered(now, result);
+      if (answers) {
+        m_state->registered.insert(process->index);
+      }
+      return;
   }
-  IntroduceToAgents(process);
 }
 
-void ResetWorld::DiscoverBalancers(Process* process) {
-  const TimePoint now = m_state->now;
-  const bool never_heard = process->balancer_heard_at == TimePoint();
-  const bool is_due =
-      process->members.CountReachable(now, MemberRole::kBalancer) == 0 &&
-      (never_heard ||
-       now - process->balancer_heard_at >= kBalancerSilenceLimit) &&
-      now >= process->next_store_discovery;
-  if (!is_due) {
-    return;
-  }
-  if (!m_state->store_answers) {
-    process->next_store_discovery = now + kFailedStoreRetryInterval;
-    return;
-  }
-  process->next_store_discovery = now + kStoreRetryInterval;
-  proto::PeerStatus status = MakeStatus(process);
-  status.set_wants_members(true);
+std::vector<uint32_t> ResetWorld::Listed(MemberRole role) const {
+  std::vector<uint32_t> ips;
   for (const uint32_t index : m_state->registered) {
-    if (index < m_config.balancers && index != process->index) {
-      SendStatus(process->index, index, status);
+    const bool is_balancer = index < m_config.balancers;
+    if (m_state->store_answers &&
+        is_balancer == (role == MemberRole::kBalancer)) {
+      ips.push_back(detail::IpOf(index));
     }
   }
+  return ips;
 }
 
-void ResetWorld::Register(Process* process) {
-  const TimePoint now = m_state->now;
-  if (process->left_store || now < process->next_registration) {
+void ResetWorld::SendContacts(Process* process,
+                              const std::vector<MemberContact>& contacts) {
+  if (contacts.empty()) {
     return;
   }
-  const bool answers = m_state->store_answers;
-  process->next_registration =
-      now + (answers ? kRegistrationInterval : kStoreRetryInterval);
-  if (answers) {
-    m_state->registered.insert(process->index);
-  }
-}
-
-void ResetWorld::RequestMembers(Process* process) {
-  const TimePoint now = m_state->now;
-  const bool hears_no_balancer =
-      process->members.CountReachable(now, MemberRole::kBalancer) == 0;
-  process->join_attempts = hears_no_balancer ? process->join_attempts + 1 : 0;
-  process->next_member_request =
-      now + (hears_no_balancer ? JoinRetryDelay(process->join_attempts)
-                               : kMemberRefreshInterval);
   proto::PeerStatus status = MakeStatus(process);
-  status.set_wants_members(true);
-  if (hears_no_balancer) {
-    for (const uint32_t seed : SeedsOf(*process)) {
-      SendStatus(process->index, seed, status);
-    }
-    size_t asked = 0;
-    for (const auto& [id, entry] : process->members.Entries()) {
-      if (entry.member.role == MemberRole::kAgent && asked < kAgentsToAsk &&
-          process->members.IsReachable(now, entry)) {
-        SendStatus(process->index, detail::ProcessAt(entry.member.ip), status);
-        ++asked;
-      }
-    }
-    return;
-  }
-  std::vector<uint32_t> balancers;
-  for (const auto& [id, entry] : process->members.Entries()) {
-    if (entry.member.role == MemberRole::kBalancer &&
-        process->members.IsReachable(now, entry)) {
-      balancers.push_back(detail::ProcessAt(entry.member.ip));
-    }
+  for (const MemberContact& contact : contacts) {
+    status.set_wants_members(contact.wants_members);
+    status.set_not_registered(contact.not_registered);
+    SendStatus(process->index, detail::ProcessAt(contact.ip), status);
   }
-  SendStatus(
-      process->index,
-      balancers[MixHash(detail::IpOf(process->index), process->statuses) %
-                balancers.size()],
-      status);
 }
 
 proto::PeerStatus ResetWorld::MakeStatus(Process* process) {
@@ -356,7 +247,7 @@
   }
   const MemberRole sender_role = sender->member.role;
   if (status.not_registered()) {
-    process->next_registration = std::min(process->next_registration, now);
+    process->discovery->OnNotRegistered(now);
   }
   for (const proto::PeerMember& known : status.known()) {
     const FleetMember member = DecodeMember(now, known);
@@ -367,7 +258,7 @@
     }
   }
   if (sender_role == MemberRole::kBalancer) {
-    process->balancer_heard_at = now;
+    process->discovery->OnBalancerHeard(now);
   }
   if (!is_new && !status.wants_members()) {
     return;
--- a/lab/reset_world_flow.cc
+++ b/lab/reset_world_flow.cc
@@ -123,7 +123,7 @@
 
 void ResetWorld::OnServerDown(Process* agent) {
   if (agent->forwarder->HasUnknownServerDeparted()) {
-    agent->left_store = true;
+    agent->discovery->Leave();
     m_state->registered.erase(agent->index);
   }
   for (const FlowReset& reset : agent->forwarder->OnServerDown(m_state->now)) {
@@ -228,9 +228,8 @@
   report.slots = detail::kServerSlots;
   const bool is_applied =
       agent->forwarder->OnReport(now, report) == ReportOutcome::kApplied;
-  if (is_applied && agent->left_store) {
-    agent->left_store = false;
-    agent->next_registration = now;
+  if (is_applied) {
+    agent->discovery->Rejoin(now);
   }
   AnnounceState(agent);
 }
--- a/lab/reset_world_state.h
+++ b/lab/reset_world_state.h
@@ -103,22 +103,13 @@
   TimePoint ended_at;
   MembershipTable members;
   StatusSchedule schedule;
+  std::optional<FleetDiscovery> discovery;
   std::optional<FlowDirector> director;     ///< Balancers only.
   std::optional<AgentForwarder> forwarder;  ///< Agents only.
   AgentState announced_state = AgentState::kJoining;
   uint32_t statuses = 0;
-  uint32_t join_attempts = 0;
-  bool agents_listed = false;
-  bool left_store = false;
   TimePoint next_tick;
   TimePoint next_director_tick;
-  TimePoint next_member_request;
-  TimePoint next_store_discovery;
-  TimePoint next_agent_list;
-  TimePoint next_registration;
-  TimePoint introductions_end;
-  TimePoint next_contact;
-  TimePoint balancer_heard_at;
 };
 
 /// A message on its way.
--- /dev/null
+++ b/src/forwarding/fleet_discovery_test.cc
@@ -0,0 +1,91 @@
+// @file fleet_discovery_test.cc Tests of joining, introductions and calls.
+#include "src/forwarding/fleet_discovery.h"
+
+#include <doctest/doctest.h>
+
+namespace medlargauge {
+namespace {
+
+/// A balancer at address 1 that has just started.
+struct DiscoveryFixture {
+  TimePoint now{Seconds(100)};
+  MembershipTable members{MemberId{1}, MembershipTimeouts()};
+  FleetDiscovery discovery{now, MakeMember(1, MemberRole::kBalancer), &members};
+  uint32_t sequence = 0;
+
+  static FleetMember MakeMember(uint64_t id, MemberRole role) {
+    FleetMember member;
+    member.id = MemberId{id};
+    member.role = role;
+    member.ip = static_cast<uint32_t>(id);
+    member.incarnation = 1;
+    return member;
+  }
+  void Hear(uint64_t id, MemberRole role) {
+    proto::PeerStatus status;
+    *status.mutable_self() = EncodeMember(now, MakeMember(id, role));
+    status.set_sequence(++sequence);
+    members.OnStatus(now, status);
+  }
+  /// Returns whether one of the contacts that are due goes to this address.
+  bool Contacts(uint32_t ip) {
+    bool found = false;
+    for (const MemberContact& contact : discovery.TakeContacts(now)) {
+      found = found || contact.ip == ip;
+    }
+    return found;
+  }
+};
+
+TEST_CASE("an agent that the list lacks is told, and the list is read again") {
+  DiscoveryFixture fixture;
+  fixture.Hear(11, MemberRole::kAgent);
+  REQUIRE(fixture.discovery.NextCall(fixture.now, false) ==
+          MemberCall::kListAgents);
+  const std::vector<MemberContact> contacts =
+      fixture.discovery.OnAgentsListed(fixture.now, StoreResult::kOk, {12});
+  REQUIRE(contacts.size() == 2);
+  CHECK(contacts[0].ip == 11);
+  CHECK(contacts[0].not_registered);
+  CHECK(contacts[1].ip == 12);
+  CHECK_FALSE(fixture.discovery.IsListComplete());
+  fixture.now += Seconds(1);
+  CHECK(fixture.discovery.NextCall(fixture.now, true) ==
+        MemberCall::kListAgents);
+}
+
+TEST_CASE(
+    "a seed that is not heard and a listed agent are contacted for long") {
+  DiscoveryFixture fixture;
+  fixture.discovery.SetSeeds({2, 3});
+  fixture.discovery.NextCall(fixture.now, false);
+  fixture.discovery.OnAgentsListed(fixture.now, StoreResult::kOk, {12});
+  fixture.now += Seconds(20);
+  fixture.Hear(2, MemberRole::kBalancer);
+  fixture.Contacts(0);
+  fixture.now += Seconds(1);
+  fixture.Hear(2, MemberRole::kBalancer);
+  const std::vector<MemberContact> contacts =
+      fixture.discovery.TakeContacts(fixture.now);
+  REQUIRE(contacts.size() == 2);
+  CHECK(contacts[0].ip == 12);
+  CHECK(contacts[1].ip == 3);
+}
+
+TEST_CASE("a process that left the store registers only after it rejoined") {
+  DiscoveryFixture fixture;
+  fixture.discovery.NextCall(fixture.now, false);
+  fixture.discovery.OnAgentsListed(fixture.now, StoreResult::kNotFound, {});
+  fixture.Hear(2, MemberRole::kBalancer);
+  fixture.discovery.OnBalancerHeard(fixture.now);
+  fixture.discovery.Leave();
+  fixture.now += Seconds(2);
+  fixture.Hear(2, MemberRole::kBalancer);
+  CHECK(fixture.discovery.NextCall(fixture.now, false) == MemberCall::kNone);
+  fixture.discovery.Rejoin(fixture.now);
+  CHECK(fixture.discovery.NextCall(fixture.now, false) ==
+        MemberCall::kRegister);
+}
+
+}  // namespace
+}  // namespace medlargauge
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -13,25 +13,6 @@
 /// A member takes about 50 bytes; this many fit the largest datagram that
 /// UdpSocket receives.
 constexpr int kMembersPerDatagram = 24;
-/// Members are requested again this often, because a member list may be lost.
-constexpr Duration kMemberRefreshInterval = Seconds(5);
-/// After the start the seeds have this long to answer before the store is asked
-/// for balancers.
-constexpr Duration kStoreDiscoveryDelay = Milliseconds(60);
-/// A balancer registers this long after its start, so that it is ready to serve
-/// by then. Only processes that start later need the registration. An agent
-/// registers at once, as balancers take the list of agents for complete.
-constexpr Duration kRegistrationDelay = Milliseconds(1500);
-/// After this silence, balancers may have removed this process from the store.
-constexpr Duration kForgottenTime = MembershipTimeouts().removal;
-/// A balancer that has just started introduces itself again and again for this
-/// long, because the agents may be starting as well.
-constexpr Duration kIntroductionTime = Seconds(3);
-/// After that, agents that are listed but not heard are contacted this often,
-/// and so are seeds that are not heard.
-constexpr Duration kContactInterval = Seconds(1);
-/// Agents that a process asks for members if no balancer is heard.
-constexpr size_t kAgentsToAsk = 3;
 /// Limit of the age of an era in statuses.
 constexpr int64_t kMaxEraAgeMs = 3600LL * 1000;
 /// Smaller differences arise because the two clocks are not read at once.
@@ -71,6 +52,7 @@
       m_self(MakeSelf(settings, role)),
       m_peer_address(*ParseAddress4(settings.control_address)),
       m_members(m_self.id, MembershipTimeouts()),
+      m_discovery(SteadyTime(), m_self, &m_members),
       m_status_schedule(role, kTickInterval, m_self.id.value),
       m_serving_budget(kMaxServedBytesPerSecond),
       m_target_keeper(m_self.id, TargetKeeperLimits()),
@@ -79,26 +61,28 @@
                     [this](const HttpRequest& request) {
                       return HandleHttpRequest(request);
                     }),
-      m_next_store_discovery(SteadyTime() + kStoreDiscoveryDelay),
-      m_introductions_end(SteadyTime() + kIntroductionTime),
-      m_next_registration(SteadyTime() + (role == MemberRole::kBalancer
-                                              ? kRegistrationDelay
-                                              : Duration())),
       m_last_suspended_time(SuspendedTime()) {
   SetSeeds(settings.seeds);
-  if (m_seeds.empty()) {
-    m_members.OnFleetMet();
-  }
 }
 
 void FleetNode::SetSeeds(const std::vector<std::string>& seeds) {
-  m_seeds.clear();
+  std::vector<uint32_t> ips;
   for (const std::string& seed : seeds) {
     const uint32_t ip = ParseSeedIp(seed);
-    if (ip != 0 && ip != m_self.ip) {
-      m_seeds.push_back(ip);
+    if (ip == 0) {
+      EventLine(Severity::kWarning, "seed_ignored").With("seed", seed);
+    } else if (ip != m_self.ip) {
+      ips.push_back(ip);
     }
   }
+  const bool is_only_seed =
+      std::all_of(seeds.begin(), seeds.end(), [this](const std::string& seed) {
+        return ParseSeedIp(seed) == m_self.ip;
+      });
+  if (is_only_seed) {
+    m_members.OnFleetMet();
+  }
+  m_discovery.SetSeeds(std::move(ips));
 }
 
 bool FleetNode::Start(Error* reason) {
@@ -114,7 +98,7 @@
     });
   });
   m_loop->Every(kTickInterval, [this] { Tick(); });
-  m_loop->After(kStoreDiscoveryDelay, [this] { Tick(); });
+  m_loop->After(kBalancerListDelay, [this] { Tick(); });
   Tick();
   return true;
 }
@@ -158,7 +142,7 @@
   }
   OnPeerEra(now, status);
   if (status.not_registered()) {
-    OnNotRegistered(now);
+    m_discovery.OnNotRegistered(now);
   }
   for (const proto::PeerMember& known : status.known()) {
     const FleetMember member = DecodeMember(now, known);
@@ -168,10 +152,7 @@
     }
   }
   if (sender->member.role == MemberRole::kBalancer) {
-    const bool was_cut_off = m_balancer_heard_at != TimePoint() &&
-                             now - m_balancer_heard_at >= kForgottenTime;
-    m_next_registration = was_cut_off ? now : m_next_registration;
-    m_balancer_heard_at = now;
+    m_discovery.OnBalancerHeard(now);
   }
   const bool is_behind =
       m_self.role == MemberRole::kBalancer &&
@@ -264,21 +245,8 @@
   if (m_status_schedule.IsDue(now)) {
     BroadcastStatus();
   }
-  if (now >= m_next_member_request) {
-    RequestMembers(now);
-  }
-  if (now < m_introductions_end) {
-    IntroduceToAgents();
-  } else if (now >= m_next_contact) {
-    m_next_contact = now + kContactInterval;
-    IntroduceToAgents();
-    IntroduceToSeeds();
-  }
-  ListAgentsInStore(now);
-  if (!m_leaving) {
-    DiscoverBalancersInStore(now);
-    RegisterInStore(now);
-  }
+  SendContacts(now, m_discovery.TakeContacts(now));
+  CallStoreForMembers(now);
   if (m_self.role == MemberRole::kBalancer) {
     RetryTargetFetch(now);
     ReadTargets(now);
@@ -287,58 +255,16 @@
   }
 }
 
-void FleetNode::RequestMembers(TimePoint now) {
-  const bool hears_no_balancer =
-      m_members.CountReachable(now, MemberRole::kBalancer) == 0;
-  m_join_attempts = hears_no_balancer ? m_join_attempts + 1 : 0;
-  m_next_member_request =
-      now + (hears_no_balancer ? JoinRetryDelay(m_join_attempts)
-                               : kMemberRefreshInterval);
-  proto::PeerStatus status = MakeStatus(now);
-  status.set_wants_members(true);
-  if (hears_no_balancer) {
-    for (const uint32_t seed : m_seeds) {
-      SendStatus(seed, status);
-    }
-    for (const uint32_t ip : ReachableAgents(now, kAgentsToAsk)) {
-      SendStatus(ip, status);
-    }
+void FleetNode::SendContacts(TimePoint now,
+                             const std::vector<MemberContact>& contacts) {
+  if (contacts.empty()) {
     return;
   }
-  // A different balancer each time, so that lost member lists are repaired.
-  std::vector<uint32_t> balancers;
-  for (const auto& [id, entry] : m_members.Entries()) {
-    if (entry.member.role == MemberRole::kBalancer &&
-        m_members.IsReachable(now, entry)) {
-      balancers.push_back(entry.member.ip);
-    }
-  }
-  SendStatus(
-      balancers[MixHash(m_self.id.value, m_status_sequence) % balancers.size()],
-      status);
-}
-
-std::vector<uint32_t> FleetNode::ReachableAgents(TimePoint now,
-                                                 size_t limit) const {
-  std::vector<uint32_t> ips;
-  for (const auto& [id, entry] : m_members.Entries()) {
-    if (entry.member.role == MemberRole::kAgent && ips.size() < limit &&
-        m_members.IsReachable(now, entry)) {
-      ips.push_back(entry.member.ip);
-    }
-  }
-  return ips;
-}
-
-void FleetNode::IntroduceToSeeds() {
-  const TimePoint now = SteadyTime();
-  for (const uint32_t seed : m_seeds) {
-    const MemberEntry* entry =
-        m_members.FindByAddress(seed, MemberRole::kBalancer);
-    if (m_self.role == MemberRole::kBalancer &&
-        (entry == nullptr || !m_members.IsReachable(now, *entry))) {
-      SendStatus(seed, MakeStatus(now));
-    }
+  proto::PeerStatus status = MakeStatus(now);
+  for (const MemberContact& contact : contacts) {
+    status.set_wants_members(contact.wants_members);
+    status.set_not_registered(contact.not_registered);
+    SendStatus(contact.ip, status);
   }
 }
 
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -12,6 +12,7 @@
 #include "src/forwarding/active_routes.h"
 #include "src/forwarding/byte_budget.h"
 #include "src/forwarding/era_tracker.h"
+#include "src/forwarding/fleet_discovery.h"
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/status_schedule.h"
 #include "src/forwarding/target_keeper.h"
@@ -106,31 +107,16 @@
                       bool with_members);
   void SendStatus(uint32_t ip, const proto::PeerStatus& status);
   void Tick();
-  /// Requests a member list from the seeds if no balancer is heard, otherwise
-  /// from one of the balancers.
-  void RequestMembers(TimePoint now);
-  /// Requests member lists from the balancers in the store, if this process has
-  /// heard no balancer for some time.
-  void DiscoverBalancersInStore(TimePoint now);
-  /// Reads which agents the store lists, so that a balancer that starts knows
-  /// which ones it has yet to hear; again as long as the list is incomplete.
-  void ListAgentsInStore(TimePoint now);
-  /// Tells agents that the store's list lacks them.
-  void TellUnlistedAgents(TimePoint now);
-  /// Registers this process again, as a balancer has not found it in the
-  /// store's list.
-  void OnNotRegistered(TimePoint now);
-  /// Sends a status to registered agents that have not been heard yet: at first
-  /// to all of them, later to some at a time. An agent answers the first one of
-  /// a balancer.
-  void IntroduceToAgents();
-  /// Sends a status to the seeds that are not heard, so that two parts of a
-  /// fleet that started apart find each other. Only balancers do so.
-  void IntroduceToSeeds();
-  /// Returns the addresses of at most `limit` reachable agents.
-  std::vector<uint32_t> ReachableAgents(TimePoint now, size_t limit) const;
-  /// Adds this process to the store when that is due.
-  void RegisterInStore(TimePoint now);
+  /// Sends a status to each of these members.
+  void SendContacts(TimePoint now, const std::vector<MemberContact>& contacts);
+  /// Makes the call to the store's lists of members that is due, if any.
+  void CallStoreForMembers(TimePoint now);
+  /// Counts a call to the lists of members; there is one at a time.
+  void BeginMemberCall();
+  /// Handles the end of such a call. @return its result
+  StoreResult EndMemberCall(const StoreReply& reply, std::string_view call);
+  /// Handles the store's list of agents.
+  void OnAgentsListed(StoreResult result, const std::vector<uint32_t>& ips);
   /// Removes members that the membership table has forgotten from the store.
   /// Only one of the remaining balancers, chosen by hash, does so.
   void DeregisterForgottenMembers(TimePoint now,
@@ -161,9 +147,6 @@
   /// was restored from an older copy.
   /// @param source who told the era, for the log
   void StartEra(TimePoint now, std::string_view source);
-  /// Makes a list of agents obsolete that was read before all members should
-  /// have registered in the store's era.
-  void WithdrawObsoleteAgentList();
   /// Logs when the store becomes unreachable or reachable again.
   void LogStoreTransition(StoreResult result, std::string_view call);
   /// Serves the metrics, and the targets for other members.
@@ -175,8 +158,8 @@
   FleetNodeHooks m_hooks;            ///< Callbacks of the role.
   FleetMember m_self;                ///< The own member.
   SocketAddress4 m_peer_address;     ///< Own address for other processes.
-  std::vector<uint32_t> m_seeds;     ///< Addresses to join through.
   MembershipTable m_members;         ///< All other members.
+  FleetDiscovery m_discovery;        ///< How this process finds them.
   StatusSchedule m_status_schedule;  ///< When to broadcast the own status.
   ActiveRoutes m_routes;             ///< Routes in force.
   /// Targets of a peer that were fetched and did not replace those in force.
@@ -197,11 +180,7 @@
   bool m_leaving = false;          ///< A planned stop has begun.
   /// A call to the store that lists or changes members is in flight.
   bool m_member_call_pending = false;
-  bool m_agents_listed = false;        ///< The registered agents are known.
-  bool m_agent_list_too_long = false;  ///< The store's list is cut.
-  TimePoint m_agents_listed_at;        ///< When that list was requested.
-  bool m_left_store = false;           ///< LeaveStore was called.
-  EraTracker m_era;                    ///< Era of the store.
+  EraTracker m_era;  ///< Era of the store.
   /// Answers of the store that CheckEra has refused.
   uint64_t m_unusable_store_answers = 0;
   TimePoint m_next_era_warning;      ///< When CheckEra may next log one.
@@ -210,18 +189,6 @@
   uint64_t m_store_calls = 0;        ///< Calls to the store since the start.
   uint64_t m_target_fetches = 0;     ///< Requests for targets since the start.
   uint64_t m_targets_served = 0;     ///< Answers with targets since the start.
-  TimePoint m_next_member_request;   ///< When RequestMembers is due.
-  /// Consecutive requests to the seeds while no balancer was reachable.
-  uint32_t m_join_attempts = 0;
-  /// When the store may next be asked for balancers.
-  TimePoint m_next_store_discovery;
-  TimePoint m_introductions_end;     ///< Until then introductions are frequent.
-  TimePoint m_next_contact;          ///< When they are due after that.
-  uint32_t m_last_introduced = 0;    ///< Last address that was contacted.
-  TimePoint m_next_agent_list;       ///< When ListAgentsInStore is due.
-  TimePoint m_registered_at;         ///< Last successful registration.
-  TimePoint m_next_registration;     ///< When RegisterInStore is due.
-  TimePoint m_balancer_heard_at;     ///< Last status of a balancer.
   Duration m_last_suspended_time{};  ///< SuspendedTime at the last tick.
 };
 
--- a/src/runtime/fleet_node_era.cc
+++ b/src/runtime/fleet_node_era.cc
@@ -1,6 +1,4 @@
 // @file fleet_node_era.cc FleetNode's reaction to the store's era.
-#include <algorithm>
-
 #include "src/core/event_log.h"
 #include "src/runtime/fleet_node.h"
 
@@ -10,8 +8,6 @@
 constexpr Duration kEraWarningInterval = Seconds(10);
 /// A fleet registers again over this time, so that the store is not flooded.
 constexpr Duration kRegistrationSpread = Seconds(1);
-/// How long the list of agents is requested, and agents in it are introduced.
-constexpr Duration kAgentListTime = Seconds(3);
 
 std::string_view NameOf(EraFinding finding) {
   switch (finding) {
@@ -66,7 +62,7 @@
   if (m_era.Era() != 0) {
     m_target_reader.OnEraKnown();
   }
-  WithdrawObsoleteAgentList();
+  m_discovery.OnRegistrationsCompleteAt(m_era.RegistrationsCompleteAt());
 }
 
 void FleetNode::StartEra(TimePoint now, std::string_view source) {
@@ -74,26 +70,15 @@
       .With("era", m_era.Era())
       .With("source", source);
   m_target_reader.OnNewEra(now);
-  WithdrawObsoleteAgentList();
-  if (m_left_store) {
+  m_discovery.OnRegistrationsCompleteAt(m_era.RegistrationsCompleteAt());
+  if (m_discovery.HasLeft()) {
     LeaveStore();  // The copy may still list this process.
     return;
   }
   const auto spread_ms =
       static_cast<uint64_t>(ToMilliseconds(kRegistrationSpread));
   const uint64_t delay_ms = MixHash(m_self.id.value, m_era.Era()) % spread_ms;
-  m_next_registration = now + Milliseconds(static_cast<int64_t>(delay_ms));
-}
-
-void FleetNode::WithdrawObsoleteAgentList() {
-  const TimePoint complete_at = m_era.RegistrationsCompleteAt();
-  if (m_agents_listed_at < complete_at) {
-    m_agents_listed = false;
-    m_members.WithdrawRegisteredAgents();
-    m_next_agent_list = complete_at;
-  }
-  m_introductions_end =
-      std::max(m_introductions_end, complete_at + kAgentListTime);
+  m_discovery.RegisterAt(now + Milliseconds(static_cast<int64_t>(delay_ms)));
 }
 
 }  // namespace medlargauge
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -11,18 +11,6 @@
 namespace medlargauge {
 namespace {
 
-/// Registration is repeated, because other balancers may have removed the entry
-/// while this host was cut off.
-constexpr Duration kRegistrationInterval = Seconds(600);
-constexpr Duration kStoreRetryInterval = Seconds(3);
-/// The same for a process that has just started and got no list of members.
-constexpr Duration kFailedStoreRetryInterval = Milliseconds(200);
-/// The same if the store's list of agents was evidently incomplete.
-constexpr Duration kIncompleteListRetryInterval = Milliseconds(700);
-/// If no balancer was heard for this long, the store is asked for balancers.
-constexpr Duration kBalancerSilenceLimit = Milliseconds(1500);
-/// Agents that are contacted at once after the start.
-constexpr size_t kMaxContacts = 32;
 /// Source of targets that a peer has delivered, in logs.
 constexpr std::string_view kPeerSource = "peer";
 constexpr Duration kTargetFetchTimeout = Milliseconds(800);
@@ -38,145 +26,77 @@
 
 }  // namespace
 
-void FleetNode::DiscoverBalancersInStore(TimePoint now) {
-  const bool never_heard = m_balancer_heard_at == TimePoint();
-  const bool needs_discovery =
-      m_members.CountReachable(now, MemberRole::kBalancer) == 0 &&
-      (never_heard || now - m_balancer_heard_at >= kBalancerSilenceLimit);
-  if (!needs_discovery || m_member_call_pending ||
-      now < m_next_store_discovery) {
+void FleetNode::CallStoreForMembers(TimePoint now) {
+  if (m_member_call_pending) {
     return;
   }
-  m_member_call_pending = true;
-  m_next_store_discovery = now + kStoreRetryInterval;
-  ++m_store_calls;
-  m_platform->list_members(
-      MemberRole::kBalancer,
-      [this](const StoreReply& reply, const std::vector<uint32_t>& ips) {
-        m_member_call_pending = false;
-        LogStoreTransition(CheckEra(reply, "list_balancers"), "list_balancers");
-        const TimePoint completed_at = SteadyTime();
-        if (m_store_unreachable) {
-          m_next_store_discovery = completed_at + kFailedStoreRetryInterval;
-        }
-        proto::PeerStatus status = MakeStatus(completed_at);
-        status.set_wants_members(true);
-        for (const uint32_t ip : ips) {
-          if (ip != m_self.ip) {
-            SendStatus(ip, status);
-          }
-        }
-      });
+  switch (m_discovery.NextCall(now, m_leaving)) {
+    case MemberCall::kNone:
+      return;
+    case MemberCall::kListBalancers:
+      BeginMemberCall();
+      m_platform->list_members(
+          MemberRole::kBalancer,
+          [this](const StoreReply& reply, const std::vector<uint32_t>& ips) {
+            EndMemberCall(reply, "list_balancers");
+            const TimePoint completed_at = SteadyTime();
+            SendContacts(completed_at,
+                         m_discovery.OnBalancersListed(
+                             completed_at, !m_store_unreachable, ips));
+          });
+      return;
+    case MemberCall::kListAgents:
+      BeginMemberCall();
+      m_platform->list_members(
+          MemberRole::kAgent,
+          [this](const StoreReply& reply, const std::vector<uint32_t>& ips) {
+            OnAgentsListed(EndMemberCall(reply, "list_agents"), ips);
+          });
+      return;
+    case MemberCall::kRegister:
+      BeginMemberCall();
+      m_platform->add_member(
+          m_self.role, m_self.ip, [this](const StoreReply& reply) {
+            const StoreResult result = EndMemberCall(reply, "add_member");
+            m_discovery.OnRegistered(SteadyTime(), result);
+          });
+      return;
+  }
 }
 
-void FleetNode::ListAgentsInStore(TimePoint now) {
-  // An agent that is heard after the start, but not listed, shows that the list
-  // was incomplete.
-  m_agents_listed = m_agents_listed && (now >= m_introductions_end ||
-                                        m_members.UnlistedAgents(now).empty());
-  const bool is_due = m_self.role == MemberRole::kBalancer &&
-                      !m_agents_listed && !m_member_call_pending &&
-                      now >= m_next_agent_list && !m_agent_list_too_long;
-  if (!is_due) {
-    return;
-  }
+void FleetNode::BeginMemberCall() {
   m_member_call_pending = true;
-  const bool has_just_started = now < m_introductions_end;
-  m_next_agent_list = now + (has_just_started ? kFailedStoreRetryInterval
-                                              : kStoreRetryInterval);
   ++m_store_calls;
-  m_platform->list_members(
-      MemberRole::kAgent,
-      [this, now](const StoreReply& reply, const std::vector<uint32_t>& ips) {
-        m_member_call_pending = false;
-        const StoreResult result = CheckEra(reply, "list_agents");
-        LogStoreTransition(result, "list_agents");
-        m_agent_list_too_long = result == StoreResult::kNotFound;
-        if (result == StoreResult::kOk) {
-          const TimePoint completed_at = SteadyTime();
-          m_agents_listed = m_members.SetRegisteredAgents(completed_at, ips);
-          m_next_agent_list = std::max(
-              m_next_agent_list, completed_at + kIncompleteListRetryInterval);
-          TellUnlistedAgents(completed_at);
-          m_agents_listed_at = now;
-          WithdrawObsoleteAgentList();
-          IntroduceToAgents();
-          EventLine(Severity::kInfo, "agents_listed")
-              .With("registered", ips.size())
-              .With("unheard", m_members.UnheardRegisteredAgents().size())
-              .With("complete", m_agents_listed);
-        }
-      });
 }
 
-void FleetNode::TellUnlistedAgents(TimePoint now) {
-  const std::vector<uint32_t> ips = m_members.UnlistedAgents(now);
-  if (ips.empty()) {
-    return;
-  }
-  proto::PeerStatus status = MakeStatus(now);
-  status.set_not_registered(true);
-  for (const uint32_t ip : ips) {
-    SendStatus(ip, status);
-  }
+StoreResult FleetNode::EndMemberCall(const StoreReply& reply,
+                                     std::string_view call) {
+  m_member_call_pending = false;
+  const StoreResult result = CheckEra(reply, call);
+  LogStoreTransition(result, call);
+  return result;
 }
 
-void FleetNode::IntroduceToAgents() {
-  const std::set<uint32_t>& ips = m_members.UnheardRegisteredAgents();
-  if (ips.empty()) {
-    return;
-  }
+void FleetNode::OnAgentsListed(StoreResult result,
+                               const std::vector<uint32_t>& ips) {
   const TimePoint now = SteadyTime();
-  const size_t limit = now < m_introductions_end ? ips.size() : kMaxContacts;
-  const proto::PeerStatus status = MakeStatus(now);
-  size_t sent = 0;
-  // Continues after the last one, so that all have their turn.
-  for (auto it = ips.upper_bound(m_last_introduced);
-       sent < std::min(limit, ips.size()); ++sent) {
-    it = it == ips.end() ? ips.begin() : it;
-    m_last_introduced = *it;
-    SendStatus(*it, status);
-    ++it;
-  }
-}
-
-void FleetNode::RegisterInStore(TimePoint now) {
-  if (m_member_call_pending || m_left_store || now < m_next_registration) {
+  SendContacts(now, m_discovery.OnAgentsListed(now, result, ips));
+  if (result != StoreResult::kOk) {
     return;
   }
-  m_member_call_pending = true;
-  m_next_registration = now + kStoreRetryInterval;
-  ++m_store_calls;
-  m_platform->add_member(
-      m_self.role, m_self.ip, [this](const StoreReply& reply) {
-        m_member_call_pending = false;
-        const StoreResult result = CheckEra(reply, "add_member");
-        if (result == StoreResult::kOk) {
-          m_registered_at = SteadyTime();
-          m_next_registration = m_registered_at + kRegistrationInterval;
-        }
-        LogStoreTransition(result, "add_member");
-      });
-}
-
-void FleetNode::OnNotRegistered(TimePoint now) {
-  // Several balancers may have read the list before the last registration.
-  const bool is_known = m_registered_at != TimePoint() &&
-                        now - m_registered_at < kStoreRetryInterval;
-  if (!is_known) {
-    m_next_registration = std::min(m_next_registration, now);
-  }
+  m_discovery.OnRegistrationsCompleteAt(m_era.RegistrationsCompleteAt());
+  EventLine(Severity::kInfo, "agents_listed")
+      .With("registered", ips.size())
+      .With("unheard", m_members.UnheardRegisteredAgents().size())
+      .With("complete", m_discovery.IsListComplete());
 }
 
 void FleetNode::RejoinStore() {
-  if (m_left_store) {
-    m_left_store = false;
-    m_next_registration = SteadyTime();
-  }
+  m_discovery.Rejoin(SteadyTime());
 }
 
 void FleetNode::LeaveStore() {
-  m_left_store = true;
+  m_discovery.Leave();
   ++m_store_calls;
   m_platform->remove_member(
       m_self.role, m_self.ip, [this](const StoreReply& reply) {
@@ -203,13 +123,11 @@
     if (!is_responsible || m_member_call_pending) {
       continue;  // A stale entry costs new processes a datagram or some time.
     }
-    m_member_call_pending = true;
-    ++m_store_calls;
-    m_platform->remove_member(
-        member.role, member.ip, [this](const StoreReply& reply) {
-          m_member_call_pending = false;
-          LogStoreTransition(CheckEra(reply, "remove_member"), "remove_member");
-        });
+    BeginMemberCall();
+    m_platform->remove_member(member.role, member.ip,
+                              [this](const StoreReply& reply) {
+                                EndMemberCall(reply, "remove_member");
+                              });
   }
 }
 
