Fix: Each status of a peer made a balancer ask a failing store for its list again

What the store saw: a call from each balancer with every tick, instead of one in 3 s, while it failed after it had come back from an older copy; callers noticed nothing.

Cause: withdraws an obsolete list also while it is being read again, and set the time of the next read to the moment at which registrations are complete, which lies in the past by then.

Evidence: 300 calls in 30 s in the new test, at most 11 after the change. A later time stays.

--- a/src/forwarding/fleet_discovery.cc
+++ b/src/forwarding/fleet_discovery.cc
@@ -231,7 +231,7 @@
   if (m_listed_at < complete_at) {
     m_is_list_complete = false;
     m_members->WithdrawRegisteredAgents();
-    m_next_agent_list = complete_at;
+    m_next_agent_list = std::max(m_next_agent_list, complete_at);
   }
   m_introductions_end =
       std::max(m_introductions_end, complete_at + kIntroductionTime);
--- a/src/forwarding/fleet_discovery_test.cc
+++ b/src/forwarding/fleet_discovery_test.cc
@@ -6,6 +6,8 @@
 namespace medlargauge {
 namespace {
 
+constexpr Duration kTick = Milliseconds(100);
+
 /// A balancer at address 1 that has just started.
 struct DiscoveryFixture {
   TimePoint now{Seconds(100)};
@@ -35,8 +37,25 @@
     }
     return found;
   }
+  /// Counts the calls of a kind within `time` while the store fails.
+  int CountFailingCalls(MemberCall kind, Duration time) {
+    int calls = 0;
+    for (const TimePoint end = now + time; now < end; now += kTick) {
+      const MemberCall call = discovery.NextCall(now, false);
+      calls += call == kind ? 1 : 0;
+      discovery.OnAgentsListed(now, StoreResult::kNoAnswer, {});
+      discovery.OnRegistrationsCompleteAt(TimePoint(Seconds(99)));
+    }
+    return calls;
+  }
 };
 
+TEST_CASE("each status of a peer makes a balancer ask a failing store again") {
+  DiscoveryFixture fixture;
+  fixture.now += Seconds(5);
+  CHECK(fixture.CountFailingCalls(MemberCall::kListAgents, Seconds(30)) <= 11);
+}
+
 TEST_CASE("an agent that the list lacks is told, and the list is read again") {
   DiscoveryFixture fixture;
   fixture.Hear(11, MemberRole::kAgent);
