Fix: A late deregistration removed a living agent from the store's list

Cause: the agent left the store with the deregistration, before the probe that decides whether its server has stopped. An agent that stopped as well could end before that probe, so that balancers saw it draining, not gone, and held its dead flows for 5 s.

The agent leaves the store when the probe has shown that the server stopped, and a planned stop waits for that probe, at most to its deadline. The runtime has no test of its own for this; the model plays late deregistrations with the same rule: build/medlargauge_test -tc='*model*', green.

--- a/lab/reset_world_events.cc
+++ b/lab/reset_world_events.cc
@@ -199,11 +199,7 @@
       DeliverReport(process, server.starts - 1, kLateReportSequence);
       break;
     case ModelAction::kLateDeparture:
-      if (process->forwarder->OnDeregister(
-              now, detail::StartId(server.starts - 1))) {
-        process->discovery->Leave();
-        m_state->registered.erase(process->index);
-      }
+      process->forwarder->OnDeregister(now, detail::StartId(server.starts - 1));
       AnnounceState(process);
       break;
     case ModelAction::kForgetAgent:
--- a/lab/reset_world_flow.cc
+++ b/lab/reset_world_flow.cc
@@ -122,7 +122,7 @@
 }
 
 void ResetWorld::OnServerDown(Process* agent) {
-  if (agent->forwarder->HasUnknownServerDeparted()) {
+  if (agent->forwarder->IsDepartureUnconfirmed()) {
     agent->discovery->Leave();
     m_state->registered.erase(agent->index);
   }
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -161,11 +161,9 @@
   /// Returns the number of requests at the server, including those expected on
   /// new flows.
   uint32_t ActiveRequests() const { return m_active; }
-  /// Returns whether an unknown server has deregistered, which a probe has yet
-  /// to confirm.
-  bool HasUnknownServerDeparted() const {
-    return m_departure_unconfirmed && !m_report.has_value();
-  }
+  /// Returns whether a server has deregistered and a probe has yet to show that
+  /// it stopped.
+  bool IsDepartureUnconfirmed() const { return m_departure_unconfirmed; }
   /// Returns whether this agent is stopping.
   bool IsLeaving() const { return m_leaving; }
   /// Returns the number of entries in the flow table.
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -238,9 +238,6 @@
     EventLine(Severity::kInfo, "server_left")
         .With("id", message->report.id)
         .With("known", known);
-    if (known) {
-      m_fleet_node.LeaveStore();
-    }
     response.status = 200;
     AnnounceStateChange(now);
     return response;
@@ -310,7 +307,7 @@
 }
 
 void AgentRuntime::OnServerDown(TimePoint now) {
-  if (m_forwarder.HasUnknownServerDeparted()) {
+  if (m_forwarder.IsDepartureUnconfirmed()) {
     m_fleet_node.LeaveStore();
   }
   const std::vector<FlowReset> resets = m_forwarder.OnServerDown(now);
@@ -384,7 +381,9 @@
 
 void AgentRuntime::FinishStopIfIdle() {
   const TimePoint now = SteadyTime();
-  const bool idle = now >= m_stop_earliest && m_forwarder.ActiveRequests() == 0;
+  const bool idle = now >= m_stop_earliest &&
+                    m_forwarder.ActiveRequests() == 0 &&
+                    !m_forwarder.IsDepartureUnconfirmed();
   if (idle || now >= m_stop_deadline) {
     EventLine(Severity::kInfo, "stopped")
         .With("active", m_forwarder.ActiveRequests());
