Fix: A balancer that started in a large fleet probed every agent at once

Cause: an agent that was never heard has told no size of the fleet, so that its status was awaited as in a fleet of 48.

Evidence: the new test had 1,400 agents due after 1 s, none after the change, all of them 20 s later. The own table gives the size for members that were never heard.

--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -178,9 +178,13 @@
 }
 
 Duration MembershipTable::ReachabilityTimeout(const MemberEntry& entry) const {
-  return std::max(
-      m_timeouts.unreachable,
-      kMissedStatuses * StatusIntervalOf(entry) + m_timeouts.status_delay);
+  // A member that was never heard has not told the size of the fleet.
+  const Duration interval =
+      entry.heard == TimePoint()
+          ? StatusInterval(entry.member.role, m_entries.size())
+          : StatusIntervalOf(entry);
+  return std::max(m_timeouts.unreachable,
+                  kMissedStatuses * interval + m_timeouts.status_delay);
 }
 
 void MembershipTable::RecordContact(TimePoint now) {
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -562,6 +562,23 @@
   }
 };
 
+TEST_CASE(
+    "all agents of a large fleet are probed just after they are mentioned") {
+  ListFixture fixture;
+  for (uint64_t id = 2; id < 1402; ++id) {
+    FleetMember member;
+    member.id = MemberId{id};
+    member.role = MemberRole::kAgent;
+    member.ip = static_cast<uint32_t>(id);
+    fixture.members.Learn(fixture.now, member);
+  }
+  fixture.now += Seconds(1);
+  CHECK(fixture.members.TakeDueProbes(fixture.now, 2000).empty());
+  // An agent of such a fleet sends a status in less than 9 s.
+  fixture.now += Seconds(20);
+  CHECK(fixture.members.TakeDueProbes(fixture.now, 2000).size() == 1400);
+}
+
 TEST_CASE("an incomplete list keeps a dead agent missing for ever") {
   ListFixture fixture;
   for (int i = 0; i < 4; ++i) {
