Fix: A balancer with outdated targets reset open flows of a route that is back

Cause: the balancer's own targets were taken for the newest, though a member states newer ones. Such a packet is dropped; the caller sends it again after the newer targets are in force. New flows are still reset, as they have nothing to lose.

Evidence: the new test got the reset before, and still gets it while no member states newer targets.

--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "src/forwarding/member_list.h"
+#include "src/forwarding/target_keeper.h"
 
 namespace medlargauge {
 FlowDirector::FlowDirector(TimePoint now,
@@ -40,7 +41,12 @@
     return HoldUnrouted(now, packet, raw);
   }
   const bool route_removed = m_routes->HadRoute(packet.flow.route);
-  const bool must_reset = !packet.rst && (packet.syn || route_removed);
+  // A member with newer targets may still have the route of an open flow.
+  const bool is_outdated =
+      ChooseTargetSource(now, *m_members, MemberId(), m_routes->Identity(), 0)
+          .has_value();
+  const bool must_reset =
+      !packet.rst && (packet.syn || (route_removed && !is_outdated));
   return Reject(must_reset ? DirectorDecision::Kind::kReset
                            : DirectorDecision::Kind::kDrop,
                 ErrorKind::kUnknownAddress);
--- a/src/forwarding/flow_director_test.cc
+++ b/src/forwarding/flow_director_test.cc
@@ -368,6 +368,23 @@
   CHECK(decision.agent == fixture.opening.agent);
 }
 
+TEST_CASE("a flow is reset by older targets than a member states") {
+  DirectorFixture fixture;
+  fixture.routes.Adopt(MakeRouteTable(2, {MakeRoute(kOtherRoute, "stock")}));
+  CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
+        DirectorDecision::Kind::kReset);
+  FleetMember peer;
+  peer.id = MemberId{50};
+  peer.ip = 50;
+  peer.incarnation = 1;
+  peer.targets.version.revision = 3;
+  proto::PeerStatus status;
+  *status.mutable_self() = EncodeMember(fixture.now, peer);
+  status.set_sequence(1);
+  fixture.members.OnStatus(fixture.now, status);
+  CHECK(fixture.Send(MakeLaterPacket(1)).kind == DirectorDecision::Kind::kDrop);
+}
+
 TEST_CASE("an isolated balancer leaves the rotation until it hears a member") {
   DirectorFixture fixture;
   CHECK(fixture.director.CanServe(fixture.now));
