--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -42,11 +42,13 @@
   }
   const bool route_removed = m_routes->HadRoute(packet.flow.route);
   // A member with newer targets may still have the route of an open flow.
-  const bool is_outdated =
-      ChooseTargetSource(now, *m_members, MemberId(), m_routes->Identity(), 0)
-          .has_value();
+  const auto is_outdated = [this, now] {
+    return ChooseTargetSource(now, *m_members, MemberId(), m_routes->Identity(),
+                              0)
+        .has_value();
+  };
   const bool must_reset =
-      !packet.rst && (packet.syn || (route_removed && !is_outdated));
+      !packet.rst && (packet.syn || (route_removed && !is_outdated()));
   return Reject(must_reset ? DirectorDecision::Kind::kReset
                            : DirectorDecision::Kind::kDrop,
                 ErrorKind::kUnknownAddress);
