--- a/src/forwarding/fleet_discovery_test.cc
+++ b/src/forwarding/fleet_discovery_test.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include "src/forwarding/member_fixture.h"
+
 namespace medlargauge {
 namespace {
 
@@ -24,10 +26,8 @@
     return member;
   }
   void Hear(uint64_t id, MemberRole role) {
-    proto::PeerStatus status;
-    *status.mutable_self() = EncodeMember(now, MakeMember(id, role));
-    status.set_sequence(++sequence);
-    members.OnStatus(now, status);
+    members.OnStatus(now,
+                     member_fixture::MakeStatus(now, id, role, ++sequence));
   }
   /// Returns whether one of the contacts that are due goes to this address.
   bool Contacts(uint32_t ip) {
--- a/src/forwarding/flow_director_test.cc
+++ b/src/forwarding/flow_director_test.cc
@@ -2,11 +2,13 @@
 #include <doctest/doctest.h>
 
 #include "src/forwarding/director_fixture.h"
+#include "src/forwarding/member_fixture.h"
 
 namespace medlargauge {
 namespace {
 
 using namespace director_fixture;  // NOLINT(google-build-using-namespace)
+using member_fixture::MakeStatus;
 
 TEST_CASE("a new flow goes to the least loaded ready agent of its service") {
   DirectorFixture fixture;
@@ -239,6 +241,13 @@
                              false);
     UseFlow(1);
   }
+  /// Delivers a status of a balancer that hears this number of agents.
+  void HearBalancer(uint32_t status_sequence, uint32_t agents) {
+    proto::PeerStatus status =
+        MakeStatus(now, 50, MemberRole::kBalancer, status_sequence);
+    status.set_agents_heard(agents);
+    members.OnStatus(now, status);
+  }
   /// Lets time pass. @param outcome of each probe that is due
   void RunFor(Duration duration, ProbeOutcome outcome) {
     for (const TimePoint end = now + duration; now < end;) {
@@ -309,24 +318,13 @@
   ServiceRoute route = MakeRoute(kRoute, "stock");
   route.repeatable = false;
   fixture.routes.Adopt(MakeRouteTable(3, {route}));
-  FleetMember peer;
-  peer.id = MemberId{50};
-  peer.ip = 50;
-  peer.incarnation = 1;
-  proto::PeerStatus status;
   for (uint32_t i = 1; i <= 16; ++i) {
     fixture.RunFor(Milliseconds(500), ProbeOutcome::kNoAnswer);
-    *status.mutable_self() = EncodeMember(fixture.now, peer);
-    status.set_sequence(i);
-    status.set_agents_heard(4);
-    fixture.members.OnStatus(fixture.now, status);
+    fixture.HearBalancer(i, 4);
     CHECK(fixture.Send(MakeLaterPacket(1)).kind !=
           DirectorDecision::Kind::kReset);
   }
-  *status.mutable_self() = EncodeMember(fixture.now, peer);
-  status.set_sequence(17);
-  status.set_agents_heard(3);
-  fixture.members.OnStatus(fixture.now, status);
+  fixture.HearBalancer(17, 3);
   CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
         DirectorDecision::Kind::kReset);
 }
@@ -339,15 +337,7 @@
                  ProbeOutcome::kAccepted);
   fixture.members.OnTick(fixture.now);
   REQUIRE(fixture.members.Find(fixture.opening.agent) == nullptr);
-  FleetMember peer;
-  peer.id = MemberId{50};
-  peer.ip = 50;
-  peer.incarnation = 1;
-  proto::PeerStatus status;
-  *status.mutable_self() = EncodeMember(fixture.now, peer);
-  status.set_sequence(1);
-  status.set_agents_heard(9);
-  fixture.members.OnStatus(fixture.now, status);
+  fixture.HearBalancer(1, 9);
   const DirectorDecision decision = fixture.Send(MakeLaterPacket(1));
   CHECK(decision.kind == DirectorDecision::Kind::kForward);
   CHECK(decision.header.search);
@@ -373,14 +363,9 @@
   fixture.routes.Adopt(MakeRouteTable(2, {MakeRoute(kOtherRoute, "stock")}));
   CHECK(fixture.Send(MakeLaterPacket(1)).kind ==
         DirectorDecision::Kind::kReset);
-  FleetMember peer;
-  peer.id = MemberId{50};
-  peer.ip = 50;
-  peer.incarnation = 1;
-  peer.targets.version.revision = 3;
-  proto::PeerStatus status;
-  *status.mutable_self() = EncodeMember(fixture.now, peer);
-  status.set_sequence(1);
+  proto::PeerStatus status =
+      MakeStatus(fixture.now, 50, MemberRole::kBalancer, 1);
+  status.mutable_self()->set_revision(3);
   fixture.members.OnStatus(fixture.now, status);
   CHECK(fixture.Send(MakeLaterPacket(1)).kind == DirectorDecision::Kind::kDrop);
 }
--- a/src/forwarding/flow_waiting_test.cc
+++ b/src/forwarding/flow_waiting_test.cc
@@ -2,11 +2,13 @@
 #include <doctest/doctest.h>
 
 #include "src/forwarding/director_fixture.h"
+#include "src/forwarding/member_fixture.h"
 
 namespace medlargauge {
 namespace {
 
 using namespace director_fixture;  // NOLINT(google-build-using-namespace)
+using member_fixture::MakeStatus;
 
 using Kind = DirectorDecision::Kind;
 
@@ -277,13 +279,7 @@
 
   /// Delivers the first status of a balancer that hears `agents` agents.
   void HearBalancer(uint32_t agents) {
-    FleetMember peer;
-    peer.id = MemberId{2};
-    peer.ip = 2;
-    peer.incarnation = 1;
-    proto::PeerStatus status;
-    *status.mutable_self() = EncodeMember(now, peer);
-    status.set_sequence(1);
+    proto::PeerStatus status = MakeStatus(now, 2, MemberRole::kBalancer, 1);
     status.set_agents_heard(agents);
     new_members.OnStatus(now, status);
   }
--- /dev/null
+++ b/src/forwarding/target_reader_test.cc
@@ -0,0 +1,176 @@
+// @file target_reader_test.cc Tests of when the targets are read.
+#include <doctest/doctest.h>
+
+#include "src/forwarding/member_fixture.h"
+#include "src/forwarding/target_reader.h"
+
+namespace medlargauge {
+namespace {
+
+using member_fixture::MakeStatus;
+
+/// The target reader of a balancer that knows no other members.
+struct ReaderFixture {
+  TimePoint now{Seconds(100)};
+  MembershipTable members{MemberId{1}, MembershipTimeouts()};
+  TargetReader reader{now, 1, TargetReaderLimits()};
+  uint32_t sequence = 0;
+
+  /// Returns the id of one of six balancers that is not chosen as a reader; an
+  /// unset id if there is none.
+  MemberId FindNonReader() {
+    const std::vector<MemberId> all{MemberId{1}, MemberId{2}, MemberId{3},
+                                    MemberId{4}, MemberId{5}, MemberId{6}};
+    for (const MemberId id : all) {
+      MembershipTable others(id, MembershipTimeouts());
+      for (const MemberId other : all) {
+        others.OnStatus(
+            now, MakeStatus(now, other.value, MemberRole::kBalancer, 1, 1));
+      }
+      TargetReader probe(now, 1, TargetReaderLimits());
+      if (probe.Next(now, id, others, 5) == ReadAction::kNothing) {
+        return id;
+      }
+    }
+    return MemberId();
+  }
+};
+
+TEST_CASE("balancers that are not readers do not read while the readers do") {
+  ReaderFixture fixture;
+  const MemberId self = fixture.FindNonReader();
+  REQUIRE(self.IsSet());
+  MembershipTable members(self, MembershipTimeouts());
+  const auto receive_statuses = [&](uint32_t checked_ms) {
+    for (uint64_t id = 1; id <= 6; ++id) {
+      members.OnStatus(fixture.now,
+                       MakeStatus(fixture.now, id, MemberRole::kBalancer,
+                                  ++fixture.sequence, checked_ms));
+    }
+  };
+  TargetReader reader(fixture.now, 1, TargetReaderLimits());
+  receive_statuses(1);
+  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kNothing);
+  // The readers cannot reach the store: all balancers read.
+  receive_statuses(0);
+  fixture.now += Milliseconds(10);
+  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kRead);
+}
+
+TEST_CASE("a reader reads first, then watches, and reads again after any gap") {
+  ReaderFixture fixture;
+  const auto next = [&] {
+    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 5);
+  };
+  CHECK(next() == ReadAction::kRead);
+  CHECK(next() == ReadAction::kNothing);
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
+  CHECK(next() == ReadAction::kWatch);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kOk, 44);
+  CHECK(fixture.reader.Position() == 44);
+  CHECK(next() == ReadAction::kWatch);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kHistoryCompacted, 0);
+  CHECK(next() == ReadAction::kRead);
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 50);
+  CHECK(next() == ReadAction::kWatch);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kNoAnswer, 0);
+  CHECK(fixture.reader.LastStoreContact() == TimePoint());
+  CHECK(next() == ReadAction::kNothing);  // Backing off.
+  fixture.now += Seconds(2);
+  CHECK(next() == ReadAction::kRead);
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 51);
+  fixture.reader.OnSuspended();
+  CHECK(next() == ReadAction::kRead);
+}
+
+TEST_CASE("a balancer does not rely on readers that know no eras") {
+  ReaderFixture fixture;
+  const MemberId self = fixture.FindNonReader();
+  REQUIRE(self.IsSet());
+  MembershipTable members(self, MembershipTimeouts());
+  const auto receive_statuses = [&](uint64_t era) {
+    for (uint64_t id = 1; id <= 6; ++id) {
+      proto::PeerStatus status = MakeStatus(
+          fixture.now, id, MemberRole::kBalancer, ++fixture.sequence, 1);
+      status.set_store_era(era);
+      members.OnStatus(fixture.now, status);
+    }
+  };
+  TargetReader reader(fixture.now, 1, TargetReaderLimits());
+  receive_statuses(0);
+  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kNothing);
+  reader.OnEraKnown();
+  receive_statuses(4);
+  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kNothing);
+  receive_statuses(0);
+  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kRead);
+}
+
+TEST_CASE("a reader does not watch across a restore of the store") {
+  ReaderFixture fixture;
+  const auto next = [&] {
+    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 5);
+  };
+  CHECK(next() == ReadAction::kRead);
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
+  CHECK(next() == ReadAction::kWatch);
+  // The answer to the watch comes from the restored store.
+  fixture.reader.OnNewEra(fixture.now);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kOk, 44);
+  CHECK(next() == ReadAction::kRead);
+  // A process that backs off reads at once.
+  fixture.reader.OnRead(fixture.now, StoreResult::kNoAnswer, 0);
+  CHECK(next() == ReadAction::kNothing);
+  fixture.reader.OnNewEra(fixture.now);
+  CHECK(next() == ReadAction::kRead);
+}
+
+TEST_CASE("calls to a failing store back off with jitter") {
+  std::vector<Duration> first_delays;
+  for (const uint64_t seed : {1, 2, 3, 4, 5}) {
+    TimePoint now{Seconds(100)};
+    const MembershipTable members(MemberId{1}, MembershipTimeouts());
+    TargetReader reader(now, seed, TargetReaderLimits());
+    const TimePoint start = now;
+    uint32_t calls = 0;
+    while (now - start < Seconds(10)) {
+      if (reader.Next(now, MemberId{1}, members, 0) != ReadAction::kNothing) {
+        reader.OnRead(now, StoreResult::kRefused, 0);
+        ++calls;
+        if (calls == 2) {
+          first_delays.push_back(now - start);
+        }
+      }
+      now += Milliseconds(1);
+    }
+    CHECK(calls <= 20);
+    CHECK(calls >= 7);
+  }
+  std::sort(first_delays.begin(), first_delays.end());
+  CHECK(first_delays.front() != first_delays.back());
+}
+
+TEST_CASE("a store without history does not cause reads in an endless loop") {
+  TimePoint now{Seconds(100)};
+  MembershipTable members(MemberId{1}, MembershipTimeouts());
+  TargetReader reader(now, 7, TargetReaderLimits());
+  uint32_t calls = 0;
+  for (const TimePoint end = now + Seconds(10); now < end;
+       now += Milliseconds(5)) {
+    const ReadAction action = reader.Next(now, MemberId{1}, members, 1);
+    calls += action == ReadAction::kNothing ? 0 : 1;
+    if (action == ReadAction::kRead) {
+      reader.OnRead(now, StoreResult::kOk, 50);
+    } else if (action == ReadAction::kWatch) {
+      reader.OnWatch(now, StoreResult::kHistoryCompacted, 0);
+    }
+  }
+  CHECK(calls >= 10);  // Enough to keep the targets current.
+  CHECK(calls <= 40);
+  reader.OnWatch(now, StoreResult::kOk, 60);
+  CHECK(reader.Next(now + Seconds(2), MemberId{1}, members, 1) !=
+        ReadAction::kNothing);
+}
+
+}  // namespace
+}  // namespace medlargauge
