--- a/lab/lab_faults.cc
+++ b/lab/lab_faults.cc
@@ -157,7 +157,7 @@
         SendStatus(agent);
         m_queue.After(kDrainTime + Milliseconds(500), [this, agent, fault] {
           if (agent->forwarder != nullptr) {
-            agent->forwarder->OnDeregister(Now(), agent->server.id);
+            agent->forwarder->OnDeregister(agent->server.id);
           }
           RestartServer(agent, fault.duration);
         });
--- a/lab/reset_world_events.cc
+++ b/lab/reset_world_events.cc
@@ -199,7 +199,7 @@
       DeliverReport(process, server.starts - 1, kLateReportSequence);
       break;
     case ModelAction::kLateDeparture:
-      process->forwarder->OnDeregister(now, detail::StartId(server.starts - 1));
+      process->forwarder->OnDeregister(detail::StartId(server.starts - 1));
       AnnounceState(process);
       break;
     case ModelAction::kForgetAgent:
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -138,7 +138,7 @@
   /// from now on. Its flows end when a probe shows that it has stopped.
   /// @return false if the known server has another id, or none is known; the
   ///     server then has to be probed
-  bool OnDeregister(TimePoint now, std::string_view id);
+  bool OnDeregister(std::string_view id);
 
   /// Call when nothing listens at the server's address.
   /// @return flows whose callers must get a reset
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -1,83 +1,12 @@
 // @file agent_forwarder_test.cc Tests of an agent's forwarding decisions.
 #include <doctest/doctest.h>
 
-#include "src/forwarding/agent_forwarder.h"
+#include "src/forwarding/agent_fixture.h"
 
 namespace medlargauge {
 namespace {
 
-constexpr SocketAddress4 kServer{0x0A010014, 8080};
-constexpr uint32_t kBalancer = 0x0A010001;
-
-FlowPacket MakePacket(uint16_t port, bool syn, uint16_t length = 0) {
-  FlowPacket packet;
-  packet.flow = {{0x64400007, port}, {0xC6120001, 443}};
-  packet.syn = syn;
-  packet.ack = !syn;
-  packet.sequence = syn ? 100 : 101;
-  packet.data_length = length;
-  return packet;
-}
-
-/// An agent whose server has just sent a heartbeat.
-struct ForwarderFixture {
-  TimePoint now{Seconds(100)};
-  AgentForwarder forwarder{"stock", kServer, ForwarderLimits()};
-  uint64_t sequence = 0;
-
-  ForwarderFixture() { SendReport(); }
-
-  /// Returns the next heartbeat of the server.
-  ServerReport MakeReport(bool draining = false) {
-    ServerReport report;
-    report.id = "i-1";
-    report.started_ms = 5000;
-    report.sequence = ++sequence;
-    report.service = "stock";
-    report.address = kServer;
-    report.slots = 2;
-    report.draining = draining;
-    return report;
-  }
-  ReportOutcome SendReport(bool draining = false) {
-    return forwarder.OnReport(now, MakeReport(draining));
-  }
-  /// Forwards a packet of a caller from the balancer to the agent.
-  ForwarderDecision Forward(const FlowPacket& packet,
-                            bool last_candidate = false,
-                            uint32_t response_limit_ms = 200,
-                            bool search = false) {
-    ForwardHeader header;
-    header.service = ServiceIdOf("stock");
-    header.last_candidate = last_candidate;
-    header.response_limit_ms = response_limit_ms;
-    header.search = search;
-    return forwarder.OnForwarded(now, kBalancer, header, packet);
-  }
-  /// Sends a data packet or an answer from the server to the agent.
-  ForwarderDecision SendFromServer(uint16_t port,
-                                   uint16_t length = 0,
-                                   AnswerKind answer = AnswerKind::kUnknown) {
-    FlowPacket packet = MakePacket(port, false, length);
-    packet.from_caller = false;
-    packet.answer = answer;
-    return forwarder.OnServerPacket(now, packet);
-  }
-  /// Sends a SYN-ACK from the server to the agent.
-  ForwarderDecision SendSynAck(uint16_t port, uint32_t sequence) {
-    FlowPacket packet = MakePacket(port, false);
-    packet.from_caller = false;
-    packet.syn_ack = true;
-    packet.sequence = sequence;
-    return forwarder.OnServerPacket(now, packet);
-  }
-  /// Opens a flow and sends a request on it.
-  void OpenAndRequest(uint16_t port) {
-    Forward(MakePacket(port, true), true, 0);
-    SendFromServer(port);
-    Forward(MakePacket(port, false, 50));
-  }
-};
+using namespace agent_fixture;  // NOLINT(google-build-using-namespace)
 
 TEST_CASE("a packet for another service is not delivered") {
   ForwarderFixture fixture;
@@ -184,136 +113,6 @@
   CHECK(fixture.forwarder.OnServerDown(fixture.now).empty());
 }
 
-TEST_CASE("requests are active from their arrival to the first answer byte") {
-  ForwarderFixture fixture;
-  fixture.OpenAndRequest(1);
-  CHECK(fixture.forwarder.ActiveRequests() == 1);
-  fixture.Forward(MakePacket(1, false, 50));  // Retransmission.
-  CHECK(fixture.forwarder.ActiveRequests() == 1);
-  fixture.now += Milliseconds(40);
-  fixture.SendFromServer(1, 500);
-  CHECK(fixture.forwarder.ActiveRequests() == 0);
-  CHECK(fixture.forwarder.Load(fixture.now).service_us == 40000);
-}
-
-TEST_CASE(
-    "a request that the server drops, as its caller left, is not active") {
-  ForwarderFixture fixture;
-  fixture.OpenAndRequest(1);
-  fixture.OpenAndRequest(2);
-  CHECK(fixture.Forward(MakePacket(3, true)).reason == ReturnReason::kBusy);
-  FlowPacket fin = MakePacket(1, false);
-  fin.from_caller = false;
-  fin.fin = true;
-  fixture.forwarder.OnServerPacket(fixture.now, fin);
-  CHECK(fixture.forwarder.ActiveRequests() == 1);
-  CHECK(fixture.Forward(MakePacket(3, true)).kind ==
-        ForwarderDecision::Kind::kDeliver);
-}
-
-TEST_CASE("new flows without a request do not shorten the service time") {
-  ForwarderFixture fixture;
-  for (uint16_t port = 10; port < 30; ++port) {
-    fixture.Forward(MakePacket(port, true), true, 0);
-  }
-  fixture.OpenAndRequest(1);
-  fixture.now += Milliseconds(40);
-  fixture.SendFromServer(1, 500);
-  CHECK(fixture.forwarder.Load(fixture.now).service_us == 40000);
-}
-
-TEST_CASE("a searched packet is no load before the server shows its flow") {
-  ForwarderFixture fixture;
-  for (uint16_t port = 1; port <= 9; ++port) {
-    fixture.Forward(MakePacket(port, false, 50), false, 200, true);
-  }
-  CHECK(fixture.forwarder.ActiveRequests() == 0);
-  fixture.SendFromServer(1, 500);
-  FlowPacket next = MakePacket(1, false, 50);
-  next.sequence += 50;
-  fixture.Forward(next);
-  CHECK(fixture.forwarder.ActiveRequests() == 1);
-}
-
-TEST_CASE("a caller that left while its flow opened is soon no load") {
-  ForwarderFixture fixture;
-  for (uint16_t port = 1; port <= 20; ++port) {
-    fixture.Forward(MakePacket(port, true), true, 0);
-    fixture.SendSynAck(port, 5000);
-    fixture.now += Milliseconds(6);
-    FlowPacket request = MakePacket(port, false, 50);
-    request.acknowledged = 5001;
-    fixture.Forward(request);
-    fixture.SendFromServer(port, 500);
-  }
-  fixture.Forward(MakePacket(30, true), true, 0);
-  fixture.SendSynAck(30, 5000);
-  CHECK(fixture.forwarder.ActiveRequests() == 1);
-  fixture.now += Milliseconds(25);
-  fixture.forwarder.OnTick(fixture.now);
-  CHECK(fixture.forwarder.ActiveRequests() == 0);
-}
-
-TEST_CASE("an open flow without a request is active for a short time only") {
-  ForwarderFixture fixture;
-  fixture.Forward(MakePacket(1, true));
-  fixture.SendFromServer(1);
-  CHECK(fixture.forwarder.ActiveRequests() == 1);
-  fixture.now += Milliseconds(450);
-  fixture.forwarder.OnTick(fixture.now);
-  CHECK(fixture.forwarder.ActiveRequests() == 0);
-  CHECK(fixture.forwarder.FlowCount() == 1);
-}
-
-TEST_CASE(
-    "without a free slot a flow is returned unless it is the last candidate") {
-  ForwarderFixture fixture;
-  fixture.OpenAndRequest(1);
-  fixture.OpenAndRequest(2);
-  const ForwarderDecision busy = fixture.Forward(MakePacket(3, true));
-  CHECK(busy.reason == ReturnReason::kBusy);
-  CHECK(fixture.Forward(MakePacket(3, true), true).kind ==
-        ForwarderDecision::Kind::kDeliver);
-}
-
-TEST_CASE("a flow whose answer would miss the response limit is returned") {
-  ForwarderFixture fixture;
-  for (uint16_t port = 1; port <= 7; ++port) {
-    fixture.OpenAndRequest(port);
-  }
-  // With 30 ms per request and two slots, the eighth request would wait about
-  // 90 ms and run for 30 ms.
-  CHECK(fixture.Forward(MakePacket(20, true), true, 100).reason ==
-        ReturnReason::kFull);
-  CHECK(fixture.Forward(MakePacket(20, true), true, 1000).kind ==
-        ForwarderDecision::Kind::kDeliver);
-}
-
-TEST_CASE("a refusal by the server limits new flows for a while") {
-  ForwarderFixture fixture;
-  for (uint16_t port = 1; port <= 4; ++port) {
-    fixture.OpenAndRequest(port);
-  }
-  fixture.SendFromServer(4, 100, AnswerKind::kRefused);
-  CHECK(fixture.forwarder.ActiveRequests() == 3);
-  CHECK(fixture.Forward(MakePacket(9, true), true, 5000).reason ==
-        ReturnReason::kFull);
-  fixture.now += Seconds(6);
-  CHECK(fixture.Forward(MakePacket(9, true), true, 5000).kind ==
-        ForwarderDecision::Kind::kDeliver);
-}
-
-TEST_CASE("failed answers raise the failure rate, which decays") {
-  ForwarderFixture fixture;
-  for (uint16_t port = 1; port <= 20; ++port) {
-    fixture.OpenAndRequest(port);
-    fixture.SendFromServer(port, 100, AnswerKind::kFailure);
-  }
-  CHECK(fixture.forwarder.Load(fixture.now).failing > 800);
-  fixture.now += Seconds(10);
-  CHECK(fixture.forwarder.Load(fixture.now).failing < 10);
-}
-
 TEST_CASE("a draining server gets no new flows once its heartbeat is applied") {
   ForwarderFixture fixture;
   fixture.OpenAndRequest(1);
@@ -403,7 +202,7 @@
 
 TEST_CASE("a stale heartbeat does not revive a deregistered server") {
   ForwarderFixture fixture;
-  CHECK(fixture.forwarder.OnDeregister(fixture.now, "i-1"));
+  CHECK(fixture.forwarder.OnDeregister("i-1"));
   CHECK(fixture.forwarder.State(fixture.now) == AgentState::kDraining);
   CHECK(fixture.SendReport() == ReportOutcome::kStale);
   CHECK(fixture.forwarder.State(fixture.now) == AgentState::kDraining);
@@ -414,13 +213,13 @@
   CHECK(fixture.forwarder.State(fixture.now) == AgentState::kGone);
   CHECK(fixture.Forward(MakePacket(1, true)).reason ==
         ReturnReason::kServerDown);
-  CHECK_FALSE(ForwarderFixture().forwarder.OnDeregister(fixture.now, "i-2"));
+  CHECK_FALSE(ForwarderFixture().forwarder.OnDeregister("i-2"));
 }
 
 TEST_CASE("a late deregistration does not stop the server of a new agent") {
   TimePoint now{Seconds(100)};
   AgentForwarder forwarder("stock", kServer, ForwarderLimits());
-  CHECK_FALSE(forwarder.OnDeregister(now, "i-0"));
+  CHECK_FALSE(forwarder.OnDeregister("i-0"));
   ForwardHeader header;
   header.service = ServiceIdOf("stock");
   header.search = true;
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -234,7 +234,7 @@
     return response;
   }
   if (message->leaves) {
-    const bool known = m_forwarder.OnDeregister(now, message->report.id);
+    const bool known = m_forwarder.OnDeregister(message->report.id);
     EventLine(Severity::kInfo, "server_left")
         .With("id", message->report.id)
         .With("known", known);
