--- a/lab/lab_test.cc
+++ b/lab/lab_test.cc
@@ -33,7 +33,7 @@
 
 // Each seed violated an invariant before a fix. Seed 7: an agent that had left
 // an opening packet unanswered was not asked again. Seed 52: after the
-// isolation of a balancer, agents that it had not heard yet counted as lost.
+// isolation of a balancer, agents that it had not heard yet were presumed dead.
 // Seeds 34 and 69: a server with a half-open flow kept the packets of a flow
 // that another server had open.
 TEST_CASE("all invariants hold for seeds that once violated one") {
--- a/lab/reset_model_test.cc
+++ b/lab/reset_model_test.cc
@@ -120,7 +120,8 @@
 }
 
 TEST_CASE(
-    "reset model: the word of an agent that took its server for stopped stays "
+    "reset model: the answer of an agent that took its server for stopped "
+    "stays "
     "a denial after the server's heartbeat") {
   CheckNothingCounts(
       MakeConfig(ModelOpening::kPlain),
--- a/lab/reset_world.cc
+++ b/lab/reset_world.cc
@@ -111,7 +111,7 @@
   if (!m_state->store_answers) {
     Apply({ModelAction::kRestoreStore, 0, 0});
   }
-  // Without a balancer and an agent there is nobody to decide.
+  // A decision needs a running balancer and a running agent.
   for (const MemberRole role : {MemberRole::kBalancer, MemberRole::kAgent}) {
     const auto runs = [role](const Process& process) {
       return process.role == role && process.running;
@@ -189,7 +189,7 @@
   const bool needs_touch =
       kind == FindingKind::kReset || kind == FindingKind::kAstray;
   if (needs_touch && !m_state->processes[m_state->caller.owner].running) {
-    return;  // Nobody can reach the flow.
+    return;  // No running process can reach the flow.
   }
   Trace("finding: " + detail);
   m_state->findings.push_back(
--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -112,7 +112,7 @@
   ResetWorld& operator=(const ResetWorld&) = delete;
   ~ResetWorld();
 
-  /// Sets a function that is told of each packet of the flow and each reset,
+  /// Sets a function that receives each packet of the flow and each reset,
   /// with the time since the flow opened.
   void SetTrace(std::function<void(Duration, const std::string&)> trace) {
     m_trace = std::move(trace);
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -278,7 +278,7 @@
       return Forward(*route, flow);
     }
   } else if (reason == ReturnReason::kServerDown) {
-    // Unlike the word of a server, this may change: the agent is asked again
+    // Unlike a bounce by the server, this may change: the agent is asked again
     // if its state does.
     detail::AddOnce(&flow.server_down, from);
     m_members->OnServerDown(from);
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -104,7 +104,7 @@
     return DiscoveryBasis::kIncomplete;
   }
   // Silence of a member that can't know this balancer proves nothing, so the
-  // fleet must have been met, and no member may hear more agents.
+  // fleet must have been met, and no member may report more agents.
   if (!m_members->HasMetFleet() ||
       m_members->CountLiveAgents(now) < m_members->LargestReportedAgents(now)) {
     return DiscoveryBasis::kIncomplete;
--- a/src/forwarding/flow_waiting_test.cc
+++ b/src/forwarding/flow_waiting_test.cc
@@ -275,7 +275,8 @@
   FlowDirector new_director{now,     DomainId{1},      &new_members,
                             &routes, DirectorLimits(), &PlaceByResponseTime};
 
-  uint32_t agents_told = 0;  ///< Agents heard, as told in statuses of agents.
+  uint32_t agents_reported =
+      0;  ///< Agents heard, as reported in statuses of agents.
 
   /// Delivers the first status of a balancer that hears `agents` agents.
   void HearBalancer(uint32_t agents) {
@@ -295,7 +296,7 @@
     proto::PeerStatus status;
     *status.mutable_self() = EncodeMember(now, member);
     status.set_sequence(1);
-    status.set_agents_heard(agents_told);
+    status.set_agents_heard(agents_reported);
     new_members.OnStatus(now, status);
   }
   /// Sends a packet of an old flow; each agent that is asked denies the flow.
@@ -361,10 +362,10 @@
   CHECK(fixture.SendAndDeny().kind == Kind::kReset);
 }
 
-TEST_CASE("a flow is not reset while an agent tells of more agents") {
+TEST_CASE("a flow is not reset while an agent reports more agents") {
   RestartFixture fixture;
   fixture.new_members.OnFleetMet();
-  fixture.agents_told = 2;
+  fixture.agents_reported = 2;
   for (int i = 0; i < 10; ++i) {
     fixture.now += Milliseconds(300);
     fixture.Hear(21);
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -178,7 +178,7 @@
 }
 
 Duration MembershipTable::ReachabilityTimeout(const MemberEntry& entry) const {
-  // A member that was never heard has not told the size of the fleet.
+  // A member that was never heard has not reported the size of the fleet.
   const Duration interval =
       entry.heard == TimePoint()
           ? StatusInterval(entry.member.role, m_entries.size())
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -65,7 +65,7 @@
   uint32_t sequence = 0;    ///< Sequence number of its latest status.
   uint32_t pending = 0;     ///< Flows placed there since its last load report.
   uint32_t fleet_size = 0;  ///< Number of other members that it counts.
-  uint32_t agents_heard = 0;  ///< Number of agents that it has told to hear.
+  uint32_t agents_heard = 0;  ///< Number of agents that it reports as heard.
   uint64_t store_era = 0;     ///< Newest era of the store that it knows.
   bool leaving = false;       ///< The member has announced a planned stop.
   /// When the store last answered the member; zero: its last call failed.
@@ -158,8 +158,8 @@
   /// Returns the number of agents that are heard, those that are presumed dead
   /// or have left excluded.
   uint32_t CountLiveAgents(TimePoint now) const;
-  /// Returns the largest number of agents that a reachable member has told to
-  /// hear; 0 if none has.
+  /// Returns the largest number of agents that a reachable member reports as
+  /// heard; 0 if none does.
   uint32_t LargestReportedAgents(TimePoint now) const;
 
   /// Records that this process has met the fleet: it has heard another
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -145,7 +145,7 @@
   void OnPeerEra(TimePoint now, const proto::PeerStatus& status);
   /// Reads the targets from the start and registers again, because the store
   /// was restored from an older copy.
-  /// @param source who told the era, for the log
+  /// @param source who reported the era, for the log
   void StartEra(TimePoint now, std::string_view source);
   /// Logs when the store becomes unreachable or reachable again.
   void LogStoreTransition(StoreResult result, std::string_view call);
