Fix: Callers of dead flows waited for dark agents until these were given up

What callers saw: silence until their own limit. Cause: a search that all other agents had denied stayed at an agent whose host was dark (its server had been replaced, the host was taken away without a notice) until that agent was presumed dead: after 5 s, and at 295 members after 11.7 s, since the times of silence grow with the status interval. Change: an agent that leaves a search or an opening packet unanswered is probed at once, and probes that fail for the times of a small fleet count as silence in a fleet of any size. Where all agents that are left to ask are suspected, the flow of a repeatable route is reset, as it is where a suspected agent is known to own it.

--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -166,6 +166,8 @@
   void LeaveProcess(Process* process);
   void TickProcess(Process* process);
   void TickNode(Process* process);
+  /// Probes silent agents, each with an immediate outcome.
+  void ProbeSilentAgents(Process* balancer);
   /// Makes the call to the store that is due, which ends at once.
   void CallStore(Process* process);
   std::vector<uint32_t> Listed(MemberRole role) const;
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -14,6 +14,7 @@
 constexpr Duration kPlannedRestartTime = Milliseconds(3000);
 constexpr Duration kDirectorTick = Milliseconds(20);
 constexpr Duration kForwarderTick = Milliseconds(50);
+constexpr size_t kMaxProbes = 16;  ///< As BalancerRuntime.
 
 }  // namespace
 
@@ -119,9 +120,25 @@
   }
 }
 
+void ResetWorld::ProbeSilentAgents(Process* balancer) {
+  const TimePoint now = m_state->now;
+  for (const MemberId id : balancer->members.TakeDueProbes(now, kMaxProbes)) {
+    const uint32_t agent =
+        detail::ProcessAt(balancer->members.Find(id)->member.ip);
+    const ProbeOutcome outcome =
+        IsCut(balancer->index, agent)       ? ProbeOutcome::kNoAnswer
+        : m_state->processes[agent].running ? ProbeOutcome::kAccepted
+                                            : ProbeOutcome::kRefused;
+    balancer->members.OnProbe(now, id, outcome);
+  }
+}
+
 void ResetWorld::TickNode(Process* process) {
   const TimePoint now = m_state->now;
   process->members.OnTick(now);
+  if (process->role == MemberRole::kBalancer) {
+    ProbeSilentAgents(process);
+  }
   if (process->schedule.IsDue(now)) {
     Broadcast(process);
   }
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -200,7 +200,7 @@
   if (flow.phase == Phase::kSearching) {
     HoldForSearch(now, packet, raw);
     if (owner_dead || now >= SearchDeadline(flow)) {
-      detail::AddOnce(&flow.unresponsive, flow.agent);
+      OnSearchTimeout(&flow);
       return ContinueSearch(now, packet.flow, &flow);
     }
     return Forward(route, flow);
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -283,10 +283,27 @@
   TimePoint SearchDeadline(const Flow& flow) const;
   /// Makes `agent` the one that the search asks now.
   void SetSearchTarget(TimePoint now, MemberId agent, Flow* flow);
+  /// Skips the agent that the search asks now, and has it probed.
+  void OnSearchTimeout(Flow* flow);
   /// Forwards to the next agent of the search, or ends the search.
   DirectorDecision ContinueSearch(TimePoint now,
                                   const FlowKey& key,
                                   Flow* flow);
+  /// Resets a flow that no agent is left to ask for, and removes it.
+  DirectorDecision ResetUnknownFlow(TimePoint now,
+                                    const FlowKey& key,
+                                    const Flow& flow);
+  /// Returns whether all agents that may still own the flow are suspected, so
+  /// that its caller has better chances with a new flow, as where a suspected
+  /// agent is known to own it.
+  bool MayGiveUpSilentAgents(TimePoint now,
+                             const FlowKey& key,
+                             const Flow& flow) const;
+  /// Returns whether a member is an agent that has not denied the flow.
+  bool MayOwnFlow(TimePoint now,
+                  const std::vector<ServiceId>& services,
+                  const Flow& flow,
+                  const MemberEntry& entry) const;
   /// Returns the agent to ask next; nullopt if all were asked.
   std::optional<MemberId> NextSearchCandidate(TimePoint now,
                                               const FlowKey& key,
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -59,10 +59,24 @@
   flow->asked_at = now;
 }
 
+void FlowDirector::OnSearchTimeout(Flow* flow) {
+  detail::AddOnce(&flow->unresponsive, flow->agent);
+  m_members->OnUnanswered(flow->agent);
+}
+
 DirectorDecision FlowDirector::ContinueSearch(TimePoint now,
                                               const FlowKey& key,
                                               Flow* flow) {
+  const bool is_long = ReportLongSearch(now, flow);
   std::optional<MemberId> next = NextSearchCandidate(now, key, *flow);
+  const bool only_silent_left =
+      next.has_value() ? m_members->IsSuspected(now, *m_members->Find(*next))
+                       : !flow->unresponsive.empty();
+  if (only_silent_left && IsDiscoveryComplete(now) &&
+      MayGiveUpSilentAgents(now, key, *flow)) {
+    ++m_counters.silence_resets;
+    return ResetUnknownFlow(now, key, *flow);
+  }
   if (!next.has_value() && !flow->unresponsive.empty()) {
     // Only agents that timed out are left. One of them may own the flow, so
     // they are asked again.
@@ -71,15 +85,13 @@
         std::min<uint8_t>(flow->silent_rounds + 1, kMaxTimeoutDoublings);
     next = NextSearchCandidate(now, key, *flow);
   }
-  const bool is_long = ReportLongSearch(now, flow);
   if (next.has_value()) {
     SetSearchTarget(now, *next, flow);
     DirectorDecision decision = Forward(*m_routes->Find(key.route), *flow);
     decision.long_search = is_long;
     return decision;
   }
-  const DiscoveryBasis discovery = Discovery(now);
-  if (discovery == DiscoveryBasis::kIncomplete) {
+  if (!IsDiscoveryComplete(now)) {
     // Flows never move, so the agents that returned the packet stay excluded
     // when the search continues.
     flow->agent = MemberId();
@@ -89,16 +101,44 @@
         ErrorKind::kMaybeElsewhere);
   }
   // Every server that could hold the flow has denied it.
+  return ResetUnknownFlow(now, key, *flow);
+}
+
+DirectorDecision FlowDirector::ResetUnknownFlow(TimePoint now,
+                                                const FlowKey& key,
+                                                const Flow& flow) {
   DirectorDecision reset =
       Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
-  reset.evidence.discovery = discovery;
+  reset.evidence.discovery = Discovery(now);
   reset.evidence.denials =
-      static_cast<uint32_t>(flow->tried.size() + flow->server_down.size());
+      static_cast<uint32_t>(flow.tried.size() + flow.server_down.size());
   reset.evidence.agents = CountAgents();
   RemoveFlow(key);
   return reset;
 }
 
+bool FlowDirector::MayGiveUpSilentAgents(TimePoint now,
+                                         const FlowKey& key,
+                                         const Flow& flow) const {
+  if (!m_routes->Find(key.route)->repeatable ||
+      m_members->CountLiveAgents(now) < m_members->LargestReportedAgents(now)) {
+    return false;
+  }
+  const std::vector<ServiceId> services =
+      m_routes->CandidateServices(key.route);
+  bool has_silent_agent = false;
+  for (const auto& [id, entry] : m_members->Entries()) {
+    if (!MayOwnFlow(now, services, flow, entry)) {
+      continue;
+    }
+    if (!m_members->IsSuspected(now, entry)) {
+      return false;
+    }
+    has_silent_agent = true;
+  }
+  return has_silent_agent;
+}
+
 DiscoveryBasis FlowDirector::Discovery(TimePoint now) const {
   if (m_members->CountReachable(now, MemberRole::kAgent) == 0) {
     return DiscoveryBasis::kIncomplete;
@@ -132,6 +172,21 @@
   return is_counted ? DiscoveryBasis::kCounted : DiscoveryBasis::kIncomplete;
 }
 
+bool FlowDirector::MayOwnFlow(TimePoint now,
+                              const std::vector<ServiceId>& services,
+                              const Flow& flow,
+                              const MemberEntry& entry) const {
+  const FleetMember& member = entry.member;
+  const bool has_denied = detail::Contains(flow.tried, member.id) ||
+                          (detail::Contains(flow.server_down, member.id) &&
+                           member.state == AgentState::kGone);
+  return member.role == MemberRole::kAgent &&
+         std::find(services.begin(), services.end(), member.service) !=
+             services.end() &&
+         !has_denied && !m_members->IsPresumedDead(now, entry) &&
+         !m_members->HasLeftStopped(now, entry);
+}
+
 std::optional<MemberId> FlowDirector::NextSearchCandidate(
     TimePoint now,
     const FlowKey& key,
@@ -142,17 +197,8 @@
   std::optional<MemberId> best;
   uint64_t best_rank = 0;
   for (const auto& [id, entry] : m_members->Entries()) {
-    const auto service =
-        std::find(services.begin(), services.end(), entry.member.service);
-    const bool skip = entry.member.role != MemberRole::kAgent ||
-                      service == services.end() ||
-                      detail::Contains(flow.tried, id) ||
-                      detail::Contains(flow.unresponsive, id) ||
-                      (detail::Contains(flow.server_down, id) &&
-                       entry.member.state == AgentState::kGone) ||
-                      m_members->IsPresumedDead(now, entry) ||
-                      m_members->HasLeftStopped(now, entry);
-    if (skip) {
+    if (detail::Contains(flow.unresponsive, id) ||
+        !MayOwnFlow(now, services, flow, entry)) {
       continue;
     }
     // Likely owners come first and unreachable agents last: the search stays at
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -55,6 +55,59 @@
   }
 }
 
+/// Hears agents 11 and 12 until agent 13 is suspected, and sends a packet of an
+/// unknown flow, which both of them return.
+/// @return the decision after that
+DirectorDecision SearchBesideSuspectedAgent(DirectorFixture* fixture) {
+  for (int i = 0; i < 20; ++i) {
+    fixture->now += Milliseconds(100);
+    fixture->ReceiveStatus(11, "stock");
+    fixture->ReceiveStatus(12, "stock");
+  }
+  REQUIRE(fixture->members.IsSuspected(fixture->now,
+                                       *fixture->members.Find(MemberId{13})));
+  DirectorDecision decision = fixture->Send(MakeLaterPacket(1));
+  decision =
+      fixture->Return(decision, ReturnReason::kBounced, MakeLaterPacket(1));
+  return fixture->Return(decision, ReturnReason::kBounced, MakeLaterPacket(1));
+}
+
+TEST_CASE("callers of dead flows waited for one dark agent to be given up") {
+  DirectorFixture fixture;
+  const DirectorDecision decision = SearchBesideSuspectedAgent(&fixture);
+  CHECK(decision.kind == DirectorDecision::Kind::kReset);
+  CHECK(decision.evidence.denials == 2);
+  CHECK(fixture.director.Counters().silence_resets == 1);
+}
+
+TEST_CASE("a flow that may not be repeated waits for a suspected agent") {
+  DirectorFixture fixture;
+  ServiceRoute route = MakeRoute(kRoute, "stock");
+  route.repeatable = false;
+  fixture.routes.Adopt(MakeRouteTable(2, {route}));
+  const DirectorDecision decision = SearchBesideSuspectedAgent(&fixture);
+  CHECK(decision.kind == DirectorDecision::Kind::kForward);
+  CHECK(decision.agent == MemberId{13});
+}
+
+TEST_CASE("a search waits for an agent that left a packet unanswered") {
+  DirectorFixture fixture;
+  DirectorDecision decision = fixture.Send(MakeLaterPacket(1));
+  const MemberId silent = decision.agent;
+  fixture.now += Milliseconds(150);
+  fixture.ReceiveAllStatuses();
+  decision = fixture.Send(MakeLaterPacket(1));
+  CHECK(decision.agent != silent);
+  CHECK(fixture.members.TakeDueProbes(fixture.now, 4) ==
+        std::vector<MemberId>{silent});
+  decision =
+      fixture.Return(decision, ReturnReason::kBounced, MakeLaterPacket(1));
+  decision =
+      fixture.Return(decision, ReturnReason::kBounced, MakeLaterPacket(1));
+  CHECK(decision.kind == DirectorDecision::Kind::kForward);
+  CHECK(decision.agent == silent);
+}
+
 TEST_CASE(
     "an agent that does not answer a search is skipped, then asked again") {
   DirectorFixture fixture;
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -190,6 +190,7 @@
     ++flow.opening_retries;
     ++m_counters.late_openings;
     detail::AddOnce(&flow.tried, flow.agent);
+    m_members->OnUnanswered(flow.agent);
     MemberEntry* unconfirmed_agent = m_members->Find(flow.agent);
     if (unconfirmed_agent != nullptr) {
       unconfirmed_agent->avoid_until =
@@ -278,7 +279,7 @@
     if (!is_due) {
       continue;
     }
-    detail::AddOnce(&flow.unresponsive, flow.agent);
+    OnSearchTimeout(&flow);
     DeferredDecision deferred{held->packet, held->raw, DirectorDecision()};
     deferred.decision = ContinueSearch(now, key, &flow);
     if (deferred.decision.kind != DirectorDecision::Kind::kHold) {
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -21,6 +21,14 @@
 constexpr int kTimeoutsToRemove = 6;
 constexpr uint32_t kMaxWarmupMs = 60000;  ///< Limit of reported durations.
 
+/// Ends the probes of a member that was heard. The time of the next one stays,
+/// so that packets left unanswered don't cause more of them.
+void EndProbes(MemberEntry* entry) {
+  const TimePoint next = entry->probe.next;
+  entry->probe = ProbeState();
+  entry->probe.next = next;
+}
+
 }  // namespace
 
 bool MembershipTable::OnStatus(TimePoint now, const proto::PeerStatus& status) {
@@ -33,7 +41,7 @@
   }
   RecordContact(now);
   MemberEntry& entry = m_entries[member.id];
-  entry.probe = ProbeState();
+  EndProbes(&entry);
   const bool is_new = entry.heard == TimePoint() ||
                       entry.member.incarnation != member.incarnation;
   if (!is_new && status.sequence() <= entry.sequence) {
@@ -210,7 +218,7 @@
   }
   RecordContact(now);
   entry->heard = now;
-  entry->probe = ProbeState();
+  EndProbes(entry);
   entry->avoid_until = TimePoint();
   entry->member.load = load;
   entry->pending = 0;
@@ -223,6 +231,13 @@
   }
 }
 
+void MembershipTable::OnUnanswered(MemberId id) {
+  MemberEntry* entry = Find(id);
+  if (entry != nullptr && entry->member.role == MemberRole::kAgent) {
+    entry->probe.requested = true;
+  }
+}
+
 std::vector<FleetMember> MembershipTable::OnTick(TimePoint now) {
   std::vector<FleetMember> forgotten;
   for (auto it = m_entries.begin(); it != m_entries.end();) {
@@ -276,6 +291,7 @@
 bool MembershipTable::IsReachable(TimePoint now,
                                   const MemberEntry& entry) const {
   return entry.heard != TimePoint() &&
+         entry.probe.failing_since == TimePoint() &&
          now - entry.heard <= ReachabilityTimeout(entry);
 }
 
@@ -283,8 +299,11 @@
                                   const MemberEntry& entry) const {
   const Duration limit = std::max(
       m_timeouts.suspected, kTimeoutsToSuspect * ReachabilityTimeout(entry));
+  const Duration probed_limit = std::max(
+      m_timeouts.suspected, kTimeoutsToSuspect * m_timeouts.unreachable);
   return !entry.leaving && entry.heard != TimePoint() &&
-         CountedSilence(now, entry) > limit;
+         (CountedSilence(now, entry) > limit ||
+          ProbedSilence(now, entry) > probed_limit);
 }
 
 bool MembershipTable::IsPresumedDead(TimePoint now,
@@ -292,10 +311,19 @@
   const bool is_restarting = entry.leaving &&
                              entry.member.state != AgentState::kGone &&
                              entry.probe.outcome == ProbeOutcome::kRefused;
-  return CountedSilence(now, entry) >
-         std::max(is_restarting ? m_timeouts.planned_restart
-                                : m_timeouts.presumed_dead,
-                  kTimeoutsToPresumeDead * ReachabilityTimeout(entry));
+  const Duration limit =
+      is_restarting ? m_timeouts.planned_restart : m_timeouts.presumed_dead;
+  return ProbedSilence(now, entry) > limit ||
+         CountedSilence(now, entry) >
+             std::max(limit,
+                      kTimeoutsToPresumeDead * ReachabilityTimeout(entry));
+}
+
+Duration MembershipTable::ProbedSilence(TimePoint now,
+                                        const MemberEntry& entry) const {
+  return entry.probe.failing_since == TimePoint()
+             ? Duration()
+             : now - std::max(entry.probe.failing_since, m_contact_since);
 }
 
 Duration MembershipTable::CountedSilence(TimePoint now,
@@ -318,7 +346,9 @@
                                                      size_t limit) {
   std::vector<MemberEntry*> due;
   for (auto& [id, entry] : m_entries) {
-    if (!NeedsProbes(now, entry)) {
+    const bool is_unneeded =
+        !entry.probe.requested || HasLeftStopped(now, entry);
+    if (is_unneeded && !NeedsProbes(now, entry)) {
       continue;
     }
     entry.probe.requested = true;
@@ -333,8 +363,13 @@
   due.resize(std::min(limit, due.size()));
   std::vector<MemberId> chosen;
   for (MemberEntry* entry : due) {
+    entry->probe.started = now;
+    const bool waits_for_status =
+        NeedsProbes(now, *entry) && entry->probe.failing_since == TimePoint();
     entry->probe.next =
-        now + std::max(m_timeouts.probe_interval, ReachabilityTimeout(*entry));
+        now + (waits_for_status ? std::max(m_timeouts.probe_interval,
+                                           ReachabilityTimeout(*entry))
+                                : m_timeouts.probe_interval);
     chosen.push_back(entry->member.id);
   }
   return chosen;
@@ -351,6 +386,10 @@
   entry->probe.outcome = outcome;
   if (outcome == ProbeOutcome::kAccepted) {
     entry->probe.accepted = now;
+    entry->probe.failing_since = TimePoint();
+    entry->probe.requested = NeedsProbes(now, *entry);
+  } else if (entry->probe.failing_since == TimePoint()) {
+    entry->probe.failing_since = entry->probe.started;
   }
   const bool counts = IsSuspected(now, *entry) || IsPresumedDead(now, *entry);
   if (outcome == ProbeOutcome::kNoAnswer && !counts) {
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -51,7 +51,10 @@
   bool requested = false;               ///< The first probe is due or running.
   std::optional<ProbeOutcome> outcome;  ///< Of the latest probe, if any ended.
   TimePoint accepted;                   ///< Last kAccepted; zero: none.
-  TimePoint next;                       ///< When another probe is due.
+  TimePoint started;                    ///< Start of the latest probe.
+  /// Start of the first of the probes that failed in a row; zero: none did.
+  TimePoint failing_since;
+  TimePoint next;  ///< When another probe is due.
 };
 
 /// What this process knows of another member.
@@ -99,9 +102,14 @@
   /// status.
   void OnServerDown(MemberId id);
 
-  /// Returns agents that have become unreachable and whose probe is due, those
-  /// that have waited longest first. Until the first probe of an agent has
-  /// ended, its silence does not count.
+  /// Records that an agent has left a packet unanswered. It is probed at once,
+  /// because the next status of a dead agent is missed much later in a large
+  /// fleet.
+  void OnUnanswered(MemberId id);
+
+  /// Returns agents that have become unreachable, or left a packet unanswered,
+  /// and whose probe is due, those that have waited longest first. Until the
+  /// first probe of an agent has ended, its silence does not count.
   /// Precondition: the caller probes each one and passes the outcome to
   /// OnProbe.
   /// @param limit largest number of agents to return
@@ -129,11 +137,13 @@
   std::vector<const FleetMember*> KnownPeersFor(TimePoint now,
                                                 MemberRole role) const;
 
-  /// Returns whether the member was heard within the unreachable timeout.
+  /// Returns whether the member was heard within the unreachable timeout, and
+  /// no probe has failed since.
   bool IsReachable(TimePoint now, const MemberEntry& entry) const;
   /// Returns whether the member has been silent for longer than an unplanned
   /// restart takes, although others were heard and it had announced no stop.
-  /// An accepted probe ends a silence, here and in IsPresumedDead.
+  /// An accepted probe ends a silence, here and in IsPresumedDead; probes that
+  /// fail for as long as the timeout of a small fleet show the same.
   bool IsSuspected(TimePoint now, const MemberEntry& entry) const;
   /// Returns whether the member has been silent for so long, although others
   /// were heard, that its flows have to be given up.
@@ -222,6 +232,9 @@
   /// fell silent at once, this host itself was disconnected; that time does not
   /// count. Zero while the outcome of the first probe is awaited.
   Duration CountedSilence(TimePoint now, const MemberEntry& entry) const;
+  /// Returns for how long all probes of the member have failed. If all members
+  /// fell silent at once, that time does not count.
+  Duration ProbedSilence(TimePoint now, const MemberEntry& entry) const;
   /// Returns whether the silence of an agent has to be verified by probes.
   bool NeedsProbes(TimePoint now, const MemberEntry& entry) const;
   void RecordDiscovery(TimePoint now, const FleetMember& member);
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -274,6 +274,58 @@
   CHECK(members.TakeDueProbes(now + Seconds(1), 4).size() == 4);
 }
 
+TEST_CASE(
+    "a dead agent of a large fleet was given up only after many seconds") {
+  TimePoint now{Seconds(100)};
+  MembershipTable members(MemberId{1}, MembershipTimeouts());
+  proto::PeerStatus status = MakeStatus(now, 2, MemberRole::kAgent, 1);
+  status.set_members(1800);
+  members.OnStatus(now, status);
+  const MemberEntry& agent = *members.Find(MemberId{2});
+  const auto run_for = [&](Duration duration) {
+    for (const TimePoint end = now + duration; now < end;
+         now += Milliseconds(100)) {
+      members.OnStatus(
+          now,
+          MakeStatus(now, 3, MemberRole::kBalancer,
+                     static_cast<uint32_t>(ToMilliseconds(now - TimePoint()))));
+      for (const MemberId id : members.TakeDueProbes(now, 4)) {
+        members.OnProbe(now + Milliseconds(50), id, ProbeOutcome::kNoAnswer);
+      }
+    }
+  };
+  run_for(Milliseconds(500));
+  CHECK(members.IsReachable(now, agent));
+  members.OnUnanswered(MemberId{2});
+  run_for(Milliseconds(200));
+  CHECK_FALSE(members.IsReachable(now, agent));
+  CHECK_FALSE(members.IsSuspected(now, agent));
+  run_for(Milliseconds(1700));
+  CHECK(members.IsSuspected(now, agent));
+  CHECK_FALSE(members.IsPresumedDead(now, agent));
+  run_for(Milliseconds(3300));
+  CHECK(members.IsPresumedDead(now, agent));
+}
+
+TEST_CASE("an unanswered packet makes no agent unreachable that is probed") {
+  TimePoint now{Seconds(100)};
+  MembershipTable members(MemberId{1}, MembershipTimeouts());
+  members.OnStatus(now, MakeStatus(now, 2, MemberRole::kAgent, 1));
+  const MemberEntry& agent = *members.Find(MemberId{2});
+  members.OnUnanswered(MemberId{2});
+  REQUIRE(members.TakeDueProbes(now, 4).size() == 1);
+  CHECK(members.IsReachable(now, agent));
+  members.OnProbe(now, MemberId{2}, ProbeOutcome::kAccepted);
+  CHECK(members.IsReachable(now, agent));
+  // More unanswered packets cause one probe a second.
+  members.OnUnanswered(MemberId{2});
+  CHECK(members.TakeDueProbes(now + Milliseconds(800), 4).empty());
+  members.OnStatus(now, MakeStatus(now, 2, MemberRole::kAgent, 2));
+  members.OnUnanswered(MemberId{2});
+  CHECK(members.TakeDueProbes(now + Milliseconds(800), 4).empty());
+  CHECK(members.TakeDueProbes(now + Seconds(1), 4).size() == 1);
+}
+
 TEST_CASE("a reordered status does not change the state of the member") {
   TimePoint now{Seconds(100)};
   MembershipTable members(MemberId{1}, MembershipTimeouts());
