Fix: Dead flows of a large fleet were reset no sooner than 1.5 s after its start

Cause: a list of registered agents, each of which was heard, ended a search only after two status intervals. These are 3.7 s at 295 members, so that the 1.5 s without a list decided. Two intervals leave agents that the list lacks time to send a status to a balancer that they remember. Change: members send statuses to each receiver at a time of its own, no longer to all at once, so some balancer hears such an agent within two intervals of a small fleet; a balancer that hears an agent which its list lacks tells the others. Two intervals of a small fleet, 0.6 s, are then enough where other balancers are heard.

--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -175,6 +175,8 @@
                     const std::vector<MemberContact>& contacts);
   proto::PeerStatus MakeStatus(Process* process);
   std::vector<uint32_t> SeedsOf(const Process& process) const;
+  static std::vector<MemberId> StatusReceivers(const Process& process);
+  void SendStatuses(Process* process, const std::vector<MemberId>& receivers);
   void Broadcast(Process* process);
   void AnnounceState(Process* process);
   void OnStatus(Process* process,
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -139,9 +139,9 @@
   if (process->role == MemberRole::kBalancer) {
     ProbeSilentAgents(process);
   }
-  if (process->schedule.IsDue(now)) {
-    Broadcast(process);
-  }
+  SendStatuses(process, process->schedule.TakeDue(
+                            now, StatusReceivers(*process),
+                            process->members.FleetSize(process->role)));
   SendContacts(process, process->discovery->TakeContacts(now));
   CallStore(process);
 }
@@ -234,16 +234,33 @@
   return status;
 }
 
-void ResetWorld::Broadcast(Process* process) {
-  const proto::PeerStatus status = MakeStatus(process);
-  for (const auto& [id, entry] : process->members.Entries()) {
-    if (process->role == MemberRole::kBalancer ||
+std::vector<MemberId> ResetWorld::StatusReceivers(const Process& process) {
+  std::vector<MemberId> receivers;
+  for (const auto& [id, entry] : process.members.Entries()) {
+    if (process.role == MemberRole::kBalancer ||
         entry.member.role == MemberRole::kBalancer) {
-      SendStatus(process->index, detail::ProcessAt(entry.member.ip), status);
+      receivers.push_back(id);
     }
   }
-  process->schedule.OnSent(m_state->now,
-                           process->members.FleetSize(process->role));
+  return receivers;
+}
+
+void ResetWorld::SendStatuses(Process* process,
+                              const std::vector<MemberId>& receivers) {
+  if (receivers.empty()) {
+    return;
+  }
+  const proto::PeerStatus status = MakeStatus(process);
+  for (const MemberId receiver : receivers) {
+    const uint32_t ip = process->members.Find(receiver)->member.ip;
+    SendStatus(process->index, detail::ProcessAt(ip), status);
+  }
+}
+
+void ResetWorld::Broadcast(Process* process) {
+  SendStatuses(process, StatusReceivers(*process));
+  process->schedule.OnSentToAll(m_state->now,
+                                process->members.FleetSize(process->role));
 }
 
 void ResetWorld::AnnounceState(Process* process) {
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -156,16 +156,22 @@
       !m_members->IsRegisteredAgentMissing(now)) {
     return DiscoveryBasis::kQuiet;
   }
-  // Agents that remember this balancer have sent it a status within an
-  // interval. Others have restarted, and join through any balancer.
+  // Agents that remember this balancer have sent it a status within an interval
+  // of the fleet. In an interval of a small fleet they have sent one to some
+  // balancer, which tells the others of an agent that the list lacks. Agents
+  // that have restarted join through any balancer.
   const Duration interval =
       StatusInterval(MemberRole::kAgent, m_members->Entries().size());
+  const Duration short_interval = StatusInterval(MemberRole::kAgent, 0);
+  const bool hears_balancers =
+      m_members->CountReachable(now, MemberRole::kBalancer) > 0;
+  if (uptime >= 2 * (hears_balancers ? short_interval : interval) &&
+      m_members->HasHeardRegisteredAgents(now)) {
+    return DiscoveryBasis::kRegistered;
+  }
   if (uptime < 2 * interval) {
     return DiscoveryBasis::kIncomplete;
   }
-  if (m_members->HasHeardRegisteredAgents(now)) {
-    return DiscoveryBasis::kRegistered;
-  }
   const bool is_counted =
       quiet_time >= interval && !m_members->IsRegisteredAgentMissing(now) &&
       m_members->Entries().size() >= m_members->LargestReportedSize(now);
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -348,5 +348,73 @@
   CHECK(decision.kind == DirectorDecision::Kind::kHold);
 }
 
+/// A balancer that has just started in a fleet of 300 hosts.
+struct LargeFleet {
+  TimePoint now{Seconds(100)};
+  MembershipTable members{MemberId{1}, MembershipTimeouts()};
+  ActiveRoutes routes;
+  FlowDirector director{now,     DomainId{1},      &members,
+                        &routes, DirectorLimits(), &PlaceByResponseTime};
+
+  LargeFleet() {
+    routes.Adopt(MakeRouteTable(1, {MakeRoute(kRoute, "stock")}));
+    std::vector<uint32_t> listed;
+    for (uint32_t id = 100; id < 300; ++id) {
+      listed.push_back(id);
+    }
+    members.SetRegisteredAgents(now, listed);
+    for (uint32_t id = 100; id < 300; ++id) {
+      Hear(id, MemberRole::kAgent);
+    }
+  }
+
+  void Hear(uint32_t id, MemberRole role) {
+    FleetMember member;
+    member.id = MemberId{id};
+    member.role = role;
+    member.ip = id;
+    member.incarnation = 1;
+    member.service = ServiceIdOf("stock");
+    member.state = AgentState::kReady;
+    proto::PeerStatus status;
+    *status.mutable_self() = EncodeMember(now, member);
+    status.set_sequence(1);
+    status.set_members(299);
+    members.OnStatus(now, status);
+  }
+
+  /// Sends a packet of an unknown flow, which all agents return.
+  DirectorDecision Search() {
+    const FlowPacket packet = MakeLaterPacket(1);
+    const ByteView raw;
+    DirectorDecision decision = director.OnCallerPacket(now, packet, raw);
+    while (decision.kind == DirectorDecision::Kind::kForward) {
+      decision = director.OnReturned(
+          now, decision.agent, ReturnReason::kBounced, MemberId(), packet, raw);
+    }
+    return decision;
+  }
+};
+
+TEST_CASE("dead flows of a large fleet were reset 1.5 s after its start") {
+  LargeFleet fleet;
+  for (uint32_t id = 2; id < 92; ++id) {
+    fleet.Hear(id, MemberRole::kBalancer);
+  }
+  fleet.now += Milliseconds(500);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kHold);
+  fleet.now += Milliseconds(100);
+  const DirectorDecision decision = fleet.Search();
+  CHECK(decision.kind == DirectorDecision::Kind::kReset);
+  CHECK(decision.evidence.discovery == DiscoveryBasis::kRegistered);
+  CHECK(decision.evidence.denials == 200);
+}
+
+TEST_CASE("a balancer that hears no other one waits for two intervals") {
+  LargeFleet fleet;
+  fleet.now += Milliseconds(700);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kHold);
+}
+
 }  // namespace
 }  // namespace medlargauge
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -192,6 +192,12 @@
   /// Returns the addresses of reachable agents that the list of registered
   /// agents lacks.
   std::vector<uint32_t> UnlistedAgents(TimePoint now) const;
+  /// Returns whether the list of registered agents is known and lacks this
+  /// agent.
+  bool IsUnlistedAgent(const FleetMember& member) const {
+    return m_has_registered_agents && member.role == MemberRole::kAgent &&
+           m_listed_agents.count(member.ip) == 0;
+  }
   /// Returns the registered agents that have not been heard yet.
   const std::set<uint32_t>& UnheardRegisteredAgents() const {
     return m_unheard_agents;
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -1,6 +1,8 @@
 // @file membership_table_test.cc Tests of members and their liveness.
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include "src/forwarding/member_fixture.h"
 #include "src/forwarding/status_schedule.h"
 
@@ -88,12 +90,13 @@
     TimePoint last = start;
     Duration longest_gap{};
     uint64_t sent = 0;
+    const std::vector<MemberId> receiver{MemberId{1}};
     for (TimePoint now = start; now < start + 20 * interval;
          now += Milliseconds(100)) {
       for (StatusSchedule& schedule : schedules) {
-        if (schedule.IsDue(now)) {
-          // The other members are discovered after the first status.
-          schedule.OnSent(now, now == start ? 0 : member_count);
+        // The other members are discovered after the first status.
+        if (!schedule.TakeDue(now, receiver, now == start ? 0 : member_count)
+                 .empty()) {
           longest_gap = now - start > 3 * interval
                             ? std::max(longest_gap, now - last)
                             : Duration();
@@ -113,6 +116,39 @@
   }
 }
 
+TEST_CASE("a member of a large fleet sends all its statuses at once") {
+  const TimePoint start{Seconds(100)};
+  std::vector<MemberId> receivers;
+  for (uint64_t id = 1; id <= 90; ++id) {
+    receivers.push_back(MemberId{id});
+  }
+  constexpr Duration kTick = Milliseconds(100);
+  StatusSchedule schedule(MemberRole::kAgent, kTick, 7);
+  const Duration interval = StatusInterval(MemberRole::kAgent, 300);
+  std::map<MemberId, TimePoint> last;
+  size_t most_at_once = 0;
+  TimePoint last_of_any = start;
+  Duration longest_gap{};
+  for (TimePoint now = start; now < start + 10 * interval; now += kTick) {
+    const std::vector<MemberId> due = schedule.TakeDue(now, receivers, 300);
+    most_at_once = std::max(most_at_once, due.size());
+    for (const MemberId id : due) {
+      CHECK(now - last.try_emplace(id, start).first->second <=
+            interval + kTick);
+      last[id] = now;
+      longest_gap = std::max(longest_gap, now - last_of_any);
+      last_of_any = now;
+    }
+    if (now == start + 5 * interval) {
+      schedule.OnSentToAll(now, 300);
+    }
+  }
+  CHECK(last.size() == receivers.size());
+  CHECK(most_at_once <= 20);
+  // Some receiver hears the member within two intervals of a small fleet.
+  CHECK(longest_gap <= Milliseconds(600));
+}
+
 TEST_CASE("in a large fleet a member stays reachable between two statuses") {
   TimePoint now{Seconds(100)};
   MembershipTable members(MemberId{1}, MembershipTimeouts());
--- a/src/forwarding/status_schedule.h
+++ b/src/forwarding/status_schedule.h
@@ -4,6 +4,10 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
+#include <map>
+#include <set>
+#include <vector>
 
 #include "src/core/hash.h"
 #include "src/core/time_type.h"
@@ -37,40 +41,78 @@
   return Milliseconds(100) * (1 << std::min((attempts - 1) / 2, kMaxDoublings));
 }
 
-/// Schedules the statuses that a member sends to all others. Not thread-safe.
+/// Schedules the statuses that a member sends to others. Each receiver has its
+/// own turn, so that at any time some receivers have just heard the member. Not
+/// thread-safe.
 class StatusSchedule {
  public:
-  /// @param tick interval at which IsDue is called; deadlines are half of it
+  /// @param tick interval at which TakeDue is called; deadlines are half of it
   ///     earlier, so that the mean interval between statuses is as intended
   /// @param seed spreads the statuses of members that start together
   StatusSchedule(MemberRole role, Duration tick, uint64_t seed)
       : m_role(role), m_tick(tick), m_seed(seed) {}
 
-  /// Returns whether a status must be sent now.
-  bool IsDue(TimePoint now) const { return now >= m_deadline; }
-
-  /// Schedules the next status after one was sent to all members.
+  /// Returns the receivers to which a status must be sent now.
+  /// @param receivers all members that get statuses; a new one has been sent
+  ///     its first status already
   /// @param members number of other members in the fleet
-  void OnSent(TimePoint now, size_t members) {
-    constexpr int64_t kParts = 256;
+  std::vector<MemberId> TakeDue(TimePoint now,
+                                const std::vector<MemberId>& receivers,
+                                size_t members) {
     const Duration interval = StatusInterval(m_role, members);
-    // Members that started at the same time, or that discovered many others at
-    // the same time, would send in step from then on. A random part of one
-    // interval separates them.
-    const bool unchanged = interval <= m_interval * 5 / 4;
-    const auto part = static_cast<int64_t>(MixHash(m_seed, ++m_sent) % kParts);
-    m_deadline =
-        now + (unchanged ? interval : interval * part / kParts) - m_tick / 2;
-    m_interval = interval;
+    std::vector<MemberId> due;
+    for (const MemberId receiver : receivers) {
+      const auto [found, is_new] = m_turns.try_emplace(receiver);
+      Turn& turn = found->second;
+      turn.deadline = is_new ? RandomTime(now, interval)
+                             : std::min(turn.deadline, now + interval);
+      if (turn.deadline > now) {
+        continue;
+      }
+      due.push_back(receiver);
+      // Members that discovered many others at the same time would send in step
+      // from then on.
+      const bool unchanged = interval <= turn.interval * 5 / 4;
+      turn.deadline =
+          unchanged ? now + interval - m_tick / 2 : RandomTime(now, interval);
+      turn.interval = interval;
+    }
+    if (m_turns.size() > receivers.size()) {
+      const std::set<MemberId> current(receivers.begin(), receivers.end());
+      for (auto it = m_turns.begin(); it != m_turns.end();) {
+        it = current.count(it->first) > 0 ? std::next(it) : m_turns.erase(it);
+      }
+    }
+    return due;
+  }
+
+  /// Gives all receivers a new turn after a status was sent to each.
+  /// @param members number of other members in the fleet
+  void OnSentToAll(TimePoint now, size_t members) {
+    for (auto& [receiver, turn] : m_turns) {
+      turn.deadline = RandomTime(now, StatusInterval(m_role, members));
+    }
   }
 
  private:
-  MemberRole m_role;       ///< Role of this member.
-  Duration m_tick;         ///< Interval of calls to IsDue.
-  uint64_t m_seed;         ///< Seed of the spread.
-  uint64_t m_sent = 0;     ///< Statuses sent so far.
-  Duration m_interval{};   ///< Interval used after the last status.
-  TimePoint m_deadline{};  ///< Time of the next status.
+  /// When a receiver gets its next status.
+  struct Turn {
+    TimePoint deadline;    ///< Of that status.
+    Duration interval{0};  ///< Between it and the one before.
+  };
+
+  /// Returns a time within the next interval.
+  TimePoint RandomTime(TimePoint now, Duration interval) {
+    constexpr int64_t kParts = 256;
+    const auto part = static_cast<int64_t>(MixHash(m_seed, ++m_drawn) % kParts);
+    return now + interval * (part + 1) / kParts - m_tick / 2;
+  }
+
+  MemberRole m_role;                 ///< Role of this member.
+  Duration m_tick;                   ///< Interval of calls to TakeDue.
+  uint64_t m_seed;                   ///< Seed of the spread.
+  uint64_t m_drawn = 0;              ///< Random times so far.
+  std::map<MemberId, Turn> m_turns;  ///< By receiver.
 };
 
 }  // namespace medlargauge
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -2,6 +2,7 @@
 #include "src/runtime/fleet_node.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "src/core/error.h"
 #include "src/core/event_log.h"
@@ -139,6 +140,10 @@
         .With("role",
               sender->member.role == MemberRole::kAgent ? "agent" : "balancer")
         .With("incarnation", sender->member.incarnation);
+    if (m_self.role == MemberRole::kBalancer &&
+        m_members.IsUnlistedAgent(sender->member)) {
+      m_unlisted_agents.push_back(sender->member.id);
+    }
   }
   OnPeerEra(now, status);
   if (status.not_registered()) {
@@ -214,17 +219,53 @@
   Send(ip, m_frame_writer.Message(PeerMessageKind::kStatus, status));
 }
 
+std::vector<MemberId> FleetNode::StatusReceivers() const {
+  std::vector<MemberId> receivers;
+  for (const auto& [id, entry] : m_members.Entries()) {
+    if (m_self.role == MemberRole::kBalancer ||
+        entry.member.role == MemberRole::kBalancer) {
+      receivers.push_back(id);
+    }
+  }
+  return receivers;
+}
+
 void FleetNode::BroadcastStatus() {
   const TimePoint now = SteadyTime();
   const proto::PeerStatus status = MakeStatus(now);
+  for (const MemberId receiver : StatusReceivers()) {
+    SendStatus(m_members.Find(receiver)->member.ip, status);
+  }
+  m_status_schedule.OnSentToAll(now, m_members.FleetSize(m_self.role));
+}
+
+void FleetNode::SendDueStatuses(TimePoint now) {
+  const std::vector<MemberId> due = m_status_schedule.TakeDue(
+      now, StatusReceivers(), m_members.FleetSize(m_self.role));
+  if (due.empty()) {
+    return;
+  }
+  const proto::PeerStatus status = MakeStatus(now);
+  for (const MemberId receiver : due) {
+    SendStatus(m_members.Find(receiver)->member.ip, status);
+  }
+}
+
+void FleetNode::TellOfUnlistedAgents(TimePoint now) {
+  const std::vector<MemberId> agents = std::exchange(m_unlisted_agents, {});
+  proto::PeerStatus status = MakeStatus(now);
+  for (const MemberId id : agents) {
+    const MemberEntry* entry = m_members.Find(id);
+    if (entry != nullptr && status.known_size() < kMembersPerDatagram) {
+      *status.add_known() = EncodeMember(now, entry->member);
+    }
+  }
   for (const auto& [id, entry] : m_members.Entries()) {
-    const bool exchanges_status = m_self.role == MemberRole::kBalancer ||
-                                  entry.member.role == MemberRole::kBalancer;
-    if (exchanges_status) {
+    if (entry.member.role == MemberRole::kBalancer &&
+        m_members.IsReachable(now, entry)) {
       SendStatus(entry.member.ip, status);
     }
   }
-  m_status_schedule.OnSent(now, m_members.FleetSize(m_self.role));
 }
 
 void FleetNode::StartLeaving() {
@@ -242,8 +283,9 @@
   }
   m_last_suspended_time = suspended_time;
   DeregisterForgottenMembers(now, m_members.OnTick(now));
-  if (m_status_schedule.IsDue(now)) {
-    BroadcastStatus();
+  SendDueStatuses(now);
+  if (!m_unlisted_agents.empty()) {
+    TellOfUnlistedAgents(now);
   }
   SendContacts(now, m_discovery.TakeContacts(now));
   CallStoreForMembers(now);
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -106,6 +106,13 @@
                       MemberRole role,
                       bool with_members);
   void SendStatus(uint32_t ip, const proto::PeerStatus& status);
+  /// Returns the members that get this process's statuses.
+  std::vector<MemberId> StatusReceivers() const;
+  /// Sends a status to each member whose turn it is.
+  void SendDueStatuses(TimePoint now);
+  /// Tells the other balancers of agents that the store's list lacks. Balancers
+  /// that have just started rely on that list.
+  void TellOfUnlistedAgents(TimePoint now);
   void Tick();
   /// Sends a status to each of these members.
   void SendContacts(TimePoint now, const std::vector<MemberContact>& contacts);
@@ -160,8 +167,9 @@
   SocketAddress4 m_peer_address;     ///< Own address for other processes.
   MembershipTable m_members;         ///< All other members.
   FleetDiscovery m_discovery;        ///< How this process finds them.
-  StatusSchedule m_status_schedule;  ///< When to broadcast the own status.
-  ActiveRoutes m_routes;             ///< Routes in force.
+  StatusSchedule m_status_schedule;  ///< When to send the own status.
+  std::vector<MemberId> m_unlisted_agents;  ///< For TellOfUnlistedAgents.
+  ActiveRoutes m_routes;                    ///< Routes in force.
   /// Targets of a peer that were fetched and did not replace those in force.
   TargetVersion m_useless_version;
   TargetIdentity m_kept_identity;  ///< Agents: identifies m_stored_targets.
