Codechange: Fewer calls to the store

Change: a watch waits 2 s for each reader, up to 5 s; while the store holds a watch it counts as in contact; a reader pauses between watches by its rank. A store that has no targets yet is watched by the readers, no longer polled by all. Failed or incomplete lists of agents are repeated with a doubled delay. 16 balancers register, chosen by hash. The setting first_start tells that no list is needed.

--- a/src/forwarding/fleet_discovery.cc
+++ b/src/forwarding/fleet_discovery.cc
@@ -5,6 +5,7 @@
 
 #include "src/core/hash.h"
 #include "src/forwarding/status_schedule.h"
+#include "src/target/reader_choice.h"
 
 namespace medlargauge {
 namespace {
@@ -37,6 +38,11 @@
 constexpr Duration kFailedStoreRetryInterval = Milliseconds(200);
 /// The same if the store's list of agents was evidently incomplete.
 constexpr Duration kIncompleteListRetryInterval = Milliseconds(700);
+/// Balancers that register, so that processes can join through them.
+constexpr size_t kListedBalancers = 16;
+/// Another balancer finds out this often whether it has to register.
+constexpr Duration kListingCheckInterval = Seconds(5);
+constexpr uint32_t kMaxDelayDoublings = 8;
 
 }  // namespace
 
@@ -143,15 +149,36 @@
       m_is_list_complete &&
       (now >= m_introductions_end || m_members->UnlistedAgents(now).empty());
   return m_role == MemberRole::kBalancer && !m_is_list_complete &&
-         !m_is_list_too_long && now >= m_next_agent_list;
+         !m_is_list_too_long && !m_is_first_start && now >= m_next_agent_list;
+}
+
+Duration FleetDiscovery::AgentListDelay(Duration first_delay) const {
+  return std::min<Duration>(
+      kStoreRetryInterval,
+      first_delay * (1U << std::min(m_useless_lists, kMaxDelayDoublings)));
+}
+
+bool FleetDiscovery::IsListed(TimePoint now) const {
+  std::vector<MemberId> balancers{m_self};
+  for (const auto& [id, entry] : m_members->Entries()) {
+    if (entry.member.role == MemberRole::kBalancer &&
+        m_members->IsReachable(now, entry)) {
+      balancers.push_back(id);
+    }
+  }
+  const std::vector<MemberId> listed =
+      ChooseStoreReaders(balancers, kListedBalancers);
+  return m_role == MemberRole::kAgent ||
+         std::find(listed.begin(), listed.end(), m_self) != listed.end();
 }
 
 MemberCall FleetDiscovery::NextCall(TimePoint now, bool leaving) {
   if (NeedsAgentList(now)) {
     m_list_requested_at = now;
-    m_next_agent_list =
-        now + (now < m_introductions_end ? kFailedStoreRetryInterval
-                                         : kStoreRetryInterval);
+    m_next_agent_list = now + (now < m_introductions_end
+                                   ? AgentListDelay(kFailedStoreRetryInterval)
+                                   : kStoreRetryInterval);
+    ++m_useless_lists;
     return MemberCall::kListAgents;
   }
   if (leaving) {
@@ -161,11 +188,15 @@
     m_next_balancer_list = now + kStoreRetryInterval;
     return MemberCall::kListBalancers;
   }
-  if (!m_has_left && now >= m_next_registration) {
-    m_next_registration = now + kStoreRetryInterval;
-    return MemberCall::kRegister;
+  if (m_has_left || now < m_next_registration) {
+    return MemberCall::kNone;
+  }
+  if (!IsListed(now)) {
+    m_next_registration = now + kListingCheckInterval;
+    return MemberCall::kNone;
   }
-  return MemberCall::kNone;
+  m_next_registration = now + kStoreRetryInterval;
+  return MemberCall::kRegister;
 }
 
 std::vector<MemberContact> FleetDiscovery::OnBalancersListed(
@@ -195,8 +226,10 @@
   }
   m_listed_at = m_list_requested_at;
   m_is_list_complete = m_members->SetRegisteredAgents(now, ips);
+  m_useless_lists = m_is_list_complete ? 0 : m_useless_lists;
   m_next_agent_list =
-      std::max(m_next_agent_list, now + kIncompleteListRetryInterval);
+      std::max(m_next_agent_list,
+               now + AgentListDelay(kIncompleteListRetryInterval / 2));
   for (const uint32_t ip : m_members->UnlistedAgents(now)) {
     contacts.push_back({ip, false, true});
   }
@@ -230,6 +263,7 @@
 void FleetDiscovery::OnRegistrationsCompleteAt(TimePoint complete_at) {
   if (m_listed_at < complete_at) {
     m_is_list_complete = false;
+    m_is_first_start = false;
     m_members->WithdrawRegisteredAgents();
     m_next_agent_list = std::max(m_next_agent_list, complete_at);
   }
--- a/src/forwarding/fleet_discovery.h
+++ b/src/forwarding/fleet_discovery.h
@@ -41,6 +41,10 @@
                  const FleetMember& self,
                  MembershipTable* members);
 
+  /// Call if the whole fleet starts for the first time. No flows of earlier
+  /// processes exist then, so the registered agents are not listed.
+  void OnFirstStart() { m_is_first_start = true; }
+
   /// Replaces the addresses of the processes to join through.
   void SetSeeds(std::vector<uint32_t> seeds) { m_seeds = std::move(seeds); }
 
@@ -101,6 +105,12 @@
   std::vector<uint32_t> ReachableIps(TimePoint now, MemberRole role) const;
   bool NeedsBalancers(TimePoint now) const;
   bool NeedsAgentList(TimePoint now);
+  /// Returns the delay before the agents are listed again, doubled with each
+  /// list that failed or was incomplete.
+  Duration AgentListDelay(Duration first_delay) const;
+  /// Returns whether this process has to be listed in the store. A few
+  /// balancers are enough to join through.
+  bool IsListed(TimePoint now) const;
 
   MemberId m_self;                  ///< Id of this process.
   MemberRole m_role;                ///< Its role.
@@ -120,6 +130,8 @@
   TimePoint m_listed_at;            ///< When the last list was requested.
   bool m_is_list_complete = false;  ///< See IsListComplete.
   bool m_is_list_too_long = false;  ///< The store's answer was cut.
+  uint32_t m_useless_lists = 0;     ///< Failed or incomplete ones in a row.
+  bool m_is_first_start = false;    ///< See OnFirstStart.
   TimePoint m_registered_at;        ///< Last successful registration.
   TimePoint m_next_registration;    ///< When kRegister is due.
   bool m_has_left = false;          ///< See HasLeft.
--- a/src/forwarding/fleet_discovery_test.cc
+++ b/src/forwarding/fleet_discovery_test.cc
@@ -56,6 +56,53 @@
   CHECK(fixture.CountFailingCalls(MemberCall::kListAgents, Seconds(30)) <= 11);
 }
 
+TEST_CASE("balancers that start ask a failing store five times a second") {
+  DiscoveryFixture fixture;
+  CHECK(fixture.CountFailingCalls(MemberCall::kListAgents, Seconds(3)) <= 5);
+}
+
+TEST_CASE("the agents are not listed when the whole fleet starts first") {
+  DiscoveryFixture fixture;
+  fixture.discovery.OnFirstStart();
+  fixture.Hear(2, MemberRole::kBalancer);
+  fixture.Hear(11, MemberRole::kAgent);
+  for (int i = 0; i < 100; ++i) {
+    fixture.now += kTick;
+    CHECK(fixture.discovery.NextCall(fixture.now, false) !=
+          MemberCall::kListAgents);
+  }
+  // A restore of the store ends that.
+  fixture.discovery.OnRegistrationsCompleteAt(fixture.now);
+  CHECK(fixture.discovery.NextCall(fixture.now, false) ==
+        MemberCall::kListAgents);
+}
+
+TEST_CASE("all balancers of a large fleet registered") {
+  constexpr uint64_t kBalancers = 91;
+  uint32_t registered = 0;
+  for (uint64_t self = 1; self <= kBalancers; ++self) {
+    TimePoint now{Seconds(100)};
+    MembershipTable members{MemberId{self}, MembershipTimeouts()};
+    FleetDiscovery discovery(
+        now, DiscoveryFixture::MakeMember(self, MemberRole::kBalancer),
+        &members);
+    discovery.OnFirstStart();
+    uint32_t sequence = 0;
+    for (const TimePoint end = now + Seconds(20); now < end; now += kTick) {
+      ++sequence;
+      for (uint64_t id = 1; id <= kBalancers && sequence % 5 == 1; ++id) {
+        members.OnStatus(now, member_fixture::MakeStatus(
+                                  now, id, MemberRole::kBalancer, sequence));
+      }
+      if (discovery.NextCall(now, false) == MemberCall::kRegister) {
+        discovery.OnRegistered(now, StoreResult::kOk);
+        ++registered;
+      }
+    }
+  }
+  CHECK(registered == 16);
+}
+
 TEST_CASE("an agent that the list lacks is told, and the list is read again") {
   DiscoveryFixture fixture;
   fixture.Hear(11, MemberRole::kAgent);
--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -26,10 +26,12 @@
   }
   const bool waits_for_peer =
       revision == 0 && now - m_started_at < m_limits.first_read_delay;
-  if (waits_for_peer || (revision != 0 && !ShouldRead(now, self, members))) {
+  const bool is_urgent = revision == 0 && !m_knows_none;
+  if (waits_for_peer || (!is_urgent && !ShouldRead(now, self, members))) {
     return ReadAction::kNothing;
   }
   m_call_in_progress = true;
+  m_is_watching = !m_read_required;
   if (m_unanswered_since == TimePoint()) {
     m_unanswered_since = now;
   }
@@ -38,7 +40,7 @@
 
 bool TargetReader::ShouldRead(TimePoint now,
                               MemberId self,
-                              const MembershipTable& members) const {
+                              const MembershipTable& members) {
   std::vector<MemberId> candidates{self};
   TimePoint newest_contact;
   for (const auto& [id, entry] : members.Entries()) {
@@ -53,9 +55,11 @@
   }
   const std::vector<MemberId> readers =
       ChooseStoreReaders(candidates, m_limits.readers);
-  const bool is_reader =
-      std::find(readers.begin(), readers.end(), self) != readers.end();
-  return is_reader || now - newest_contact > m_limits.max_contact_age;
+  const auto found = std::find(readers.begin(), readers.end(), self);
+  m_rank = static_cast<size_t>(found - readers.begin());
+  m_readers = readers.size();
+  return found != readers.end() ||
+         now - newest_contact > m_limits.max_contact_age;
 }
 
 void TargetReader::OnRead(TimePoint now,
@@ -67,7 +71,8 @@
     m_read_required = false;
     m_position = position;
   }
-  if (result == StoreResult::kNotFound) {
+  m_knows_none = result == StoreResult::kNotFound && position != 0;
+  if (result == StoreResult::kNotFound && !m_knows_none) {
     m_retry_at = now + m_limits.initial_backoff;
     m_read_required = true;  // No targets have been written yet.
   }
@@ -77,6 +82,7 @@
                            StoreResult result,
                            uint64_t position) {
   m_call_in_progress = false;
+  m_is_watching = false;
   if (result == StoreResult::kHistoryCompacted) {
     m_read_required = true;
     // Normally one read recovers from this. Back off from the second time on,
@@ -92,10 +98,12 @@
   if (result == StoreResult::kOk) {
     m_position = position;
     m_compactions = 0;
+    m_retry_at = now + m_limits.watch_pause * static_cast<int64_t>(m_rank);
   } else {
     // A watch that failed may have missed changes that have been compacted
     // since.
     m_read_required = true;
+    m_knows_none = false;
   }
 }
 
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -3,6 +3,7 @@
 #ifndef MEDLARGAUGE_FORWARDING_TARGET_READER_H_
 #define MEDLARGAUGE_FORWARDING_TARGET_READER_H_
 
+#include <algorithm>
 #include <vector>
 
 #include "src/forwarding/membership_table.h"
@@ -13,8 +14,14 @@
 /// store and learn of a change at once. All other processes learn of it from a
 /// reader, and read the store themselves if no reader is up to date.
 struct TargetReaderLimits {
-  size_t readers = 3;                  ///< Number of readers, chosen by hash.
-  Duration wait = Milliseconds(2000);  ///< Long-poll timeout of a watch.
+  size_t readers = 3;  ///< Number of readers, chosen by hash.
+  /// Longest time without an answer of the store to any reader. The long-poll
+  /// timeout of a watch is this time for each reader, up to `max_wait`.
+  Duration wait = Milliseconds(2000);
+  Duration max_wait = Milliseconds(5000);
+  /// A reader begins its next watch this much later for each reader that ranks
+  /// before it, so that one of several quick changes reaches one reader.
+  Duration watch_pause = Milliseconds(400);
   /// A process reads the store itself if no balancer has had an answer from the
   /// store within this time.
   Duration max_contact_age = Milliseconds(3200);
@@ -58,7 +65,8 @@
                   uint64_t revision);
 
   /// Handles the end of a read.
-  /// @param position revision of the store if the read succeeded
+  /// @param position revision of the store if the read succeeded, or found no
+  ///     targets; 0: unknown
   void OnRead(TimePoint now, StoreResult result, uint64_t position);
 
   /// Handles the end of a watch.
@@ -79,20 +87,28 @@
   void OnEraKnown() { m_era_known = true; }
 
   /// Returns when the store last answered; zero if it never did or if the last
-  /// call failed.
-  TimePoint LastStoreContact() const { return m_last_store_contact; }
+  /// call failed. The store is in contact while it holds a watch.
+  TimePoint LastStoreContact(TimePoint now) const {
+    return m_is_watching && m_last_store_contact != TimePoint()
+               ? now
+               : m_last_store_contact;
+  }
   /// Returns the start of the first call since the store's last answer; zero
   /// if there is none.
   TimePoint UnansweredSince() const { return m_unanswered_since; }
+  /// Returns the long-poll timeout of the watch that is due.
+  Duration WatchTimeout() const {
+    return std::min<Duration>(m_limits.max_wait,
+                              m_limits.wait * static_cast<int64_t>(m_readers));
+  }
   /// Returns the revision at which the next watch continues.
   uint64_t Position() const { return m_position; }
   /// Returns whether the last call to the store failed.
   bool IsFailing() const { return m_failures > 0; }
 
  private:
-  bool ShouldRead(TimePoint now,
-                  MemberId self,
-                  const MembershipTable& members) const;
+  /// Updates m_rank and m_readers. @return whether this process has to read
+  bool ShouldRead(TimePoint now, MemberId self, const MembershipTable& members);
   void RecordResult(TimePoint now, StoreResult result);
   void ScheduleRetry(TimePoint now, uint32_t earlier_failures);
 
@@ -108,6 +124,10 @@
   bool m_read_required = true;      ///< A watch would miss changes.
   bool m_era_known = false;         ///< See OnEraKnown.
   bool m_call_in_progress = false;  ///< A read or watch is in progress.
+  bool m_is_watching = false;       ///< A watch is in progress.
+  bool m_knows_none = false;        ///< The store has no targets yet.
+  size_t m_rank = 0;                ///< Readers that rank before this one.
+  size_t m_readers = 1;             ///< Number of readers.
 };
 
 }  // namespace medlargauge
--- a/src/forwarding/target_reader_test.cc
+++ b/src/forwarding/target_reader_test.cc
@@ -74,7 +74,7 @@
   fixture.reader.OnRead(fixture.now, StoreResult::kOk, 50);
   CHECK(next() == ReadAction::kWatch);
   fixture.reader.OnWatch(fixture.now, StoreResult::kNoAnswer, 0);
-  CHECK(fixture.reader.LastStoreContact() == TimePoint());
+  CHECK(fixture.reader.LastStoreContact(fixture.now) == TimePoint());
   CHECK(next() == ReadAction::kNothing);  // Backing off.
   fixture.now += Seconds(2);
   CHECK(next() == ReadAction::kRead);
@@ -83,6 +83,99 @@
   CHECK(next() == ReadAction::kRead);
 }
 
+TEST_CASE("every balancer polled a store that has no targets yet") {
+  ReaderFixture fixture;
+  const MemberId self = fixture.FindNonReader();
+  REQUIRE(self.IsSet());
+  MembershipTable members(self, MembershipTimeouts());
+  TargetReader reader(fixture.now, 1, TargetReaderLimits());
+  uint32_t calls = 0;
+  for (int i = 0; i < 100; ++i) {
+    for (uint64_t id = 1; id <= 6; ++id) {
+      members.OnStatus(fixture.now,
+                       MakeStatus(fixture.now, id, MemberRole::kBalancer,
+                                  ++fixture.sequence, 1));
+    }
+    if (reader.Next(fixture.now, self, members, 0) != ReadAction::kNothing) {
+      reader.OnRead(fixture.now, StoreResult::kNotFound, 30);
+      ++calls;
+    }
+    fixture.now += Milliseconds(100);
+  }
+  CHECK(calls == 1);
+  // A reader waits for the first targets; without a position it polls.
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
+        ReadAction::kRead);
+  fixture.reader.OnRead(fixture.now, StoreResult::kNotFound, 30);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
+        ReadAction::kWatch);
+  CHECK(fixture.reader.Position() == 30);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kNoAnswer, 0);
+  fixture.now += Seconds(2);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
+        ReadAction::kRead);
+  fixture.reader.OnRead(fixture.now, StoreResult::kNotFound, 0);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
+        ReadAction::kNothing);
+  fixture.now += Seconds(1);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
+        ReadAction::kRead);
+}
+
+TEST_CASE("a store that holds a watch counts as in contact until it is due") {
+  ReaderFixture fixture;
+  const auto next = [&] {
+    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 5);
+  };
+  REQUIRE(next() == ReadAction::kRead);
+  fixture.now += Seconds(1);
+  CHECK(fixture.reader.LastStoreContact(fixture.now) == TimePoint());
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
+  const TimePoint answered_at = fixture.now;
+  fixture.now += Seconds(1);
+  CHECK(fixture.reader.LastStoreContact(fixture.now) == answered_at);
+  REQUIRE(next() == ReadAction::kWatch);
+  fixture.now += Seconds(4);
+  CHECK(fixture.reader.LastStoreContact(fixture.now) == fixture.now);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kNoAnswer, 0);
+  CHECK(fixture.reader.LastStoreContact(fixture.now) == TimePoint());
+}
+
+TEST_CASE("each of several quick changes reached all readers from the store") {
+  constexpr uint64_t kChanges = 24;
+  uint32_t calls = 0;
+  for (const MemberId self : {MemberId{1}, MemberId{2}, MemberId{3}}) {
+    TimePoint now{Seconds(100)};
+    MembershipTable members(self, MembershipTimeouts());
+    TargetReader reader(now, self.value, TargetReaderLimits());
+    uint32_t sequence = 0;
+    uint64_t store_revision = 40;
+    bool is_watching = false;
+    for (int ms = 0; ms < 8000; ms += 20, now += Milliseconds(20)) {
+      if (ms % 100 == 0) {
+        for (uint64_t id = 1; id <= 3; ++id) {
+          members.OnStatus(
+              now, MakeStatus(now, id, MemberRole::kBalancer, ++sequence, 1));
+        }
+      }
+      store_revision += ms % 330 < 20 && ms > 330 ? 1 : 0;
+      if (is_watching && store_revision > reader.Position()) {
+        reader.OnWatch(now, StoreResult::kOk, store_revision);
+        is_watching = false;
+      }
+      const ReadAction action = reader.Next(now, self, members, 5);
+      calls += action == ReadAction::kNothing ? 0 : 1;
+      if (action == ReadAction::kRead) {
+        reader.OnRead(now, StoreResult::kOk, store_revision);
+      }
+      is_watching = is_watching || action == ReadAction::kWatch;
+    }
+    CHECK(reader.Position() + 2 >= store_revision);
+  }
+  CHECK(calls >= kChanges);
+  CHECK(calls <= 2 * kChanges + 9);
+}
+
 TEST_CASE("a balancer does not rely on readers that know no eras") {
   ReaderFixture fixture;
   const MemberId self = fixture.FindNonReader();
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -64,6 +64,9 @@
                     }),
       m_last_suspended_time(SuspendedTime()) {
   SetSeeds(settings.seeds);
+  if (settings.first_start != 0) {
+    m_discovery.OnFirstStart();
+  }
 }
 
 void FleetNode::SetSeeds(const std::vector<std::string>& seeds) {
@@ -207,10 +210,10 @@
     const int64_t age_ms = std::min(ToMilliseconds(*era_age), kMaxEraAgeMs);
     status.set_era_age_ms(static_cast<uint32_t>(age_ms) + 1);
   }
-  if (m_target_reader.LastStoreContact() != TimePoint()) {
-    status.set_checked_ms(static_cast<uint32_t>(ToMilliseconds(
-                              now - m_target_reader.LastStoreContact())) +
-                          1);
+  const TimePoint store_contact = m_target_reader.LastStoreContact(now);
+  if (store_contact != TimePoint()) {
+    status.set_checked_ms(
+        static_cast<uint32_t>(ToMilliseconds(now - store_contact)) + 1);
   }
   return status;
 }
@@ -324,10 +327,10 @@
   stats.Set(Stat::store_era, m_era.Era());
   stats.Set(Stat::store_answers_ignored, m_unusable_store_answers);
   stats.Set(Latency::store_call_ms, m_store_latency);
-  if (m_target_reader.LastStoreContact() != TimePoint()) {
+  const TimePoint store_contact = m_target_reader.LastStoreContact(now);
+  if (store_contact != TimePoint()) {
     stats.Set(Stat::store_check_age_ms,
-              static_cast<uint64_t>(
-                  ToMilliseconds(now - m_target_reader.LastStoreContact())));
+              static_cast<uint64_t>(ToMilliseconds(now - store_contact)));
   }
   m_hooks.fill_stats(now, &stats);
   return stats.Render();
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -132,7 +132,6 @@
 }
 
 void FleetNode::ReadTargets(TimePoint now) {
-  const TargetReaderLimits limits;
   const ReadAction action =
       m_target_reader.Next(now, m_self.id, m_members, m_routes.Revision());
   if (action == ReadAction::kNothing) {
@@ -160,7 +159,8 @@
     ReadTargets(completed_at);
   };
   if (watches) {
-    m_platform->watch_targets(m_target_reader.Position(), limits.wait, done);
+    m_platform->watch_targets(m_target_reader.Position(),
+                              m_target_reader.WatchTimeout(), done);
   } else {
     m_platform->fetch_targets(done);
   }
