Fix: An agent that had just started took new flows for a draining server

Cause: an agent delivered opening packets before its server had sent it a heartbeat, and so did not know that the server drains. Change: until the first heartbeat new flows are returned as "server down". A new flow waits at the balancer while agents of its service wait for their servers, instead of being reset at once.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -116,7 +116,8 @@
     if (m_leaving || (m_report.has_value() && m_report->draining)) {
       return Return(balancer_ip, ReturnReason::kDraining);
     }
-    if (IsServerUnresponsive(now)) {
+    // A server that has sent no heartbeat to this process may be draining.
+    if (!m_report.has_value() || IsServerUnresponsive(now)) {
       return Return(balancer_ip, ReturnReason::kServerDown);
     }
     const ServerLoad load = Load(now);
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -8,6 +8,34 @@
 
 using namespace agent_fixture;  // NOLINT(google-build-using-namespace)
 
+TEST_CASE("an agent took flows before it knew whether its server drains") {
+  const TimePoint now{Seconds(100)};
+  AgentForwarder forwarder("stock", kServer, ForwarderLimits());
+  ForwardHeader header;
+  header.service = ServiceIdOf("stock");
+  header.last_candidate = true;
+  const auto open = [&](uint16_t port) {
+    return forwarder.OnForwarded(now, kBalancer, header,
+                                 MakePacket(port, true));
+  };
+  CHECK(open(1).reason == ReturnReason::kServerDown);
+  // Packets of open flows pass.
+  CHECK(forwarder.OnForwarded(now, kBalancer, header, MakePacket(2, false, 9))
+            .kind == ForwarderDecision::Kind::kDeliver);
+  ServerReport report;
+  report.id = "i-1";
+  report.sequence = 7;
+  report.service = "stock";
+  report.address = kServer;
+  report.draining = true;
+  REQUIRE(forwarder.OnReport(now, report) == ReportOutcome::kApplied);
+  CHECK(open(1).reason == ReturnReason::kDraining);
+  report.draining = false;
+  ++report.sequence;
+  REQUIRE(forwarder.OnReport(now, report) == ReportOutcome::kApplied);
+  CHECK(open(1).kind == ForwarderDecision::Kind::kDeliver);
+}
+
 TEST_CASE("a packet for another service is not delivered") {
   ForwarderFixture fixture;
   ForwardHeader header;
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -334,6 +334,8 @@
                              const ServiceRoute& route,
                              const FlowKey& key,
                              Flow* flow);
+  /// Returns whether an agent of the service waits for its server.
+  bool HasJoiningAgent(TimePoint now, ServiceId service) const;
   /// Returns when to give up a new flow that waits for a server. The caller
   /// keeps time for another try. @param arrived arrival of its opening packet
   TimePoint OpeningDeadline(TimePoint arrived,
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -115,8 +115,9 @@
     queue.PutBack(now, key);
   } else {
     // Where no agent serves the service, waiting is of use only as long as some
-    // may be unknown.
-    const bool may_wait = found_agents || !IsDiscoveryComplete(now);
+    // may be unknown, or wait for the first heartbeat of their server.
+    const bool may_wait = found_agents || !IsDiscoveryComplete(now) ||
+                          HasJoiningAgent(now, flow->service);
     if (!may_wait ||
         !queue.Add(now, key, route.priority, flow->wait_deadline)) {
       return Reject(DirectorDecision::Kind::kReset, error);
@@ -132,6 +133,18 @@
   return Reject(DirectorDecision::Kind::kHold, error);
 }
 
+bool FlowDirector::HasJoiningAgent(TimePoint now, ServiceId service) const {
+  return std::any_of(m_members->Entries().begin(), m_members->Entries().end(),
+                     [&](const auto& item) {
+                       const FleetMember& member = item.second.member;
+                       return member.role == MemberRole::kAgent &&
+                              member.service == service &&
+                              member.state == AgentState::kJoining &&
+                              !item.second.leaving &&
+                              m_members->IsReachable(now, item.second);
+                     });
+}
+
 std::vector<DeferredDecision> FlowDirector::OnTick(TimePoint now) {
   std::vector<DeferredDecision> decisions;
   RouteHeldPackets(now, &decisions);
--- a/src/forwarding/flow_waiting_test.cc
+++ b/src/forwarding/flow_waiting_test.cc
@@ -401,5 +401,25 @@
   CHECK(fixture.SendAndDeny().kind == Kind::kReset);
 }
 
+TEST_CASE("a new flow waits while agents wait for their servers") {
+  DirectorFixture fixture;
+  for (const uint64_t id : {11, 12, 13}) {
+    fixture.ReceiveStatus(id, "stock", AgentState::kJoining);
+  }
+  DirectorDecision decision = fixture.Send(MakeOpeningPacket(1));
+  while (decision.kind == DirectorDecision::Kind::kForward) {
+    decision = fixture.Return(decision, ReturnReason::kServerDown,
+                              MakeOpeningPacket(1));
+  }
+  CHECK(decision.kind == DirectorDecision::Kind::kHold);
+  fixture.now += Milliseconds(60);
+  fixture.ReceiveStatus(12, "stock");
+  const std::vector<DeferredDecision> released =
+      fixture.director.OnTick(fixture.now);
+  REQUIRE(released.size() == 1);
+  CHECK(released.front().decision.kind == DirectorDecision::Kind::kForward);
+  CHECK(released.front().decision.agent == MemberId{12});
+}
+
 }  // namespace
 }  // namespace medlargauge
