Fix: No dead flow was reset while agents of a large fleet left one by one

Cause: a search ends only if no member counts more agents. Counts are as old as the statuses that bring them, up to 2.8 s at 295 members, and 4.6 s where an agent passes them on. While a release takes agents away, one every 1.6 s, a count from before the last one left was always larger. Change: from a reported count those agents are taken off that have ended since it was made, as this balancer knows. An agent that is not known here still shows.

--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -355,6 +355,7 @@
   ActiveRoutes routes;
   FlowDirector director{now,     DomainId{1},      &members,
                         &routes, DirectorLimits(), &PlaceByResponseTime};
+  uint32_t sequence = 0;
 
   LargeFleet() {
     routes.Adopt(MakeRouteTable(1, {MakeRoute(kRoute, "stock")}));
@@ -369,6 +370,20 @@
   }
 
   void Hear(uint32_t id, MemberRole role) {
+    proto::PeerStatus status = MakeStatus(id, role);
+    status.set_agents_heard(200);
+    members.OnStatus(now, status);
+  }
+
+  /// Delivers the last status of an agent whose server has stopped.
+  void HearLeaving(uint32_t id) {
+    proto::PeerStatus status = MakeStatus(id, MemberRole::kAgent);
+    status.mutable_self()->set_state(static_cast<uint32_t>(AgentState::kGone));
+    status.set_leaving(true);
+    members.OnStatus(now, status);
+  }
+
+  proto::PeerStatus MakeStatus(uint32_t id, MemberRole role) {
     FleetMember member;
     member.id = MemberId{id};
     member.role = role;
@@ -378,9 +393,9 @@
     member.state = AgentState::kReady;
     proto::PeerStatus status;
     *status.mutable_self() = EncodeMember(now, member);
-    status.set_sequence(1);
+    status.set_sequence(++sequence);
     status.set_members(299);
-    members.OnStatus(now, status);
+    return status;
   }
 
   /// Sends a packet of an unknown flow, which all agents return.
@@ -410,6 +425,34 @@
   CHECK(decision.evidence.denials == 200);
 }
 
+TEST_CASE("no flow was reset while agents of a large fleet left one by one") {
+  LargeFleet fleet;
+  for (uint32_t id = 2; id < 92; ++id) {
+    fleet.Hear(id, MemberRole::kBalancer);
+  }
+  fleet.now += Milliseconds(900);
+  for (uint32_t id = 100; id < 110; ++id) {
+    fleet.HearLeaving(id);
+  }
+  CHECK(fleet.members.CountLiveAgents(fleet.now) == 190);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kReset);
+  // One that counts more than the rest may know an agent that is not known
+  // here.
+  proto::PeerStatus status = fleet.MakeStatus(2, MemberRole::kBalancer);
+  status.set_agents_heard(201);
+  fleet.members.OnStatus(fleet.now, status);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kHold);
+  fleet.now += Milliseconds(300);
+  status = fleet.MakeStatus(2, MemberRole::kBalancer);
+  status.set_agents_heard(191);
+  fleet.members.OnStatus(fleet.now, status);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kHold);
+  status = fleet.MakeStatus(2, MemberRole::kBalancer);
+  status.set_agents_heard(190);
+  fleet.members.OnStatus(fleet.now, status);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kReset);
+}
+
 TEST_CASE("a balancer that hears no other one waits for two intervals") {
   LargeFleet fleet;
   fleet.now += Milliseconds(700);
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -69,6 +69,7 @@
   entry.store_answered_at = status.checked_ms() == 0
                                 ? TimePoint()
                                 : now - Milliseconds(status.checked_ms() - 1);
+  UpdateEnd(now, &entry);
   return is_new;
 }
 
@@ -152,20 +153,53 @@
 }
 
 uint32_t MembershipTable::CountLiveAgents(TimePoint now) const {
-  return static_cast<uint32_t>(
-      std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-        const MemberEntry& entry = item.second;
-        return entry.member.role == MemberRole::kAgent &&
-               entry.heard != TimePoint() && !IsPresumedDead(now, entry) &&
-               !HasLeftStopped(now, entry);
-      }));
+  return static_cast<uint32_t>(std::count_if(
+      m_entries.begin(), m_entries.end(),
+      [&](const auto& item) { return IsLiveAgent(now, item.second); }));
+}
+
+bool MembershipTable::IsLiveAgent(TimePoint now,
+                                  const MemberEntry& entry) const {
+  return entry.member.role == MemberRole::kAgent &&
+         entry.heard != TimePoint() && !IsPresumedDead(now, entry) &&
+         !HasLeftStopped(now, entry);
+}
+
+void MembershipTable::UpdateEnd(TimePoint now, MemberEntry* entry) const {
+  if (entry->heard == TimePoint() || IsLiveAgent(now, *entry)) {
+    entry->ended_at = TimePoint();
+  } else if (entry->ended_at == TimePoint()) {
+    entry->ended_at = now;
+  }
+}
+
+TimePoint MembershipTable::AgentsCountedAfter(const MemberEntry& entry) const {
+  // An agent passes on what the balancers that it reaches have counted.
+  const Duration count_age =
+      entry.member.role == MemberRole::kBalancer
+          ? Duration()
+          : kMissedStatuses *
+                StatusInterval(MemberRole::kBalancer, entry.fleet_size);
+  return entry.status_at - count_age - m_timeouts.status_delay;
 }
 
 uint32_t MembershipTable::LargestReportedAgents(TimePoint now) const {
+  std::vector<TimePoint> ends;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.member.role == MemberRole::kAgent &&
+        entry.ended_at != TimePoint()) {
+      ends.push_back(entry.ended_at);
+    }
+  }
+  std::sort(ends.begin(), ends.end());
   uint32_t largest = 0;
   for (const auto& [id, entry] : m_entries) {
     if (IsReachable(now, entry)) {
-      largest = std::max(largest, entry.agents_heard);
+      const auto ended = static_cast<uint32_t>(
+          ends.end() - std::upper_bound(ends.begin(), ends.end(),
+                                        AgentsCountedAfter(entry)));
+      largest = std::max(
+          largest, entry.agents_heard - std::min(entry.agents_heard, ended));
     }
   }
   return largest;
@@ -245,6 +279,7 @@
     if (now - last <=
         std::max(m_timeouts.removal,
                  kTimeoutsToRemove * ReachabilityTimeout(it->second))) {
+      UpdateEnd(now, &it->second);
       ++it;
       continue;
     }
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -70,7 +70,9 @@
   uint32_t fleet_size = 0;  ///< Number of other members that it counts.
   uint32_t agents_heard = 0;  ///< Number of agents that it reports as heard.
   uint64_t store_era = 0;     ///< Newest era of the store that it knows.
-  bool leaving = false;       ///< The member has announced a planned stop.
+  /// Agents only: since when it no longer counts as live; zero: it does.
+  TimePoint ended_at;
+  bool leaving = false;  ///< The member has announced a planned stop.
   /// When the store last answered the member; zero: its last call failed.
   TimePoint store_answered_at;
   ProbeState probe;  ///< Reset whenever the member is heard.
@@ -169,7 +171,8 @@
   /// or have left excluded.
   uint32_t CountLiveAgents(TimePoint now) const;
   /// Returns the largest number of agents that a reachable member reports as
-  /// heard; 0 if none does.
+  /// heard; 0 if none does. Agents that have ended since the report was made
+  /// don't count, as this process knows better by now.
   uint32_t LargestReportedAgents(TimePoint now) const;
 
   /// Records that this process has met the fleet: it has heard another
@@ -232,6 +235,13 @@
   /// Assigns the member's address to it and removes the member that had it.
   /// @return false if a reachable member with a later start has the address
   bool ClaimAddress(TimePoint now, const FleetMember& member);
+  /// Returns whether an agent was heard, is not presumed dead and has not left.
+  bool IsLiveAgent(TimePoint now, const MemberEntry& entry) const;
+  /// Updates MemberEntry::ended_at.
+  void UpdateEnd(TimePoint now, MemberEntry* entry) const;
+  /// Returns a time before which the number of agents that the member reports
+  /// was counted by nobody.
+  TimePoint AgentsCountedAfter(const MemberEntry& entry) const;
   /// Returns the silence after which the member is unreachable.
   Duration ReachabilityTimeout(const MemberEntry& entry) const;
   /// Returns for how long the member has shown no sign of life. If all members
