Feature: The owners of many flows are asked for at once

What callers saw: nothing wrong, but after a loss of all servers each dead flow was sent to every agent, one after the other: a million returned packets in a second on the large site. Change: a search that has asked the agent which may hold a pointer joins a query. Each agent answers it for all of its flows at once, if it knows each flow that its server holds: it got the server's first call, saw its port closed, or has been there for longer than a flow lives. Others answer nothing and are asked by packet as before, and so are agents of an older version. An answer counts since the flow's packet came before the query. In fleets of up to eight agents nothing changes.

--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -46,6 +46,8 @@
   /// Difference between the initial sequence numbers of two servers.
   uint32_t initial_sequence_distance = 0x20000000;
   uint16_t caller_port = 40001;  ///< Varies the order of searches.
+  /// See DirectorLimits. With 1, searches ask one agent and query the others.
+  size_t min_agents_to_query = 1;
   /// Names of the actions that may happen; empty: all.
   std::vector<std::string> actions;
 };
@@ -187,6 +189,8 @@
   void Deliver(const Message& message);
   Process* SelectedBalancer();
   void OnAgentAnswer(Process* balancer, const Message& message);
+  void SendQueries(Process* balancer);
+  void AnswerQuery(Process* agent, const Message& query);
   bool IsCut(uint32_t a, uint32_t b) const;
   void SendStatus(uint32_t from, uint32_t to, const proto::PeerStatus& status);
   // Flow.
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -72,8 +72,10 @@
   // Balancers prefer different agents, so that a copy of an opening packet
   // reaches another server.
   const bool prefers_last = process->index > 0;
+  DirectorLimits limits;
+  limits.min_agents_to_query = m_config.min_agents_to_query;
   process->director.emplace(
-      now, DomainId{1}, &process->members, &m_routes, DirectorLimits(),
+      now, DomainId{1}, &process->members, &m_routes, limits,
       [prefers_last](TimePoint, uint64_t,
                      const std::vector<PlacementCandidate>& candidates) {
         return candidates.empty()
@@ -106,6 +108,7 @@
   for (const DeferredDecision& deferred : process->director->OnTick(now)) {
     ApplyDecision(process, deferred.decision, deferred.packet);
   }
+  SendQueries(process);
   for (const OwnerPointer& pointer : process->director->TakePointers()) {
     const MemberEntry* home = process->members.Find(pointer.home);
     if (home != nullptr) {
@@ -371,8 +374,12 @@
     case Message::Kind::kPointer:
       process->forwarder->OnPointer(now, message.packet.flow, message.owner);
       break;
+    case Message::Kind::kQuery:
+      AnswerQuery(process, message);
+      break;
     case Message::Kind::kReturn:
     case Message::Kind::kNote:
+    case Message::Kind::kAnswer:
       OnAgentAnswer(process, message);
       break;
     case Message::Kind::kFromCaller:
@@ -381,6 +388,34 @@
   }
 }
 
+void ResetWorld::SendQueries(Process* balancer) {
+  for (const OwnerQuery& query : balancer->director->TakeQueries()) {
+    for (const MemberId agent : query.agents) {
+      Message message;
+      message.kind = Message::Kind::kQuery;
+      message.from = balancer->index;
+      message.to = detail::ProcessAt(static_cast<uint32_t>(agent.value));
+      message.query_id = query.id;
+      message.flow_hashes = query.flow_hashes;
+      Send(std::move(message));
+    }
+  }
+}
+
+void ResetWorld::AnswerQuery(Process* agent, const Message& query) {
+  Message message;
+  message.kind = Message::Kind::kAnswer;
+  message.from = agent->index;
+  message.to = query.from;
+  message.query_id = query.query_id;
+  message.knows_all = agent->forwarder->KnowsAllFlows(m_state->now);
+  message.held_flows = agent->forwarder->FindHeldFlows(query.flow_hashes);
+  Trace(ProcessName(agent->index) + " answers a query: " +
+        (message.knows_all ? "knows all" : "knows not all") + ", holds " +
+        std::to_string(message.held_flows.size()));
+  Send(std::move(message));
+}
+
 void ResetWorld::OnAgentAnswer(Process* balancer, const Message& message) {
   const TimePoint now = m_state->now;
   const MemberEntry* sender = balancer->members.FindByAddress(
@@ -389,6 +424,14 @@
     return;
   }
   const MemberId id = sender->member.id;
+  if (message.kind == Message::Kind::kAnswer) {
+    for (const DeferredDecision& deferred : balancer->director->OnQueryAnswer(
+             now, id, message.query_id, message.knows_all,
+             message.held_flows)) {
+      ApplyDecision(balancer, deferred.decision, deferred.packet);
+    }
+    return;
+  }
   balancer->members.OnLoad(now, id, message.load);
   if (message.kind == Message::Kind::kNote) {
     balancer->director->OnFlowConfirmed(now, id, message.packet.flow,
--- a/lab/reset_world_flow.cc
+++ b/lab/reset_world_flow.cc
@@ -223,6 +223,7 @@
   report.id = detail::StartId(start);
   report.started_ms = start;
   report.sequence = sequence;
+  report.is_first = sequence == 1;
   report.service = detail::kService;
   report.address = {detail::IpOf(agent->index), 1};
   report.slots = detail::kServerSlots;
--- a/lab/reset_world_state.h
+++ b/lab/reset_world_state.h
@@ -120,6 +120,8 @@
     kReturn,
     kNote,
     kPointer,
+    kQuery,
+    kAnswer,
     kFromCaller,
     kToCaller,
   };
@@ -133,6 +135,10 @@
   MemberId owner;  ///< kReturn, kPointer.
   ServerLoad load;
   bool proven = false;
+  uint64_t query_id = 0;              ///< kQuery, kAnswer.
+  std::vector<uint64_t> flow_hashes;  ///< kQuery.
+  bool knows_all = false;             ///< kAnswer.
+  std::vector<uint32_t> held_flows;   ///< kAnswer.
 };
 
 /// All that changes.
--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -30,7 +30,8 @@
       m_service_id(ServiceIdOf(m_service)),
       m_address(address),
       m_limits(limits),
-      m_caller_round_trip(limits.min_reserve, limits.max_reserve) {}
+      m_caller_round_trip(limits.min_reserve, limits.max_reserve),
+      m_held_flows(limits.idle, limits.max_flows) {}
 
 ForwarderDecision AgentForwarder::OnForwarded(TimePoint now,
                                               uint32_t balancer_ip,
@@ -67,6 +68,7 @@
   ForwarderDecision decision;
   decision.kind = ForwarderDecision::Kind::kDeliver;
   ++m_counters.delivered;
+  m_held_flows.OnPacket(now, HashFlow(packet.flow));
   if (packet.rst) {
     EraseFlow(packet.flow);
     return decision;
@@ -144,6 +146,7 @@
     flow.expires = now + m_limits.opening;
     MarkActive(now + m_limits.max_reserve, &flow);
   }
+  m_held_flows.OnPacket(now, HashFlow(packet.flow));
   flow.balancer_ip = balancer_ip;
   flow.confirm_opening = true;
   AwaitServer(now);
@@ -195,6 +198,9 @@
   const auto found = m_flows.find(packet.flow);
   if (packet.bounced) {
     const uint32_t balancer_ip = packet.tag;
+    if (!packet.syn) {
+      m_held_flows.OnDenied(HashFlow(packet.flow));
+    }
     if (found != m_flows.end()) {
       EraseFlow(packet.flow);
     }
@@ -202,6 +208,7 @@
   }
   ForwarderDecision decision;
   decision.kind = ForwarderDecision::Kind::kToCaller;
+  m_held_flows.OnPacket(now, HashFlow(packet.flow));
   if (found == m_flows.end()) {
     return decision;
   }
@@ -272,6 +279,13 @@
   if (has_left) {
     return ReportOutcome::kStale;
   }
+  const bool is_other_server =
+      m_report.has_value() && m_report->id != report.id;
+  if (report.is_first) {
+    m_held_flows.OnFirstCall(now);
+  } else if (is_other_server) {
+    m_held_flows.OnOtherServer();
+  }
   m_report = report;
   m_report_at = now;
   m_departure_unconfirmed = false;
@@ -316,6 +330,7 @@
     }
   }
   m_flows.clear();
+  m_held_flows.OnServerDown(now);
   m_active = 0;
   m_pending = 0;
   m_service_us = 0;
@@ -330,7 +345,19 @@
   return resets;
 }
 
+std::vector<uint32_t> AgentForwarder::FindHeldFlows(
+    const std::vector<uint64_t>& flow_hashes) const {
+  std::vector<uint32_t> held;
+  for (uint32_t i = 0; i < flow_hashes.size(); ++i) {
+    if (m_held_flows.MayHold(flow_hashes[i])) {
+      held.push_back(i);
+    }
+  }
+  return held;
+}
+
 void AgentForwarder::OnTick(TimePoint now) {
+  m_held_flows.OnTick(now);
   for (auto it = m_pointers.begin(); it != m_pointers.end();) {
     it = it->second.expires <= now ? m_pointers.erase(it) : std::next(it);
   }
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -15,6 +15,7 @@
 
 #include "src/core/error_type.h"
 #include "src/forwarding/forwarding_type.h"
+#include "src/forwarding/held_flows.h"
 #include "src/forwarding/latency_histogram.h"
 #include "src/forwarding/placement.h"
 #include "src/forwarding/round_trip_estimator.h"
@@ -32,6 +33,7 @@
   uint32_t slots = 1;       ///< Requests that it runs concurrently.
   bool draining = false;    ///< About to stop: accepts no new flows.
   uint32_t warmup_ms = 0;   ///< Remaining warm-up time.
+  bool is_first = false;    ///< No heartbeat of this instance came before.
 };
 
 /// Timeouts and limits of an agent.
@@ -158,6 +160,15 @@
   AgentState State(TimePoint now) const;
   /// Returns the load to announce to other members.
   ServerLoad Load(TimePoint now) const;
+  /// Returns whether the agent knows each flow that its server holds, so that
+  /// it may deny others.
+  bool KnowsAllFlows(TimePoint now) const {
+    return !m_down && m_held_flows.IsComplete(now);
+  }
+  /// Returns the indices of the flows, given by their hashes, that the server
+  /// may hold. All others are denied if KnowsAllFlows holds.
+  std::vector<uint32_t> FindHeldFlows(
+      const std::vector<uint64_t>& flow_hashes) const;
   /// Returns the number of requests at the server, including those expected on
   /// new flows.
   uint32_t ActiveRequests() const { return m_active; }
@@ -267,6 +278,7 @@
   /// From the server's SYN-ACK to the next packet of the caller.
   RoundTripEstimator m_caller_round_trip;
   std::unordered_map<FlowKey, Flow, FlowKeyHash> m_flows;  ///< Flow table.
+  HeldFlows m_held_flows;  ///< What the server may hold.
   /// Pointers to owners of flows that are searched here first.
   std::unordered_map<FlowKey, Pointer, FlowKeyHash> m_pointers;
   ForwarderCounters m_counters;  ///< See Counters.
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -199,6 +199,9 @@
                           m_members->HasLeftStopped(now, *owner);
   if (flow.phase == Phase::kSearching) {
     HoldForSearch(now, packet, raw);
+    if (flow.is_queried) {
+      return Reject(DirectorDecision::Kind::kHold, ErrorKind::kMaybeElsewhere);
+    }
     if (owner_dead || now >= SearchDeadline(flow)) {
       OnSearchTimeout(&flow);
       return ContinueSearch(now, packet.flow, &flow);
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -19,6 +19,7 @@
 #include "src/forwarding/held_packets.h"
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/opening_queue.h"
+#include "src/forwarding/owner_queries.h"
 #include "src/forwarding/placement.h"
 #include "src/forwarding/target_outlook.h"
 
@@ -66,6 +67,8 @@
   /// A packet of a flow whose owner is unknown is kept for at most this long.
   Duration max_packet_hold = Seconds(2);
   size_t max_held_bytes = 4'000'000;  ///< Limit of each buffer of packets.
+  /// A search that has as many agents left to ask joins a query.
+  size_t min_agents_to_query = 8;
 };
 
 /// Why a balancer takes the agents that it knows for all agents of the fleet.
@@ -128,6 +131,8 @@
   uint64_t queued = 0;           ///< New flows that had to wait for a server.
   uint64_t held = 0;             ///< Other packets that had to wait.
   uint64_t target_resets = 0;    ///< New flows reset for lack of targets.
+  uint64_t queries = 0;          ///< Queries sent, one for each receiver.
+  uint64_t queried_flows = 0;    ///< Flows whose search joined a query.
   std::array<uint64_t, kErrorKindCount> rejected{};  ///< By ErrorKind.
 };
 
@@ -171,6 +176,19 @@
                        const FlowKey& flow,
                        bool proven);
 
+  /// Handles the answer of an agent to a query.
+  /// @param knows_all, held see OwnerQueries::OnAnswer
+  /// @return decisions about the packets that waited for it
+  std::vector<DeferredDecision> OnQueryAnswer(
+      TimePoint now,
+      MemberId from,
+      uint64_t id,
+      bool knows_all,
+      const std::vector<uint32_t>& held);
+
+  /// Returns and clears the queries to send.
+  std::vector<OwnerQuery> TakeQueries();
+
   /// Runs timers. Call at least every 20 ms while flows are opening or packets
   /// are held.
   /// @return decisions about stored packets
@@ -235,6 +253,10 @@
     std::vector<MemberId> busy;           ///< Returned the packet as kBusy.
     std::vector<MemberId> likely_owners;  ///< Were sent or confirmed the flow.
     std::vector<MemberId> unresponsive;   ///< Search: timed out.
+    bool is_queried = false;   ///< Search: waits for the end of a query.
+    bool was_queried = false;  ///< Search: a query has ended.
+    /// Search: agents that denied the flow in a query.
+    std::shared_ptr<const MemberSet> deniers;
     TimePoint search_report_at;  ///< Search: when it is reported; zero: done.
     TimePoint asked_at;          ///< Search: when `agent` was asked.
     TimePoint owner_since;       ///< When the owner became known.
@@ -283,6 +305,16 @@
   TimePoint SearchDeadline(const Flow& flow) const;
   /// Makes `agent` the one that the search asks now.
   void SetSearchTarget(TimePoint now, MemberId agent, Flow* flow);
+  /// Lets the search wait for a query of all agents, if so many of them are
+  /// left that this is cheaper than to ask one after the other.
+  /// @return whether it waits
+  bool JoinQuery(TimePoint now, const FlowKey& key, Flow* flow);
+  /// Starts the queries that are due.
+  void StartQueries(TimePoint now);
+  /// Goes on with the searches that waited for a query.
+  void OnQueryResults(TimePoint now,
+                      const std::vector<QueriedFlow>& results,
+                      std::vector<DeferredDecision>* decisions);
   /// Skips the agent that the search asks now, and has it probed.
   void OnSearchTimeout(Flow* flow);
   /// Forwards to the next agent of the search, or ends the search.
@@ -402,8 +434,10 @@
   HeldPackets m_unrouted_packets;  ///< Received before the first targets.
   TargetOutlook m_target_outlook;  ///< See SetTargetOutlook.
   HeldPackets m_search_packets;    ///< Of flows in phase kSearching.
-  TimePoint m_next_hold_check;     ///< When waiting packets are next checked.
-  TimePoint m_discovery_seen;      ///< Last discovery that searches considered.
+  OwnerQueries m_owner_queries;    ///< For searches with many agents left.
+  std::vector<OwnerQuery> m_queries_to_send;  ///< For TakeQueries.
+  TimePoint m_next_hold_check;  ///< When waiting packets are next checked.
+  TimePoint m_discovery_seen;   ///< Last discovery that searches considered.
   bool m_discovery_was_complete = false;  ///< At the last ContinueSearches.
   std::vector<OwnerPointer> m_pointers;   ///< Queued for TakePointers.
   TimePoint m_sweep_deadline;             ///< Next run of SweepFlows.
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -29,6 +29,9 @@
   flow->tried.clear();
   flow->unresponsive.clear();
   flow->server_down.clear();
+  flow->is_queried = false;
+  flow->was_queried = false;
+  flow->deniers = nullptr;
   flow->syn = std::string();
   flow->phase = Phase::kSearching;
   flow->search_report_at = now + m_limits.long_search;
@@ -67,6 +70,9 @@
 DirectorDecision FlowDirector::ContinueSearch(TimePoint now,
                                               const FlowKey& key,
                                               Flow* flow) {
+  if (flow->is_queried) {
+    return Reject(DirectorDecision::Kind::kHold, ErrorKind::kMaybeElsewhere);
+  }
   const bool is_long = ReportLongSearch(now, flow);
   std::optional<MemberId> next = NextSearchCandidate(now, key, *flow);
   const bool only_silent_left =
@@ -85,6 +91,9 @@
         std::min<uint8_t>(flow->silent_rounds + 1, kMaxTimeoutDoublings);
     next = NextSearchCandidate(now, key, *flow);
   }
+  if (next.has_value() && JoinQuery(now, key, flow)) {
+    return Reject(DirectorDecision::Kind::kHold, ErrorKind::kMaybeElsewhere);
+  }
   if (next.has_value()) {
     SetSearchTarget(now, *next, flow);
     DirectorDecision decision = Forward(*m_routes->Find(key.route), *flow);
@@ -110,13 +119,108 @@
   DirectorDecision reset =
       Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
   reset.evidence.discovery = Discovery(now);
-  reset.evidence.denials =
-      static_cast<uint32_t>(flow.tried.size() + flow.server_down.size());
+  MemberSet deniers = flow.deniers == nullptr ? MemberSet() : *flow.deniers;
+  for (const MemberId agent : flow.tried) {
+    detail::AddOnce(&deniers, agent);
+  }
+  for (const MemberId agent : flow.server_down) {
+    detail::AddOnce(&deniers, agent);
+  }
+  reset.evidence.denials = static_cast<uint32_t>(deniers.size());
   reset.evidence.agents = CountAgents();
   RemoveFlow(key);
   return reset;
 }
 
+bool FlowDirector::JoinQuery(TimePoint now, const FlowKey& key, Flow* flow) {
+  // The agent that may have a pointer is asked first.
+  const bool has_asked = !flow->tried.empty() || !flow->unresponsive.empty() ||
+                         !flow->server_down.empty();
+  if (flow->was_queried || !has_asked ||
+      m_search_packets.Find(key) == nullptr) {
+    return false;
+  }
+  const std::vector<ServiceId> services =
+      m_routes->CandidateServices(key.route);
+  const auto left = static_cast<size_t>(
+      std::count_if(m_members->Entries().begin(), m_members->Entries().end(),
+                    [&](const auto& item) {
+                      return MayOwnFlow(now, services, *flow, item.second) &&
+                             m_members->IsReachable(now, item.second);
+                    }));
+  if (left < m_limits.min_agents_to_query) {
+    return false;
+  }
+  flow->agent = MemberId();
+  flow->is_queried = true;
+  ++m_counters.queried_flows;
+  m_owner_queries.Add(key, services);
+  return true;
+}
+
+void FlowDirector::StartQueries(TimePoint now) {
+  for (const std::vector<ServiceId>& services :
+       m_owner_queries.DueServices(now)) {
+    MemberSet agents;
+    for (const auto& [id, entry] : m_members->Entries()) {
+      if (entry.member.role == MemberRole::kAgent &&
+          std::find(services.begin(), services.end(), entry.member.service) !=
+              services.end() &&
+          m_members->IsReachable(now, entry)) {
+        agents.push_back(id);
+      }
+    }
+    for (OwnerQuery& query : m_owner_queries.Start(now, services, agents)) {
+      m_counters.queries += query.agents.size();
+      m_queries_to_send.push_back(std::move(query));
+    }
+  }
+}
+
+std::vector<OwnerQuery> FlowDirector::TakeQueries() {
+  return std::exchange(m_queries_to_send, {});
+}
+
+std::vector<DeferredDecision> FlowDirector::OnQueryAnswer(
+    TimePoint now,
+    MemberId from,
+    uint64_t id,
+    bool knows_all,
+    const std::vector<uint32_t>& held) {
+  std::vector<DeferredDecision> decisions;
+  OnQueryResults(now, m_owner_queries.OnAnswer(from, id, knows_all, held),
+                 &decisions);
+  return decisions;
+}
+
+void FlowDirector::OnQueryResults(TimePoint now,
+                                  const std::vector<QueriedFlow>& results,
+                                  std::vector<DeferredDecision>* decisions) {
+  for (const QueriedFlow& result : results) {
+    const auto found = m_flows.find(result.flow);
+    if (found == m_flows.end() || found->second.phase != Phase::kSearching ||
+        !found->second.is_queried) {
+      continue;
+    }
+    Flow& flow = found->second;
+    flow.is_queried = false;
+    flow.was_queried = true;
+    flow.deniers = result.deniers;
+    for (const MemberId owner : result.possible_owners) {
+      detail::AddOnce(&flow.likely_owners, owner);
+    }
+    const HeldPacket* held = m_search_packets.Find(result.flow);
+    if (held == nullptr || m_routes->Find(result.flow.route) == nullptr) {
+      continue;  // The next packet goes on with the search.
+    }
+    DeferredDecision deferred{held->packet, held->raw, DirectorDecision()};
+    deferred.decision = ContinueSearch(now, result.flow, &flow);
+    if (deferred.decision.kind != DirectorDecision::Kind::kHold) {
+      decisions->push_back(std::move(deferred));
+    }
+  }
+}
+
 bool FlowDirector::MayGiveUpSilentAgents(TimePoint now,
                                          const FlowKey& key,
                                          const Flow& flow) const {
@@ -184,6 +288,10 @@
                               const MemberEntry& entry) const {
   const FleetMember& member = entry.member;
   const bool has_denied = detail::Contains(flow.tried, member.id) ||
+                          (flow.deniers != nullptr &&
+                           std::binary_search(flow.deniers->begin(),
+                                              flow.deniers->end(), member.id) &&
+                           !detail::Contains(flow.likely_owners, member.id)) ||
                           (detail::Contains(flow.server_down, member.id) &&
                            member.state == AgentState::kGone);
   return member.role == MemberRole::kAgent &&
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -356,6 +356,7 @@
   FlowDirector director{now,     DomainId{1},      &members,
                         &routes, DirectorLimits(), &PlaceByResponseTime};
   uint32_t sequence = 0;
+  uint16_t port = 0;  ///< Of the last flow.
 
   LargeFleet() {
     routes.Adopt(MakeRouteTable(1, {MakeRoute(kRoute, "stock")}));
@@ -398,16 +399,33 @@
     return status;
   }
 
-  /// Sends a packet of an unknown flow, which all agents return.
+  /// Sends a packet of an unknown flow after 100 ms. All agents deny the flow.
   DirectorDecision Search() {
-    const FlowPacket packet = MakeLaterPacket(1);
+    now += Milliseconds(100);
+    const FlowPacket packet = MakeLaterPacket(++port);
     const ByteView raw;
     DirectorDecision decision = director.OnCallerPacket(now, packet, raw);
-    while (decision.kind == DirectorDecision::Kind::kForward) {
-      decision = director.OnReturned(
-          now, decision.agent, ReturnReason::kBounced, MemberId(), packet, raw);
+    for (;;) {
+      if (decision.kind == DirectorDecision::Kind::kForward) {
+        decision =
+            director.OnReturned(now, decision.agent, ReturnReason::kBounced,
+                                MemberId(), packet, raw);
+        continue;
+      }
+      std::vector<DeferredDecision> decisions = director.OnTick(now);
+      for (const OwnerQuery& query : director.TakeQueries()) {
+        for (const MemberId agent : query.agents) {
+          for (DeferredDecision& deferred :
+               director.OnQueryAnswer(now, agent, query.id, true, {})) {
+            decisions.push_back(std::move(deferred));
+          }
+        }
+      }
+      if (decisions.empty()) {
+        return decision;
+      }
+      decision = decisions.front().decision;
     }
-    return decision;
   }
 };
 
@@ -416,9 +434,8 @@
   for (uint32_t id = 2; id < 92; ++id) {
     fleet.Hear(id, MemberRole::kBalancer);
   }
-  fleet.now += Milliseconds(500);
+  fleet.now += Milliseconds(400);
   CHECK(fleet.Search().kind == DirectorDecision::Kind::kHold);
-  fleet.now += Milliseconds(100);
   const DirectorDecision decision = fleet.Search();
   CHECK(decision.kind == DirectorDecision::Kind::kReset);
   CHECK(decision.evidence.discovery == DiscoveryBasis::kRegistered);
@@ -442,7 +459,7 @@
   status.set_agents_heard(201);
   fleet.members.OnStatus(fleet.now, status);
   CHECK(fleet.Search().kind == DirectorDecision::Kind::kHold);
-  fleet.now += Milliseconds(300);
+  fleet.now += Milliseconds(200);
   status = fleet.MakeStatus(2, MemberRole::kBalancer);
   status.set_agents_heard(191);
   fleet.members.OnStatus(fleet.now, status);
@@ -453,6 +470,78 @@
   CHECK(fleet.Search().kind == DirectorDecision::Kind::kReset);
 }
 
+TEST_CASE("each dead flow of a large fleet was sent to every agent") {
+  LargeFleet fleet;
+  for (uint32_t id = 2; id < 92; ++id) {
+    fleet.Hear(id, MemberRole::kBalancer);
+  }
+  fleet.now += Seconds(1);
+  constexpr uint64_t kFlows = 100;
+  const ByteView raw;
+  std::vector<DirectorDecision> asked;
+  for (uint16_t port = 1; port <= kFlows; ++port) {
+    asked.push_back(
+        fleet.director.OnCallerPacket(fleet.now, MakeLaterPacket(port), raw));
+  }
+  for (uint16_t port = 1; port <= kFlows; ++port) {
+    CHECK(fleet.director
+              .OnReturned(fleet.now, asked[port - 1].agent,
+                          ReturnReason::kBounced, MemberId(),
+                          MakeLaterPacket(port), raw)
+              .kind == DirectorDecision::Kind::kHold);
+  }
+  fleet.director.OnTick(fleet.now);
+  const std::vector<OwnerQuery> queries = fleet.director.TakeQueries();
+  REQUIRE(queries.size() == 1);
+  size_t resets = 0;
+  for (const MemberId agent : queries.front().agents) {
+    for (const DeferredDecision& deferred : fleet.director.OnQueryAnswer(
+             fleet.now, agent, queries.front().id, true, {})) {
+      resets +=
+          deferred.decision.kind == DirectorDecision::Kind::kReset ? 1 : 0;
+    }
+  }
+  CHECK(resets == kFlows);
+  // With the answers and the returned packets, 6 messages for each flow.
+  CHECK(queries.front().agents.size() + kFlows <= 3 * kFlows);
+}
+
+TEST_CASE("a query leads a search to the agent whose server holds the flow") {
+  LargeFleet fleet;
+  fleet.now += Seconds(10);
+  for (uint32_t id = 100; id < 300; ++id) {
+    fleet.Hear(id, MemberRole::kAgent);
+  }
+  const FlowPacket packet = MakeLaterPacket(1);
+  const ByteView raw;
+  const DirectorDecision first =
+      fleet.director.OnCallerPacket(fleet.now, packet, raw);
+  fleet.director.OnReturned(fleet.now, first.agent, ReturnReason::kBounced,
+                            MemberId(), packet, raw);
+  fleet.director.OnTick(fleet.now);
+  const OwnerQuery query = fleet.director.TakeQueries().front();
+  const MemberId owner = query.agents.front() == first.agent
+                             ? query.agents.back()
+                             : query.agents.front();
+  std::vector<DeferredDecision> decisions;
+  for (const MemberId agent : query.agents) {
+    const std::vector<uint32_t> held =
+        agent == owner ? std::vector<uint32_t>{0} : std::vector<uint32_t>{};
+    for (DeferredDecision& deferred :
+         fleet.director.OnQueryAnswer(fleet.now, agent, query.id, true, held)) {
+      decisions.push_back(std::move(deferred));
+    }
+  }
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions.front().decision.kind == DirectorDecision::Kind::kForward);
+  CHECK(decisions.front().decision.agent == owner);
+  // The server did not hold it after all, for example as two hashes are equal.
+  CHECK(fleet.director
+            .OnReturned(fleet.now, owner, ReturnReason::kBounced, MemberId(),
+                        packet, raw)
+            .kind == DirectorDecision::Kind::kReset);
+}
+
 TEST_CASE("a balancer that hears no other one waits for two intervals") {
   LargeFleet fleet;
   fleet.now += Milliseconds(700);
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -153,7 +153,9 @@
     m_next_hold_check = now + kHoldPollInterval;
     RejectUnservableFlows(now, &decisions);
     RejectExpiredFlows(now, &decisions);
+    OnQueryResults(now, m_owner_queries.TakeExpired(now), &decisions);
     ContinueSearches(now, &decisions);
+    StartQueries(now);
   }
   ReleaseQueuedFlows(now, &decisions);
   if (now >= m_sweep_deadline) {
@@ -288,7 +290,8 @@
     }
     Flow& flow = found->second;
     const bool is_due =
-        flow.agent.IsSet() ? now >= SearchDeadline(flow) : knows_more;
+        !flow.is_queried &&
+        (flow.agent.IsSet() ? now >= SearchDeadline(flow) : knows_more);
     if (!is_due) {
       continue;
     }
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -119,6 +119,10 @@
     }
     return;
   }
+  if (frame.kind == PeerMessageKind::kQuery) {
+    AnswerQuery(now, from.ip, frame.message);
+    return;
+  }
   if (frame.kind != PeerMessageKind::kForward) {
     return;
   }
@@ -149,6 +153,24 @@
   }
 }
 
+void AgentRuntime::AnswerQuery(TimePoint now,
+                               uint32_t balancer_ip,
+                               ByteView message) {
+  proto::FlowQuery query;
+  if (!query.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+    return;
+  }
+  proto::FlowAnswer answer;
+  answer.set_id(query.id());
+  answer.set_knows_all(m_forwarder.KnowsAllFlows(now));
+  for (const uint32_t index : m_forwarder.FindHeldFlows(
+           {query.flows().begin(), query.flows().end()})) {
+    answer.add_held(index);
+  }
+  m_fleet_node.Send(balancer_ip, m_fleet_node.Writer().Message(
+                                     PeerMessageKind::kAnswer, answer));
+}
+
 void AgentRuntime::OnServerDatagram(TimePoint now, ByteSpan datagram) {
   const std::optional<FlowPacket> packet =
       m_platform->parse_packet(ToView(datagram), false);
--- a/src/runtime/agent_runtime.h
+++ b/src/runtime/agent_runtime.h
@@ -38,6 +38,8 @@
  private:
   /// Handles a datagram of a balancer other than a status.
   void OnPeerFrame(TimePoint now, SocketAddress4 from, const PeerFrame& frame);
+  /// Answers a FlowQuery of a balancer.
+  void AnswerQuery(TimePoint now, uint32_t balancer_ip, ByteView message);
   /// Handles a packet that the backend server has sent.
   void OnServerDatagram(TimePoint now, ByteSpan datagram);
   /// Tells the balancer that the flow is held, if the decision says so.
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -177,6 +177,15 @@
     if (m_director.HeldCount() > 0) {
       ExecuteDeferredDecisions(now);
     }
+  } else if (frame.kind == PeerMessageKind::kAnswer) {
+    proto::FlowAnswer answer;
+    if (answer.ParseFromArray(frame.message.data(),
+                              static_cast<int>(frame.message.size()))) {
+      ExecuteDecisions(now, m_director.OnQueryAnswer(
+                                now, sender_id, answer.id(), answer.knows_all(),
+                                {answer.held().begin(), answer.held().end()}));
+      ArmTimer();
+    }
   } else if (frame.kind == PeerMessageKind::kReturn) {
     m_fleet_node.Members().OnLoad(now, sender_id, frame.load);
     const ByteView raw = ToView(frame.packet);
@@ -318,7 +327,31 @@
 
 void BalancerRuntime::ExecuteDeferredDecisions(TimePoint now) {
   UpdateTargetOutlook(now);
-  for (const DeferredDecision& deferred : m_director.OnTick(now)) {
+  ExecuteDecisions(now, m_director.OnTick(now));
+  SendQueries();
+}
+
+void BalancerRuntime::SendQueries() {
+  for (const OwnerQuery& query : m_director.TakeQueries()) {
+    proto::FlowQuery message;
+    message.set_id(query.id);
+    message.mutable_flows()->Add(query.flow_hashes.begin(),
+                                 query.flow_hashes.end());
+    const ByteView datagram =
+        m_fleet_node.Writer().Message(PeerMessageKind::kQuery, message);
+    for (const MemberId agent : query.agents) {
+      const MemberEntry* entry = m_fleet_node.Members().Find(agent);
+      if (entry != nullptr) {
+        m_fleet_node.Send(entry->member.ip, datagram);
+      }
+    }
+  }
+}
+
+void BalancerRuntime::ExecuteDecisions(
+    TimePoint now,
+    const std::vector<DeferredDecision>& decisions) {
+  for (const DeferredDecision& deferred : decisions) {
     if (deferred.unanswered &&
         m_flow_log.AllowLine(now, FlowLineClass::kRefusal)) {
       EventLine(Severity::kWarning, "flow_unanswered")
@@ -357,6 +390,8 @@
   stats->Set(Stat::searches, counters.searches);
   stats->Set(Stat::search_steps, counters.search_steps);
   stats->Set(Stat::long_searches, counters.long_searches);
+  stats->Set(Stat::owner_queries, counters.queries);
+  stats->Set(Stat::queried_flows, counters.queried_flows);
   stats->Set(Stat::late_openings, counters.late_openings);
   stats->Set(Stat::double_openings, counters.double_openings);
   stats->Set(Stat::busy_returns, counters.busy_returns);
--- a/src/runtime/balancer_runtime.h
+++ b/src/runtime/balancer_runtime.h
@@ -59,6 +59,11 @@
   void UpdateTargetOutlook(TimePoint now);
   /// Executes the decisions about stored packets that are due.
   void ExecuteDeferredDecisions(TimePoint now);
+  /// Executes these decisions.
+  void ExecuteDecisions(TimePoint now,
+                        const std::vector<DeferredDecision>& decisions);
+  /// Sends the queries that FlowDirector has started.
+  void SendQueries();
   /// Starts the probes of silent agents that are due.
   void ProbeSilentAgents();
   /// Records and counts the outcome of a probe.
--- a/src/runtime/peer_wire.cc
+++ b/src/runtime/peer_wire.cc
@@ -149,6 +149,8 @@
     case PeerMessageKind::kNote:
     case PeerMessageKind::kStatus:
     case PeerMessageKind::kPointer:
+    case PeerMessageKind::kQuery:
+    case PeerMessageKind::kAnswer:
       frame.message = {datagram.data + 2, datagram.size - 2};
       return frame;
   }
--- a/src/runtime/peer_wire.h
+++ b/src/runtime/peer_wire.h
@@ -17,6 +17,8 @@
   kNote = 3,     ///< Agent to balancer: FlowNote, confirms a flow.
   kStatus = 4,   ///< Between any two processes: PeerStatus, a heartbeat.
   kPointer = 5,  ///< Balancer to agent: FlowPointer, names the owner of a flow.
+  kQuery = 6,    ///< Balancer to agent: FlowQuery, asks for many flows.
+  kAnswer = 7,   ///< Agent to balancer: FlowAnswer.
 };
 
 /// A parsed datagram. Each kind uses only some of the fields; `packet` and
