--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "lab/dead_flows.h"
 #include "lab/lab_scenarios.h"
 #include "lab/lab_simulation.h"
 #include "lab/reset_model.h"
@@ -43,6 +44,13 @@
               "",
               "reset-model: plays these events, separated by commas");
 
+DEFINE_uint32(flows, 2000, "dead-flows: number of dead flows");
+DEFINE_uint32(spread_ms, 1000, "dead-flows: time over which they show up");
+DEFINE_uint32(late_agents,
+              0,
+              "dead-flows: agents of each hundred that start after their "
+              "server's first call");
+
 namespace medlargauge::lab {
 namespace {
 
@@ -198,7 +206,34 @@
   return is_clean && result.Counted().empty();
 }
 
+/// Measures the resets of dead flows with queries and, beside them, without.
+void RunDeadFlows() {
+  DeadFlowsConfig config;
+  config.agents = FLAGS_agents;
+  config.balancers = FLAGS_balancers;
+  config.flows = FLAGS_flows;
+  config.spread = Milliseconds(FLAGS_spread_ms);
+  config.late_agents_percent = FLAGS_late_agents;
+  for (const bool use_queries : {true, false}) {
+    config.use_queries = use_queries;
+    const DeadFlowsResult result = ResetDeadFlows(config);
+    const double flows = std::max<double>(1, static_cast<double>(config.flows));
+    std::cout << (use_queries ? "queries" : "walk") << " agents "
+              << config.agents << " balancers " << config.balancers << " flows "
+              << config.flows << " resets " << result.resets
+              << " messages_per_flow "
+              << static_cast<double>(result.messages) / flows
+              << " bytes_per_flow " << static_cast<double>(result.bytes) / flows
+              << " p50_ms " << ToMilliseconds(result.median) << " p99_ms "
+              << ToMilliseconds(result.percentile99) << '\n';
+  }
+}
+
 int Run(const std::vector<std::string>& arguments) {
+  if (arguments.size() == 1 && arguments[0] == "dead-flows") {
+    RunDeadFlows();
+    return 0;
+  }
   if (arguments.size() == 1 && arguments[0] == "reset-model") {
     return RunResetModel() ? 0 : 1;
   }
@@ -242,7 +277,8 @@
       "simulates deployments with the real decisions of balancers and agents\n"
       "  medlargauge_lab all --seeds=20\n"
       "  medlargauge_lab overload power-off --policy=present,hash --json\n"
-      "  medlargauge_lab reset-model --depth=3");
+      "  medlargauge_lab reset-model --depth=3\n"
+      "  medlargauge_lab dead-flows --agents=300 --balancers=90");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return medlargauge::lab::Run(std::vector<std::string>(argv + 1, argv + argc));
 }
