Fix: A search waited for each of many dark agents in turn

Cause: a query skipped agents that did not answer, and the search then waited 120 ms for each of them; they were probed one after the other, 16 at a time. Change: agents that leave a query unanswered count as asked, and are all probed at once, 64 at a time. A test with 80 dark agents of 200 ends after 2.5 s at most; it did not end within 10 s before.

--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -14,7 +14,7 @@
 constexpr Duration kPlannedRestartTime = Milliseconds(3000);
 constexpr Duration kDirectorTick = Milliseconds(20);
 constexpr Duration kForwarderTick = Milliseconds(50);
-constexpr size_t kMaxProbes = 16;  ///< As BalancerRuntime.
+constexpr size_t kMaxProbes = 64;  ///< As BalancerRuntime.
 
 }  // namespace
 
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -209,6 +209,11 @@
     for (const MemberId owner : result.possible_owners) {
       detail::AddOnce(&flow.likely_owners, owner);
     }
+    // They have had the time that a search gives each of them.
+    for (const MemberId silent : *result.silent_agents) {
+      detail::AddOnce(&flow.unresponsive, silent);
+      m_members->OnUnanswered(silent);
+    }
     const HeldPacket* held = m_search_packets.Find(result.flow);
     if (held == nullptr || m_routes->Find(result.flow.route) == nullptr) {
       continue;  // The next packet goes on with the search.
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -506,6 +506,51 @@
   CHECK(queries.front().agents.size() + kFlows <= 3 * kFlows);
 }
 
+TEST_CASE("a search waited for each of many dark agents in turn") {
+  LargeFleet fleet;
+  fleet.now += Seconds(10);
+  for (uint32_t id = 100; id < 300; ++id) {
+    fleet.Hear(id, MemberRole::kAgent);
+  }
+  const FlowPacket packet = MakeLaterPacket(1);
+  const ByteView raw;
+  const auto is_dark = [](MemberId id) { return id.value >= 220; };
+  DirectorDecision decision =
+      fleet.director.OnCallerPacket(fleet.now, packet, raw);
+  const TimePoint start = fleet.now;
+  while (decision.kind != DirectorDecision::Kind::kReset &&
+         fleet.now < start + Seconds(10)) {
+    if (decision.kind == DirectorDecision::Kind::kForward &&
+        !is_dark(decision.agent)) {
+      decision = fleet.director.OnReturned(fleet.now, decision.agent,
+                                           ReturnReason::kBounced, MemberId(),
+                                           packet, raw);
+      continue;
+    }
+    fleet.now += Milliseconds(20);
+    for (const MemberId id : fleet.members.TakeDueProbes(fleet.now, 64)) {
+      CHECK(is_dark(id));
+      fleet.members.OnProbe(fleet.now, id, ProbeOutcome::kNoAnswer);
+    }
+    fleet.Hear(100, MemberRole::kAgent);
+    if (fleet.now == start + Milliseconds(1400)) {
+      decision = fleet.director.OnCallerPacket(fleet.now, packet, raw);
+    }
+    for (const DeferredDecision& deferred : fleet.director.OnTick(fleet.now)) {
+      decision = deferred.decision;
+    }
+    for (const OwnerQuery& query : fleet.director.TakeQueries()) {
+      for (const MemberId id : query.agents) {
+        if (!is_dark(id)) {
+          fleet.director.OnQueryAnswer(fleet.now, id, query.id, true, {});
+        }
+      }
+    }
+  }
+  CHECK(decision.kind == DirectorDecision::Kind::kReset);
+  CHECK(fleet.now - start <= Milliseconds(2500));
+}
+
 TEST_CASE("a query leads a search to the agent whose server holds the flow") {
   LargeFleet fleet;
   fleet.now += Seconds(10);
--- a/src/forwarding/owner_queries.cc
+++ b/src/forwarding/owner_queries.cc
@@ -112,10 +112,12 @@
   std::sort(running->deniers.begin(), running->deniers.end());
   const auto deniers =
       std::make_shared<const MemberSet>(std::move(running->deniers));
+  const auto silent_agents =
+      std::make_shared<const MemberSet>(std::move(running->unanswered));
   std::vector<QueriedFlow> results;
   for (uint32_t i = 0; i < running->flows.size(); ++i) {
-    results.push_back(
-        {running->flows[i], deniers, std::move(running->possible_owners[i])});
+    results.push_back({running->flows[i], deniers, silent_agents,
+                       std::move(running->possible_owners[i])});
   }
   return results;
 }
--- a/src/forwarding/owner_queries.h
+++ b/src/forwarding/owner_queries.h
@@ -27,6 +27,8 @@
   /// Agents whose servers hold none of the flows of the query except those for
   /// which `possible_owners` names them.
   std::shared_ptr<const MemberSet> deniers;
+  /// Agents that left the query unanswered.
+  std::shared_ptr<const MemberSet> silent_agents;
   MemberSet possible_owners;  ///< Deniers that may hold this flow.
 };
 
--- a/src/forwarding/owner_queries_test.cc
+++ b/src/forwarding/owner_queries_test.cc
@@ -61,6 +61,7 @@
       fixture.queries.TakeExpired(fixture.now + Milliseconds(120));
   REQUIRE(results.size() == 2);
   CHECK(*results[0].deniers == MemberSet{kFirst});
+  CHECK(*results[0].silent_agents == MemberSet{kSecond});
   CHECK(fixture.queries.OnAnswer(kSecond, fixture.query.id, true, {}).empty());
 }
 
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -25,8 +25,8 @@
 /// Two probes of an agent fit between unreachable and suspected, so that one of
 /// them may be lost.
 constexpr Duration kProbeTimeout = Milliseconds(400);
-/// Probes that run at a time; at most 40 a second go to hosts that are down.
-constexpr size_t kMaxProbes = 16;
+/// Probes that run at a time; at most 160 a second go to hosts that are down.
+constexpr size_t kMaxProbes = 64;
 
 ByteView ToView(ByteSpan span) {
   return {span.data, span.size};
