Fix: A list of agents that did not fit one answer of the store counted as none

What operators would see: from about 500 registered agents on, balancers that start have no list of agents, and searches wait for two status intervals or 1.5 s. The flag for lists that are too long is gone, and with it one test's use of it.

--- a/src/forwarding/fleet_discovery.cc
+++ b/src/forwarding/fleet_discovery.cc
@@ -149,7 +149,7 @@
       m_is_list_complete &&
       (now >= m_introductions_end || m_members->UnlistedAgents(now).empty());
   return m_role == MemberRole::kBalancer && !m_is_list_complete &&
-         !m_is_list_too_long && !m_is_first_start && now >= m_next_agent_list;
+         !m_is_first_start && now >= m_next_agent_list;
 }
 
 Duration FleetDiscovery::AgentListDelay(Duration first_delay) const {
@@ -220,7 +220,6 @@
     StoreResult result,
     const std::vector<uint32_t>& ips) {
   std::vector<MemberContact> contacts;
-  m_is_list_too_long = result == StoreResult::kNotFound;
   if (result != StoreResult::kOk) {
     return contacts;
   }
--- a/src/forwarding/fleet_discovery.h
+++ b/src/forwarding/fleet_discovery.h
@@ -129,7 +129,6 @@
   TimePoint m_list_requested_at;    ///< Last kListAgents.
   TimePoint m_listed_at;            ///< When the last list was requested.
   bool m_is_list_complete = false;  ///< See IsListComplete.
-  bool m_is_list_too_long = false;  ///< The store's answer was cut.
   uint32_t m_useless_lists = 0;     ///< Failed or incomplete ones in a row.
   bool m_is_first_start = false;    ///< See OnFirstStart.
   TimePoint m_registered_at;        ///< Last successful registration.
--- a/src/forwarding/fleet_discovery_test.cc
+++ b/src/forwarding/fleet_discovery_test.cc
@@ -140,8 +140,7 @@
 
 TEST_CASE("a process that left the store registers only after it rejoined") {
   DiscoveryFixture fixture;
-  fixture.discovery.NextCall(fixture.now, false);
-  fixture.discovery.OnAgentsListed(fixture.now, StoreResult::kNotFound, {});
+  fixture.discovery.OnFirstStart();
   fixture.Hear(2, MemberRole::kBalancer);
   fixture.discovery.OnBalancerHeard(fixture.now);
   fixture.discovery.Leave();
--- a/src/runtime/platform_hooks.h
+++ b/src/runtime/platform_hooks.h
@@ -41,8 +41,7 @@
 using TargetsCallback = std::function<void(const StoreReply& reply,
                                            std::optional<StoredTargets> targets,
                                            uint64_t position)>;
-/// Receives the addresses of the members of a role in the store. A list that is
-/// too long for one answer of the store has the result kNotFound.
+/// Receives the addresses of the members of a role in the store.
 using MembersCallback =
     std::function<void(const StoreReply& reply, std::vector<uint32_t> ips)>;
 /// Receives the result of a write to the store.
