Fix: A balancer that was suspended acted on an old packet after a query

Found by reading, for a trouble seen in similar systems: a process that was paused acts on a permission that has run out. A packet is held for 2 s; a query's answers that a balancer reads after a longer pause reset a flow whose caller may have opened another one from the same port. The test failed before.

--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -215,7 +215,8 @@
       m_members->OnUnanswered(silent);
     }
     const HeldPacket* held = m_search_packets.Find(result.flow);
-    if (held == nullptr || m_routes->Find(result.flow.route) == nullptr) {
+    if (held == nullptr || held->expires <= now ||
+        m_routes->Find(result.flow.route) == nullptr) {
       continue;  // The next packet goes on with the search.
     }
     DeferredDecision deferred{held->packet, held->raw, DirectorDecision()};
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -506,6 +506,28 @@
   CHECK(queries.front().agents.size() + kFlows <= 3 * kFlows);
 }
 
+TEST_CASE("a balancer that was suspended acts on no old packet of a query") {
+  LargeFleet fleet;
+  fleet.now += Seconds(10);
+  for (uint32_t id = 100; id < 300; ++id) {
+    fleet.Hear(id, MemberRole::kAgent);
+  }
+  const FlowPacket packet = MakeLaterPacket(1);
+  const ByteView raw;
+  const DirectorDecision first =
+      fleet.director.OnCallerPacket(fleet.now, packet, raw);
+  fleet.director.OnReturned(fleet.now, first.agent, ReturnReason::kBounced,
+                            MemberId(), packet, raw);
+  fleet.director.OnTick(fleet.now);
+  const OwnerQuery query = fleet.director.TakeQueries().front();
+  // The caller may have opened another flow from the same port meanwhile.
+  fleet.now += Seconds(3);
+  for (const MemberId id : query.agents) {
+    CHECK(fleet.director.OnQueryAnswer(fleet.now, id, query.id, true, {})
+              .empty());
+  }
+}
+
 TEST_CASE("a search waited for each of many dark agents in turn") {
   LargeFleet fleet;
   fleet.now += Seconds(10);
