Fix: A late answer denied the next flow from the same port

Found by reading, for a trouble seen in similar systems: a late copy of an answer reaches the next one on a connection in use again. A result now counts only for flows that had joined before it was sent. The test failed before.

--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -255,6 +255,7 @@
     std::vector<MemberId> unresponsive;   ///< Search: timed out.
     bool is_queried = false;   ///< Search: waits for the end of a query.
     bool was_queried = false;  ///< Search: a query has ended.
+    TimePoint queried_at;      ///< When the flow joined the query.
     /// Search: agents that denied the flow in a query.
     std::shared_ptr<const MemberSet> deniers;
     TimePoint search_report_at;  ///< Search: when it is reported; zero: done.
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -153,6 +153,7 @@
   }
   flow->agent = MemberId();
   flow->is_queried = true;
+  flow->queried_at = now;
   ++m_counters.queried_flows;
   m_owner_queries.Add(key, services);
   return true;
@@ -199,7 +200,8 @@
   for (const QueriedFlow& result : results) {
     const auto found = m_flows.find(result.flow);
     if (found == m_flows.end() || found->second.phase != Phase::kSearching ||
-        !found->second.is_queried) {
+        !found->second.is_queried ||
+        result.sent_at < found->second.queried_at) {
       continue;
     }
     Flow& flow = found->second;
--- a/src/forwarding/flow_search_test.cc
+++ b/src/forwarding/flow_search_test.cc
@@ -528,6 +528,37 @@
   }
 }
 
+TEST_CASE("a late answer denied the next flow from the same port") {
+  LargeFleet fleet;
+  fleet.now += Seconds(10);
+  for (uint32_t id = 100; id < 300; ++id) {
+    fleet.Hear(id, MemberRole::kAgent);
+  }
+  const FlowPacket packet = MakeLaterPacket(1);
+  const ByteView raw;
+  const auto search = [&] {
+    const DirectorDecision asked =
+        fleet.director.OnCallerPacket(fleet.now, packet, raw);
+    fleet.director.OnReturned(fleet.now, asked.agent, ReturnReason::kBounced,
+                              MemberId(), packet, raw);
+  };
+  search();
+  fleet.director.OnTick(fleet.now);
+  const OwnerQuery query = fleet.director.TakeQueries().front();
+  // The caller opens another flow, whose answer this balancer does not see.
+  fleet.now += Milliseconds(30);
+  fleet.director.OnCallerPacket(fleet.now, MakeOpeningPacket(1, 500), raw);
+  search();
+  for (const MemberId id : query.agents) {
+    CHECK(fleet.director.OnQueryAnswer(fleet.now, id, query.id, true, {})
+              .empty());
+  }
+  // The flow has a query of its own.
+  fleet.now += Milliseconds(60);
+  fleet.director.OnTick(fleet.now);
+  CHECK(fleet.director.TakeQueries().size() == 1);
+}
+
 TEST_CASE("a search waited for each of many dark agents in turn") {
   LargeFleet fleet;
   fleet.now += Seconds(10);
--- a/src/forwarding/owner_queries.cc
+++ b/src/forwarding/owner_queries.cc
@@ -54,6 +54,7 @@
     running.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(begin),
                          flows.begin() + static_cast<std::ptrdiff_t>(end));
     running.unanswered = agents;
+    running.sent_at = now;
     running.deadline = now + kAnswerTimeout;
     std::transform(running.flows.begin(), running.flows.end(),
                    std::back_inserter(query.flow_hashes), &HashFlow);
@@ -116,8 +117,8 @@
       std::make_shared<const MemberSet>(std::move(running->unanswered));
   std::vector<QueriedFlow> results;
   for (uint32_t i = 0; i < running->flows.size(); ++i) {
-    results.push_back({running->flows[i], deniers, silent_agents,
-                       std::move(running->possible_owners[i])});
+    results.push_back({running->flows[i], running->sent_at, deniers,
+                       silent_agents, std::move(running->possible_owners[i])});
   }
   return results;
 }
--- a/src/forwarding/owner_queries.h
+++ b/src/forwarding/owner_queries.h
@@ -24,6 +24,7 @@
 /// What a query showed about one flow.
 struct QueriedFlow {
   FlowKey flow;
+  TimePoint sent_at;  ///< Says nothing about a flow that opened later.
   /// Agents whose servers hold none of the flows of the query except those for
   /// which `possible_owners` names them.
   std::shared_ptr<const MemberSet> deniers;
@@ -76,6 +77,7 @@
     MemberSet unanswered;
     MemberSet deniers;
     std::map<uint32_t, MemberSet> possible_owners;  ///< By index of the flow.
+    TimePoint sent_at;
     TimePoint deadline;
   };
 
