--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -19,7 +19,12 @@
 # Prints a line for the score and one for each standard day: site, name, figure.
 read_scores() {
   awk -v site="$1" -v OFS='\t' '
-    /^score on the standard days/ {print site, "score", $NF}
+    /^score on the standard days/ {
+      score = $0
+      sub(/.*\): /, "", score)
+      sub(/,.*/, "", score)
+      print site, "score", score
+    }
     /^GATE / {print site, "gate", $2}
     /^(quiet|scale|trouble)-[0-9]+ +[0-9]+\/[0-9]+ / {print site, $1, $4}'
 }
--- a/test/regression_test.sh
+++ b/test/regression_test.sh
@@ -10,7 +10,7 @@
 printf 'a/site\tscore\t0.700\na/site\tquiet-1\t0.900\n' >"$directory/deploy/landed_scores.tsv"
 cat >"$directory/bench" <<'BENCH'
 #!/usr/bin/env bash
-echo "score on the standard days of site (set 7afaf13e): $SCORE"
+echo "score on the standard days of site (set 7afaf13e): $SCORE$SUFFIX"
 echo "quiet-1                295/0   0.62  0.948  1.000   0.000  0.000  whole day"
 [ -z "$GATE" ] || echo "GATE $GATE"
 BENCH
@@ -26,6 +26,10 @@
     exit 1
   fi
 }
+export SUFFIX=
+expect 0 0.680 passed
+expect 1 0.660 passed
+export SUFFIX=", +0.027 against snapshot fe34e304"
 expect 0 0.680 passed
 grep -q "quiet-1	0.900	0.948" "$directory/out"
 expect 1 0.660 passed
