--- a/src/forwarding/owner_queries_test.cc
+++ b/src/forwarding/owner_queries_test.cc
@@ -9,7 +9,9 @@
 namespace medlargauge {
 namespace {
 
-const std::vector<ServiceId> kServices{ServiceId{7}};
+std::vector<ServiceId> Services() {
+  return {ServiceId{7}};
+}
 constexpr MemberId kFirst{11};
 constexpr MemberId kSecond{12};
 
@@ -24,9 +26,9 @@
   OwnerQuery query;
 
   QueryFixture() {
-    queries.Add(MakeKey(1), kServices);
-    queries.Add(MakeKey(2), kServices);
-    query = queries.Start(now, kServices, {kFirst, kSecond}).front();
+    queries.Add(MakeKey(1), Services());
+    queries.Add(MakeKey(2), Services());
+    query = queries.Start(now, Services(), {kFirst, kSecond}).front();
   }
 };
 
@@ -85,14 +87,14 @@
   OwnerQueries queries;
   TimePoint now{Seconds(100)};
   for (uint16_t port = 1; port <= 200; ++port) {
-    queries.Add(MakeKey(port), kServices);
+    queries.Add(MakeKey(port), Services());
   }
   const std::vector<OwnerQuery> started =
-      queries.Start(now, kServices, {kFirst});
+      queries.Start(now, Services(), {kFirst});
   REQUIRE(started.size() == 2);
   CHECK(started[0].flow_hashes.size() == 150);
   CHECK(started[1].flow_hashes.size() == 50);
-  queries.Add(MakeKey(201), kServices);
+  queries.Add(MakeKey(201), Services());
   CHECK(queries.DueServices(now + Milliseconds(40)).empty());
   CHECK(queries.DueServices(now + Milliseconds(60)).size() == 1);
 }
