--- a/src/forwarding/owner_queries.h
+++ b/src/forwarding/owner_queries.h
@@ -67,7 +67,7 @@
   /// @return their results
   std::vector<QueriedFlow> TakeExpired(TimePoint now);
 
-  /// Returns whether flows wait for a query to start or to end.
+  /// Returns whether no flow waits for a query to start or to end.
   bool IsIdle() const { return m_waiting.empty() && m_running.empty(); }
 
  private:
