Fix: The reset model played no search without queries

A check had become narrower without a word. Change: the model walks as before unless asked for queries; the exhaustive, the random and the scripted tests play both.

--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -44,6 +44,11 @@
               "",
               "reset-model: plays these events, separated by commas");
 
+DEFINE_bool(
+    queries,
+    false,
+    "reset-model: searches query all agents instead of asking one after "
+    "the other");
 DEFINE_uint32(flows, 2000, "dead-flows: number of dead flows");
 DEFINE_uint32(spread_ms, 1000, "dead-flows: time over which they show up");
 DEFINE_uint32(late_agents,
@@ -176,6 +181,7 @@
     config.seeds = FLAGS_join_seeds;
     config.opening = opening;
     config.initial_sequence_distance = FLAGS_distance;
+    config.use_queries = FLAGS_queries;
     config.caller_port = static_cast<uint16_t>(FLAGS_port);
     if (!FLAGS_actions.empty()) {
       config.actions = SplitByComma(FLAGS_actions);
--- a/lab/reset_model.cc
+++ b/lab/reset_model.cc
@@ -298,6 +298,7 @@
         " distance=" + std::to_string(entry.config.initial_sequence_distance) +
         " agents=" + std::to_string(entry.config.agents) +
         " balancers=" + std::to_string(entry.config.balancers) +
+        " queries=" + std::to_string(entry.config.use_queries ? 1 : 0) +
         " seeds=" + std::to_string(entry.config.seeds) +
         " port=" + std::to_string(entry.config.caller_port) + " script:";
     for (size_t i = 0; i < entry.script.size(); ++i) {
--- a/lab/reset_model_test.cc
+++ b/lab/reset_model_test.cc
@@ -29,6 +29,8 @@
 
 constexpr uint32_t kFarDistance = 0x20000000;
 constexpr std::array<uint32_t, 3> kDistances = {1000, 10'000'000, kFarDistance};
+/// Both ways of a search: one agent after the other, and queries.
+constexpr std::array<bool, 2> kSearchWays = {false, true};
 
 ModelConfig MakeConfig(ModelOpening opening, uint32_t agents = 3) {
   ModelConfig config;
@@ -44,11 +46,16 @@
 
 void CheckNothingCounts(const ModelConfig& config,
                         const std::vector<std::string>& script) {
-  for (const Finding& finding : Replay(config, script)) {
-    CAPTURE(FindingName(finding.kind));
-    CAPTURE(finding.out_of_touch);
-    CAPTURE(finding.detail);
-    CHECK_FALSE(Counts(finding));
+  for (const bool use_queries : kSearchWays) {
+    ModelConfig played = config;
+    played.use_queries = use_queries;
+    CAPTURE(use_queries);
+    for (const Finding& finding : Replay(played, script)) {
+      CAPTURE(FindingName(finding.kind));
+      CAPTURE(finding.out_of_touch);
+      CAPTURE(finding.detail);
+      CHECK_FALSE(Counts(finding));
+    }
   }
 }
 
@@ -92,7 +99,10 @@
     for (const uint32_t distance : kDistances) {
       ModelConfig config = MakeConfig(opening);
       config.initial_sequence_distance = distance;
-      ExploreAll(config, 2, 0, 1, &result);
+      for (const bool use_queries : kSearchWays) {
+        config.use_queries = use_queries;
+        ExploreAll(config, 2, 0, 1, &result);
+      }
     }
   }
   CheckNothingCounts(result);
@@ -106,7 +116,10 @@
         ModelOpening::kCopySecond}) {
     ModelConfig config = MakeConfig(opening);
     config.initial_sequence_distance = kDistances[0];
-    ExploreAll(config, 3, 0, 1, &result);
+    for (const bool use_queries : kSearchWays) {
+      config.use_queries = use_queries;
+      ExploreAll(config, 3, 0, 1, &result);
+    }
   }
   CheckNothingCounts(result);
 }
@@ -114,7 +127,11 @@
 TEST_CASE("reset model: no random sequence of eight events breaks a promise") {
   ModelResult result;
   for (const ModelOpening opening : AllOpenings()) {
-    ExploreRandomly(MakeConfig(opening), 1, 500, 8, &result);
+    for (const bool use_queries : kSearchWays) {
+      ModelConfig config = MakeConfig(opening);
+      config.use_queries = use_queries;
+      ExploreRandomly(config, 1, 500, 8, &result);
+    }
   }
   CheckNothingCounts(result);
 }
--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -46,8 +46,9 @@
   /// Difference between the initial sequence numbers of two servers.
   uint32_t initial_sequence_distance = 0x20000000;
   uint16_t caller_port = 40001;  ///< Varies the order of searches.
-  /// See DirectorLimits. With 1, searches ask one agent and query the others.
-  size_t min_agents_to_query = 1;
+  /// Searches ask one agent and query the others; otherwise they ask one after
+  /// the other, as in fleets below DirectorLimits::min_agents_to_query.
+  bool use_queries = false;
   /// Names of the actions that may happen; empty: all.
   std::vector<std::string> actions;
 };
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -73,7 +73,7 @@
   // reaches another server.
   const bool prefers_last = process->index > 0;
   DirectorLimits limits;
-  limits.min_agents_to_query = m_config.min_agents_to_query;
+  limits.min_agents_to_query = m_config.use_queries ? 1 : SIZE_MAX;
   process->director.emplace(
       now, DomainId{1}, &process->members, &m_routes, limits,
       [prefers_last](TimePoint, uint64_t,
