--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -160,13 +160,12 @@
   AgentState State(TimePoint now) const;
   /// Returns the load to announce to other members.
   ServerLoad Load(TimePoint now) const;
-  /// Returns whether the agent knows each flow that its server holds, so that
-  /// it may deny others.
+  /// Returns whether each flow that the server holds is recorded here.
   bool KnowsAllFlows(TimePoint now) const {
     return !m_down && m_held_flows.IsComplete(now);
   }
   /// Returns the indices of the flows, given by their hashes, that the server
-  /// may hold. All others are denied if KnowsAllFlows holds.
+  /// may hold. It holds none of the others if KnowsAllFlows returns true.
   std::vector<uint32_t> FindHeldFlows(
       const std::vector<uint64_t>& flow_hashes) const;
   /// Returns the number of requests at the server, including those expected on
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -132,103 +132,6 @@
   return reset;
 }
 
-bool FlowDirector::JoinQuery(TimePoint now, const FlowKey& key, Flow* flow) {
-  // The agent that may have a pointer is asked first.
-  const bool has_asked = !flow->tried.empty() || !flow->unresponsive.empty() ||
-                         !flow->server_down.empty();
-  if (flow->was_queried || !has_asked ||
-      m_search_packets.Find(key) == nullptr) {
-    return false;
-  }
-  const std::vector<ServiceId> services =
-      m_routes->CandidateServices(key.route);
-  const auto left = static_cast<size_t>(
-      std::count_if(m_members->Entries().begin(), m_members->Entries().end(),
-                    [&](const auto& item) {
-                      return MayOwnFlow(now, services, *flow, item.second) &&
-                             m_members->IsReachable(now, item.second);
-                    }));
-  if (left < m_limits.min_agents_to_query) {
-    return false;
-  }
-  flow->agent = MemberId();
-  flow->is_queried = true;
-  flow->queried_at = now;
-  ++m_counters.queried_flows;
-  m_owner_queries.Add(key, services);
-  return true;
-}
-
-void FlowDirector::StartQueries(TimePoint now) {
-  for (const std::vector<ServiceId>& services :
-       m_owner_queries.DueServices(now)) {
-    MemberSet agents;
-    for (const auto& [id, entry] : m_members->Entries()) {
-      if (entry.member.role == MemberRole::kAgent &&
-          std::find(services.begin(), services.end(), entry.member.service) !=
-              services.end() &&
-          m_members->IsReachable(now, entry)) {
-        agents.push_back(id);
-      }
-    }
-    for (OwnerQuery& query : m_owner_queries.Start(now, services, agents)) {
-      m_counters.queries += query.agents.size();
-      m_queries_to_send.push_back(std::move(query));
-    }
-  }
-}
-
-std::vector<OwnerQuery> FlowDirector::TakeQueries() {
-  return std::exchange(m_queries_to_send, {});
-}
-
-std::vector<DeferredDecision> FlowDirector::OnQueryAnswer(
-    TimePoint now,
-    MemberId from,
-    uint64_t id,
-    bool knows_all,
-    const std::vector<uint32_t>& held) {
-  std::vector<DeferredDecision> decisions;
-  OnQueryResults(now, m_owner_queries.OnAnswer(from, id, knows_all, held),
-                 &decisions);
-  return decisions;
-}
-
-void FlowDirector::OnQueryResults(TimePoint now,
-                                  const std::vector<QueriedFlow>& results,
-                                  std::vector<DeferredDecision>* decisions) {
-  for (const QueriedFlow& result : results) {
-    const auto found = m_flows.find(result.flow);
-    if (found == m_flows.end() || found->second.phase != Phase::kSearching ||
-        !found->second.is_queried ||
-        result.sent_at < found->second.queried_at) {
-      continue;
-    }
-    Flow& flow = found->second;
-    flow.is_queried = false;
-    flow.was_queried = true;
-    flow.deniers = result.deniers;
-    for (const MemberId owner : result.possible_owners) {
-      detail::AddOnce(&flow.likely_owners, owner);
-    }
-    // They have had the time that a search gives each of them.
-    for (const MemberId silent : *result.silent_agents) {
-      detail::AddOnce(&flow.unresponsive, silent);
-      m_members->OnUnanswered(silent);
-    }
-    const HeldPacket* held = m_search_packets.Find(result.flow);
-    if (held == nullptr || held->expires <= now ||
-        m_routes->Find(result.flow.route) == nullptr) {
-      continue;  // The next packet goes on with the search.
-    }
-    DeferredDecision deferred{held->packet, held->raw, DirectorDecision()};
-    deferred.decision = ContinueSearch(now, result.flow, &flow);
-    if (deferred.decision.kind != DirectorDecision::Kind::kHold) {
-      decisions->push_back(std::move(deferred));
-    }
-  }
-}
-
 bool FlowDirector::MayGiveUpSilentAgents(TimePoint now,
                                          const FlowKey& key,
                                          const Flow& flow) const {
@@ -295,6 +198,7 @@
                               const Flow& flow,
                               const MemberEntry& entry) const {
   const FleetMember& member = entry.member;
+  // An agent that may hold one flow of a query is a likely owner of that one.
   const bool has_denied = detail::Contains(flow.tried, member.id) ||
                           (flow.deniers != nullptr &&
                            std::binary_search(flow.deniers->begin(),
--- /dev/null
+++ b/src/forwarding/member_messages.cc
@@ -0,0 +1,77 @@
+// @file member_messages.cc Wire messages of members.
+#include <algorithm>
+
+#include "src/forwarding/membership_table.h"
+
+namespace medlargauge {
+namespace {
+
+constexpr uint32_t kPerMille = 1000;
+constexpr uint32_t kMaxWarmupMs = 60000;  ///< Limit of reported durations.
+
+}  // namespace
+
+proto::PeerLoad EncodeLoad(TimePoint now, const ServerLoad& load) {
+  proto::PeerLoad message;
+  message.set_active(load.active);
+  message.set_slots(load.slots);
+  message.set_service_us(load.service_us);
+  message.set_failing(load.failing);
+  if (load.warmup_ends_at > now) {
+    message.set_warmup_ms(
+        static_cast<uint32_t>(ToMilliseconds(load.warmup_ends_at - now)));
+  }
+  return message;
+}
+
+ServerLoad DecodeLoad(TimePoint now, const proto::PeerLoad& message) {
+  ServerLoad load;
+  load.active = message.active();
+  load.slots = std::max(message.slots(), 1U);
+  load.service_us = message.service_us();
+  load.failing = std::min(message.failing(), kPerMille);
+  load.warmup_ends_at =
+      now + Milliseconds(std::min(message.warmup_ms(), kMaxWarmupMs));
+  return load;
+}
+
+proto::PeerMember EncodeMember(TimePoint now, const FleetMember& member) {
+  proto::PeerMember message;
+  message.set_id(member.id.value);
+  message.set_role(static_cast<uint32_t>(member.role));
+  message.set_ip(member.ip);
+  message.set_incarnation(member.incarnation);
+  message.set_service(member.service.value);
+  message.set_domain(member.domain.value);
+  message.set_state(static_cast<uint32_t>(member.state));
+  message.set_revision(member.targets.version.revision);
+  message.set_era(member.targets.version.era);
+  message.set_operators_version(member.targets.operators_version);
+  if (member.role == MemberRole::kAgent) {
+    *message.mutable_load() = EncodeLoad(now, member.load);
+  }
+  return message;
+}
+
+FleetMember DecodeMember(TimePoint now, const proto::PeerMember& message) {
+  FleetMember member;
+  const bool usable =
+      message.ip() != 0 && message.role() <= 1 &&
+      message.state() <= static_cast<uint32_t>(AgentState::kGone);
+  if (!usable) {
+    return member;
+  }
+  member.id.value = message.id();
+  member.role = static_cast<MemberRole>(message.role());
+  member.ip = message.ip();
+  member.incarnation = message.incarnation();
+  member.service.value = message.service();
+  member.domain.value = message.domain();
+  member.state = static_cast<AgentState>(message.state());
+  member.targets.version = {message.era(), message.revision()};
+  member.targets.operators_version = message.operators_version();
+  member.load = DecodeLoad(now, message.load());
+  return member;
+}
+
+}  // namespace medlargauge
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -1,4 +1,4 @@
-// @file membership_table.cc Failure detection and wire messages of members.
+// @file membership_table.cc Changes of the table, and what members report.
 #include "src/forwarding/membership_table.h"
 
 #include <algorithm>
@@ -8,26 +8,10 @@
 namespace medlargauge {
 namespace {
 
-constexpr uint32_t kPerMille = 1000;
 /// Limit of the member counts that others report.
 constexpr uint32_t kMaxMembers = 1U << 20U;
-/// Status intervals before a member is unreachable.
-constexpr int kMissedStatuses = 2;
-/// Reachability timeouts before a member is suspected.
-constexpr int kTimeoutsToSuspect = 2;
-/// Reachability timeouts before a member is presumed dead.
-constexpr int kTimeoutsToPresumeDead = 3;
 /// Reachability timeouts before a member is removed.
 constexpr int kTimeoutsToRemove = 6;
-constexpr uint32_t kMaxWarmupMs = 60000;  ///< Limit of reported durations.
-
-/// Ends the probes of a member that was heard. The time of the next one stays,
-/// so that packets left unanswered don't cause more of them.
-void EndProbes(MemberEntry* entry) {
-  const TimePoint next = entry->probe.next;
-  entry->probe = ProbeState();
-  entry->probe.next = next;
-}
 
 }  // namespace
 
@@ -41,7 +25,7 @@
   }
   RecordContact(now);
   MemberEntry& entry = m_entries[member.id];
-  EndProbes(&entry);
+  entry.probe.End();
   const bool is_new = entry.heard == TimePoint() ||
                       entry.member.incarnation != member.incarnation;
   if (!is_new && status.sequence() <= entry.sequence) {
@@ -173,16 +157,6 @@
   }
 }
 
-TimePoint MembershipTable::AgentsCountedAfter(const MemberEntry& entry) const {
-  // An agent passes on what the balancers that it reaches have counted.
-  const Duration count_age =
-      entry.member.role == MemberRole::kBalancer
-          ? Duration()
-          : kMissedStatuses *
-                StatusInterval(MemberRole::kBalancer, entry.fleet_size);
-  return entry.status_at - count_age - m_timeouts.status_delay;
-}
-
 uint32_t MembershipTable::LargestReportedAgents(TimePoint now) const {
   std::vector<TimePoint> ends;
   for (const auto& [id, entry] : m_entries) {
@@ -215,20 +189,6 @@
   return size;
 }
 
-Duration MembershipTable::StatusIntervalOf(const MemberEntry& entry) {
-  return StatusInterval(entry.member.role, entry.fleet_size);
-}
-
-Duration MembershipTable::ReachabilityTimeout(const MemberEntry& entry) const {
-  // A member that was never heard has not reported the size of the fleet.
-  const Duration interval =
-      entry.heard == TimePoint()
-          ? StatusInterval(entry.member.role, m_entries.size())
-          : StatusIntervalOf(entry);
-  return std::max(m_timeouts.unreachable,
-                  kMissedStatuses * interval + m_timeouts.status_delay);
-}
-
 void MembershipTable::RecordContact(TimePoint now) {
   if (now - m_last_contact > m_timeouts.contact_loss) {
     m_contact_since = now;
@@ -252,7 +212,7 @@
   }
   RecordContact(now);
   entry->heard = now;
-  EndProbes(entry);
+  entry->probe.End();
   entry->avoid_until = TimePoint();
   entry->member.load = load;
   entry->pending = 0;
@@ -265,13 +225,6 @@
   }
 }
 
-void MembershipTable::OnUnanswered(MemberId id) {
-  MemberEntry* entry = Find(id);
-  if (entry != nullptr && entry->member.role == MemberRole::kAgent) {
-    entry->probe.requested = true;
-  }
-}
-
 std::vector<FleetMember> MembershipTable::OnTick(TimePoint now) {
   std::vector<FleetMember> forgotten;
   for (auto it = m_entries.begin(); it != m_entries.end();) {
@@ -323,183 +276,10 @@
   return list;
 }
 
-bool MembershipTable::IsReachable(TimePoint now,
-                                  const MemberEntry& entry) const {
-  return entry.heard != TimePoint() &&
-         entry.probe.failing_since == TimePoint() &&
-         now - entry.heard <= ReachabilityTimeout(entry);
-}
-
-bool MembershipTable::IsSuspected(TimePoint now,
-                                  const MemberEntry& entry) const {
-  const Duration limit = std::max(
-      m_timeouts.suspected, kTimeoutsToSuspect * ReachabilityTimeout(entry));
-  const Duration probed_limit = std::max(
-      m_timeouts.suspected, kTimeoutsToSuspect * m_timeouts.unreachable);
-  return !entry.leaving && entry.heard != TimePoint() &&
-         (CountedSilence(now, entry) > limit ||
-          ProbedSilence(now, entry) > probed_limit);
-}
-
-bool MembershipTable::IsPresumedDead(TimePoint now,
-                                     const MemberEntry& entry) const {
-  const bool is_restarting = entry.leaving &&
-                             entry.member.state != AgentState::kGone &&
-                             entry.probe.outcome == ProbeOutcome::kRefused;
-  const Duration limit =
-      is_restarting ? m_timeouts.planned_restart : m_timeouts.presumed_dead;
-  return ProbedSilence(now, entry) > limit ||
-         CountedSilence(now, entry) >
-             std::max(limit,
-                      kTimeoutsToPresumeDead * ReachabilityTimeout(entry));
-}
-
-Duration MembershipTable::ProbedSilence(TimePoint now,
-                                        const MemberEntry& entry) const {
-  return entry.probe.failing_since == TimePoint()
-             ? Duration()
-             : now - std::max(entry.probe.failing_since, m_contact_since);
-}
-
-Duration MembershipTable::CountedSilence(TimePoint now,
-                                         const MemberEntry& entry) const {
-  if (entry.probe.requested && !entry.probe.outcome.has_value()) {
-    return Duration();
-  }
-  return now - std::max({entry.heard, entry.discovered_at, m_contact_since,
-                         entry.probe.accepted});
-}
-
-bool MembershipTable::NeedsProbes(TimePoint now,
-                                  const MemberEntry& entry) const {
-  const TimePoint last = std::max(entry.heard, entry.discovered_at);
-  return entry.member.role == MemberRole::kAgent &&
-         now - last > ReachabilityTimeout(entry) && !HasLeftStopped(now, entry);
-}
-
-std::vector<MemberId> MembershipTable::TakeDueProbes(TimePoint now,
-                                                     size_t limit) {
-  std::vector<MemberEntry*> due;
-  for (auto& [id, entry] : m_entries) {
-    const bool is_unneeded =
-        !entry.probe.requested || HasLeftStopped(now, entry);
-    if (is_unneeded && !NeedsProbes(now, entry)) {
-      continue;
-    }
-    entry.probe.requested = true;
-    if (entry.probe.next <= now) {
-      due.push_back(&entry);
-    }
-  }
-  std::stable_sort(due.begin(), due.end(),
-                   [](const MemberEntry* a, const MemberEntry* b) {
-                     return a->probe.next < b->probe.next;
-                   });
-  due.resize(std::min(limit, due.size()));
-  std::vector<MemberId> chosen;
-  for (MemberEntry* entry : due) {
-    entry->probe.started = now;
-    const bool waits_for_status =
-        NeedsProbes(now, *entry) && entry->probe.failing_since == TimePoint();
-    entry->probe.next =
-        now + (waits_for_status ? std::max(m_timeouts.probe_interval,
-                                           ReachabilityTimeout(*entry))
-                                : m_timeouts.probe_interval);
-    chosen.push_back(entry->member.id);
-  }
-  return chosen;
-}
-
-bool MembershipTable::OnProbe(TimePoint now,
-                              MemberId id,
-                              ProbeOutcome outcome) {
-  MemberEntry* entry = Find(id);
-  if (entry == nullptr || !entry->probe.requested) {
-    return false;
-  }
-  const bool differs = entry->probe.outcome != outcome;
-  entry->probe.outcome = outcome;
-  if (outcome == ProbeOutcome::kAccepted) {
-    entry->probe.accepted = now;
-    entry->probe.failing_since = TimePoint();
-    entry->probe.requested = NeedsProbes(now, *entry);
-  } else if (entry->probe.failing_since == TimePoint()) {
-    entry->probe.failing_since = entry->probe.started;
-  }
-  const bool counts = IsSuspected(now, *entry) || IsPresumedDead(now, *entry);
-  if (outcome == ProbeOutcome::kNoAnswer && !counts) {
-    entry->probe.next = now;  // The probe may have been lost.
-  }
-  return differs;
-}
-
 size_t MembershipTable::CountReachable(TimePoint now, MemberRole role) const {
   return std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& e) {
     return e.second.member.role == role && IsReachable(now, e.second);
   });
 }
 
-proto::PeerLoad EncodeLoad(TimePoint now, const ServerLoad& load) {
-  proto::PeerLoad message;
-  message.set_active(load.active);
-  message.set_slots(load.slots);
-  message.set_service_us(load.service_us);
-  message.set_failing(load.failing);
-  if (load.warmup_ends_at > now) {
-    message.set_warmup_ms(
-        static_cast<uint32_t>(ToMilliseconds(load.warmup_ends_at - now)));
-  }
-  return message;
-}
-
-ServerLoad DecodeLoad(TimePoint now, const proto::PeerLoad& message) {
-  ServerLoad load;
-  load.active = message.active();
-  load.slots = std::max(message.slots(), 1U);
-  load.service_us = message.service_us();
-  load.failing = std::min(message.failing(), kPerMille);
-  load.warmup_ends_at =
-      now + Milliseconds(std::min(message.warmup_ms(), kMaxWarmupMs));
-  return load;
-}
-
-proto::PeerMember EncodeMember(TimePoint now, const FleetMember& member) {
-  proto::PeerMember message;
-  message.set_id(member.id.value);
-  message.set_role(static_cast<uint32_t>(member.role));
-  message.set_ip(member.ip);
-  message.set_incarnation(member.incarnation);
-  message.set_service(member.service.value);
-  message.set_domain(member.domain.value);
-  message.set_state(static_cast<uint32_t>(member.state));
-  message.set_revision(member.targets.version.revision);
-  message.set_era(member.targets.version.era);
-  message.set_operators_version(member.targets.operators_version);
-  if (member.role == MemberRole::kAgent) {
-    *message.mutable_load() = EncodeLoad(now, member.load);
-  }
-  return message;
-}
-
-FleetMember DecodeMember(TimePoint now, const proto::PeerMember& message) {
-  FleetMember member;
-  const bool usable =
-      message.ip() != 0 && message.role() <= 1 &&
-      message.state() <= static_cast<uint32_t>(AgentState::kGone);
-  if (!usable) {
-    return member;
-  }
-  member.id.value = message.id();
-  member.role = static_cast<MemberRole>(message.role());
-  member.ip = message.ip();
-  member.incarnation = message.incarnation();
-  member.service.value = message.service();
-  member.domain.value = message.domain();
-  member.state = static_cast<AgentState>(message.state());
-  member.targets.version = {message.era(), message.revision()};
-  member.targets.operators_version = message.operators_version();
-  member.load = DecodeLoad(now, message.load());
-  return member;
-}
-
 }  // namespace medlargauge
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -55,6 +55,14 @@
   /// Start of the first of the probes that failed in a row; zero: none did.
   TimePoint failing_since;
   TimePoint next;  ///< When another probe is due.
+
+  /// Ends the probes, as the member was heard. The time of the next one stays,
+  /// so that packets left unanswered don't cause more of them.
+  void End() {
+    const TimePoint next_probe = next;
+    *this = ProbeState();
+    next = next_probe;
+  }
 };
 
 /// What this process knows of another member.
--- a/src/forwarding/owner_queries.cc
+++ b/src/forwarding/owner_queries.cc
@@ -22,44 +22,33 @@
   m_waiting[services].push_back(flow);
 }
 
-std::vector<std::vector<ServiceId>> OwnerQueries::DueServices(
-    TimePoint now) const {
-  std::vector<std::vector<ServiceId>> due;
-  for (const auto& [services, flows] : m_waiting) {
-    if (now >= m_next_start) {
-      due.push_back(services);
-    }
-  }
-  return due;
-}
-
 std::vector<OwnerQuery> OwnerQueries::Start(
     TimePoint now,
-    const std::vector<ServiceId>& services,
-    const MemberSet& agents) {
-  const auto waiting = m_waiting.find(services);
-  if (waiting == m_waiting.end()) {
+    const std::function<MemberSet(const std::vector<ServiceId>&)>& agents_of) {
+  if (m_waiting.empty() || now < m_next_start) {
     return {};
   }
-  const std::vector<FlowKey> flows = std::move(waiting->second);
-  m_waiting.erase(waiting);
   m_next_start = now + kCollectionTime;
   std::vector<OwnerQuery> queries;
-  for (size_t begin = 0; begin < flows.size(); begin += kMaxFlows) {
-    const size_t end = std::min(begin + kMaxFlows, flows.size());
-    OwnerQuery query;
-    query.id = ++m_last_id;
-    query.agents = agents;
-    Running& running = m_running[query.id];
-    running.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(begin),
-                         flows.begin() + static_cast<std::ptrdiff_t>(end));
-    running.unanswered = agents;
-    running.sent_at = now;
-    running.deadline = now + kAnswerTimeout;
-    std::transform(running.flows.begin(), running.flows.end(),
-                   std::back_inserter(query.flow_hashes), &HashFlow);
-    queries.push_back(std::move(query));
+  for (const auto& [services, flows] : m_waiting) {
+    const MemberSet agents = agents_of(services);
+    for (size_t begin = 0; begin < flows.size(); begin += kMaxFlows) {
+      const size_t end = std::min(begin + kMaxFlows, flows.size());
+      OwnerQuery query;
+      query.id = ++m_last_id;
+      query.agents = agents;
+      Running& running = m_running[query.id];
+      running.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(begin),
+                           flows.begin() + static_cast<std::ptrdiff_t>(end));
+      running.unanswered = agents;
+      running.sent_at = now;
+      running.deadline = now + kAnswerTimeout;
+      std::transform(running.flows.begin(), running.flows.end(),
+                     std::back_inserter(query.flow_hashes), &HashFlow);
+      queries.push_back(std::move(query));
+    }
   }
+  m_waiting.clear();
   return queries;
 }
 
--- a/src/forwarding/owner_queries.h
+++ b/src/forwarding/owner_queries.h
@@ -3,6 +3,7 @@
 #define MEDLARGAUGE_FORWARDING_OWNER_QUERIES_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -45,13 +46,13 @@
   /// @param services in which its owner may be
   void Add(const FlowKey& flow, const std::vector<ServiceId>& services);
 
-  /// Returns the services that flows wait for; each has a query of its own.
-  std::vector<std::vector<ServiceId>> DueServices(TimePoint now) const;
-  /// Starts queries for the flows that wait for these services.
-  /// @param agents that may answer, in ascending order
-  std::vector<OwnerQuery> Start(TimePoint now,
-                                const std::vector<ServiceId>& services,
-                                const MemberSet& agents);
+  /// Starts queries for the flows that wait, unless the last ones were started
+  /// a moment ago.
+  /// @param agents_of returns the agents of some services that may answer, in
+  ///     ascending order
+  std::vector<OwnerQuery> Start(
+      TimePoint now,
+      const std::function<MemberSet(const std::vector<ServiceId>&)>& agents_of);
 
   /// Handles an answer. Ignores those that are late, repeated or not asked for.
   /// @param knows_all whether the agent knows each flow that its server holds;
--- a/src/forwarding/owner_queries_test.cc
+++ b/src/forwarding/owner_queries_test.cc
@@ -28,7 +28,12 @@
   QueryFixture() {
     queries.Add(MakeKey(1), Services());
     queries.Add(MakeKey(2), Services());
-    query = queries.Start(now, Services(), {kFirst, kSecond}).front();
+    query = queries
+                .Start(now,
+                       [](const auto&) {
+                         return MemberSet{kFirst, kSecond};
+                       })
+                .front();
   }
 };
 
@@ -89,14 +94,14 @@
   for (uint16_t port = 1; port <= 200; ++port) {
     queries.Add(MakeKey(port), Services());
   }
-  const std::vector<OwnerQuery> started =
-      queries.Start(now, Services(), {kFirst});
+  const auto agents_of = [](const auto&) { return MemberSet{kFirst}; };
+  const std::vector<OwnerQuery> started = queries.Start(now, agents_of);
   REQUIRE(started.size() == 2);
   CHECK(started[0].flow_hashes.size() == 150);
   CHECK(started[1].flow_hashes.size() == 50);
   queries.Add(MakeKey(201), Services());
-  CHECK(queries.DueServices(now + Milliseconds(40)).empty());
-  CHECK(queries.DueServices(now + Milliseconds(60)).size() == 1);
+  CHECK(queries.Start(now + Milliseconds(40), agents_of).empty());
+  CHECK(queries.Start(now + Milliseconds(60), agents_of).size() == 1);
 }
 
 /// An agent whose process has just started.
