Fix: The turns of statuses cost a balancer 3% of a core at 15,800 members

Cause: each tick of 100 ms visited every receiver, though about 15 are due at any size. Change: a queue in order of deadlines; a tick costs what is due. Receivers are added when a member is heard or mentioned, and removed when they are no members any more. medlargauge-lab member-cost measures it beside the rest of the membership.

--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -10,6 +10,7 @@
 #include "lab/dead_flows.h"
 #include "lab/lab_scenarios.h"
 #include "lab/lab_simulation.h"
+#include "lab/member_cost.h"
 #include "lab/reset_model.h"
 #include "src/core/error.h"
 
@@ -235,7 +236,22 @@
   }
 }
 
+/// Measures the membership of one process in fleets of several sizes.
+void RunMemberCost() {
+  for (const size_t members : {30, 300, 1800, 15800}) {
+    const MemberCost cost = MeasureMemberCost(members);
+    std::cout << "members " << cost.members << " tick_us " << cost.tick_us
+              << " schedule_us " << cost.schedule_us << " count_us "
+              << cost.count_us << " reported_us " << cost.reported_us
+              << " statuses_per_s " << cost.statuses_per_s << '\n';
+  }
+}
+
 int Run(const std::vector<std::string>& arguments) {
+  if (arguments.size() == 1 && arguments[0] == "member-cost") {
+    RunMemberCost();
+    return 0;
+  }
   if (arguments.size() == 1 && arguments[0] == "dead-flows") {
     RunDeadFlows();
     return 0;
@@ -284,7 +300,8 @@
       "  medlargauge_lab all --seeds=20\n"
       "  medlargauge_lab overload power-off --policy=present,hash --json\n"
       "  medlargauge_lab reset-model --depth=3\n"
-      "  medlargauge_lab dead-flows --agents=300 --balancers=90");
+      "  medlargauge_lab dead-flows --agents=300 --balancers=90\n"
+      "  medlargauge_lab member-cost");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return medlargauge::lab::Run(std::vector<std::string>(argv + 1, argv + argc));
 }
--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -178,8 +178,8 @@
                     const std::vector<MemberContact>& contacts);
   proto::PeerStatus MakeStatus(Process* process);
   std::vector<uint32_t> SeedsOf(const Process& process) const;
-  static std::vector<MemberId> StatusReceivers(const Process& process);
-  void SendStatuses(Process* process, const std::vector<MemberId>& receivers);
+  void ScheduleStatuses(Process* process, const FleetMember& member);
+  void SendDueStatuses(Process* process);
   void Broadcast(Process* process);
   void AnnounceState(Process* process);
   void OnStatus(Process* process,
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -142,9 +142,7 @@
   if (process->role == MemberRole::kBalancer) {
     ProbeSilentAgents(process);
   }
-  SendStatuses(process, process->schedule.TakeDue(
-                            now, StatusReceivers(*process),
-                            process->members.FleetSize(process->role)));
+  SendDueStatuses(process);
   SendContacts(process, process->discovery->TakeContacts(now));
   CallStore(process);
 }
@@ -237,31 +235,39 @@
   return status;
 }
 
-std::vector<MemberId> ResetWorld::StatusReceivers(const Process& process) {
-  std::vector<MemberId> receivers;
-  for (const auto& [id, entry] : process.members.Entries()) {
-    if (process.role == MemberRole::kBalancer ||
-        entry.member.role == MemberRole::kBalancer) {
-      receivers.push_back(id);
-    }
+void ResetWorld::ScheduleStatuses(Process* process, const FleetMember& member) {
+  if (process->role == MemberRole::kBalancer ||
+      member.role == MemberRole::kBalancer) {
+    process->schedule.Add(m_state->now, member.id,
+                          process->members.FleetSize(process->role));
   }
-  return receivers;
 }
 
-void ResetWorld::SendStatuses(Process* process,
-                              const std::vector<MemberId>& receivers) {
-  if (receivers.empty()) {
+void ResetWorld::SendDueStatuses(Process* process) {
+  const std::vector<MemberId> due = process->schedule.TakeDue(
+      m_state->now, process->members.FleetSize(process->role));
+  if (due.empty()) {
     return;
   }
   const proto::PeerStatus status = MakeStatus(process);
-  for (const MemberId receiver : receivers) {
-    const uint32_t ip = process->members.Find(receiver)->member.ip;
-    SendStatus(process->index, detail::ProcessAt(ip), status);
+  for (const MemberId receiver : due) {
+    const MemberEntry* entry = process->members.Find(receiver);
+    if (entry == nullptr) {
+      process->schedule.Remove(receiver);
+    } else {
+      SendStatus(process->index, detail::ProcessAt(entry->member.ip), status);
+    }
   }
 }
 
 void ResetWorld::Broadcast(Process* process) {
-  SendStatuses(process, StatusReceivers(*process));
+  const proto::PeerStatus status = MakeStatus(process);
+  for (const auto& [id, entry] : process->members.Entries()) {
+    if (process->role == MemberRole::kBalancer ||
+        entry.member.role == MemberRole::kBalancer) {
+      SendStatus(process->index, detail::ProcessAt(entry.member.ip), status);
+    }
+  }
   process->schedule.OnSentToAll(m_state->now,
                                 process->members.FleetSize(process->role));
 }
@@ -283,13 +289,19 @@
     return;
   }
   const MemberRole sender_role = sender->member.role;
+  if (is_new) {
+    ScheduleStatuses(process, sender->member);
+  }
   if (status.not_registered()) {
     process->discovery->OnNotRegistered(now);
   }
   for (const proto::PeerMember& known : status.known()) {
     const FleetMember member = DecodeMember(now, known);
-    if (process->members.Learn(now, member) &&
-        member.role == MemberRole::kBalancer) {
+    if (!process->members.Learn(now, member)) {
+      continue;
+    }
+    ScheduleStatuses(process, member);
+    if (member.role == MemberRole::kBalancer) {
       SendStatus(process->index, detail::ProcessAt(member.ip),
                  MakeStatus(process));
     }
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -86,17 +86,18 @@
                              MixHash(77, id));
     }
     const TimePoint start{Seconds(100)};
+    for (StatusSchedule& schedule : schedules) {
+      schedule.Add(start, MemberId{1}, 0);
+    }
     const Duration interval = StatusInterval(MemberRole::kAgent, member_count);
     TimePoint last = start;
     Duration longest_gap{};
     uint64_t sent = 0;
-    const std::vector<MemberId> receiver{MemberId{1}};
     for (TimePoint now = start; now < start + 20 * interval;
          now += Milliseconds(100)) {
       for (StatusSchedule& schedule : schedules) {
         // The other members are discovered after the first status.
-        if (!schedule.TakeDue(now, receiver, now == start ? 0 : member_count)
-                 .empty()) {
+        if (!schedule.TakeDue(now, now == start ? 0 : member_count).empty()) {
           longest_gap = now - start > 3 * interval
                             ? std::max(longest_gap, now - last)
                             : Duration();
@@ -118,19 +119,19 @@
 
 TEST_CASE("a member of a large fleet sends all its statuses at once") {
   const TimePoint start{Seconds(100)};
-  std::vector<MemberId> receivers;
-  for (uint64_t id = 1; id <= 90; ++id) {
-    receivers.push_back(MemberId{id});
-  }
+  constexpr size_t kReceivers = 90;
   constexpr Duration kTick = Milliseconds(100);
   StatusSchedule schedule(MemberRole::kAgent, kTick, 7);
+  for (uint64_t id = 1; id <= kReceivers; ++id) {
+    schedule.Add(start, MemberId{id}, 300);
+  }
   const Duration interval = StatusInterval(MemberRole::kAgent, 300);
   std::map<MemberId, TimePoint> last;
   size_t most_at_once = 0;
   TimePoint last_of_any = start;
   Duration longest_gap{};
   for (TimePoint now = start; now < start + 10 * interval; now += kTick) {
-    const std::vector<MemberId> due = schedule.TakeDue(now, receivers, 300);
+    const std::vector<MemberId> due = schedule.TakeDue(now, 300);
     most_at_once = std::max(most_at_once, due.size());
     for (const MemberId id : due) {
       CHECK(now - last.try_emplace(id, start).first->second <=
@@ -143,10 +144,15 @@
       schedule.OnSentToAll(now, 300);
     }
   }
-  CHECK(last.size() == receivers.size());
+  CHECK(last.size() == kReceivers);
   CHECK(most_at_once <= 20);
   // Some receiver hears the member within two intervals of a small fleet.
   CHECK(longest_gap <= Milliseconds(600));
+  for (uint64_t id = 2; id <= kReceivers; ++id) {
+    schedule.Remove(MemberId{id});
+  }
+  CHECK(schedule.TakeDue(start + 20 * interval, 300) ==
+        std::vector<MemberId>{MemberId{1}});
 }
 
 TEST_CASE("in a large fleet a member stays reachable between two statuses") {
--- a/src/forwarding/status_schedule.h
+++ b/src/forwarding/status_schedule.h
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <iterator>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "src/core/hash.h"
@@ -52,45 +52,57 @@
   StatusSchedule(MemberRole role, Duration tick, uint64_t seed)
       : m_role(role), m_tick(tick), m_seed(seed) {}
 
-  /// Returns the receivers to which a status must be sent now.
-  /// @param receivers all members that get statuses; a new one has been sent
-  ///     its first status already
+  /// Adds a receiver, unless it is one. It has been sent its first status.
   /// @param members number of other members in the fleet
-  std::vector<MemberId> TakeDue(TimePoint now,
-                                const std::vector<MemberId>& receivers,
-                                size_t members) {
+  void Add(TimePoint now, MemberId receiver, size_t members) {
+    const auto [found, is_new] = m_turns.try_emplace(receiver);
+    if (is_new) {
+      found->second.deadline = RandomTime(now, StatusInterval(m_role, members));
+      m_queue.insert({found->second.deadline, receiver});
+    }
+  }
+
+  /// Returns the receivers to which a status must be sent now. A receiver that
+  /// is no member any more must be removed.
+  /// @param members number of other members in the fleet
+  std::vector<MemberId> TakeDue(TimePoint now, size_t members) {
     const Duration interval = StatusInterval(m_role, members);
     std::vector<MemberId> due;
-    for (const MemberId receiver : receivers) {
-      const auto [found, is_new] = m_turns.try_emplace(receiver);
-      Turn& turn = found->second;
-      turn.deadline = is_new ? RandomTime(now, interval)
-                             : std::min(turn.deadline, now + interval);
-      if (turn.deadline > now) {
-        continue;
-      }
-      due.push_back(receiver);
+    while (!m_queue.empty() && m_queue.begin()->first <= now) {
+      const MemberId receiver = m_queue.begin()->second;
+      m_queue.erase(m_queue.begin());
+      Turn& turn = m_turns[receiver];
       // Members that discovered many others at the same time would send in step
       // from then on.
       const bool unchanged = interval <= turn.interval * 5 / 4;
       turn.deadline =
           unchanged ? now + interval - m_tick / 2 : RandomTime(now, interval);
       turn.interval = interval;
-    }
-    if (m_turns.size() > receivers.size()) {
-      const std::set<MemberId> current(receivers.begin(), receivers.end());
-      for (auto it = m_turns.begin(); it != m_turns.end();) {
-        it = current.count(it->first) > 0 ? std::next(it) : m_turns.erase(it);
+      m_queue.insert({turn.deadline, receiver});
+      due.push_back(receiver);
+      if (due.size() == m_turns.size()) {
+        break;  // Each receiver has one turn at a time.
       }
     }
     return due;
   }
 
+  /// Removes a receiver, if it is one.
+  void Remove(MemberId receiver) {
+    const auto found = m_turns.find(receiver);
+    if (found != m_turns.end()) {
+      m_queue.erase({found->second.deadline, receiver});
+      m_turns.erase(found);
+    }
+  }
+
   /// Gives all receivers a new turn after a status was sent to each.
   /// @param members number of other members in the fleet
   void OnSentToAll(TimePoint now, size_t members) {
+    m_queue.clear();
     for (auto& [receiver, turn] : m_turns) {
       turn.deadline = RandomTime(now, StatusInterval(m_role, members));
+      m_queue.insert({turn.deadline, receiver});
     }
   }
 
@@ -113,6 +125,7 @@
   uint64_t m_seed;                   ///< Seed of the spread.
   uint64_t m_drawn = 0;              ///< Random times so far.
   std::map<MemberId, Turn> m_turns;  ///< By receiver.
+  std::set<std::pair<TimePoint, MemberId>> m_queue;  ///< Earliest turn first.
 };
 
 }  // namespace medlargauge
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -137,6 +137,9 @@
   if (sender == nullptr) {
     return;
   }
+  if (is_new) {
+    ScheduleStatuses(now, sender->member);
+  }
   if (is_new) {
     EventLine(Severity::kInfo, "member_heard")
         .With("ip", FormatIp(from.ip))
@@ -155,6 +158,9 @@
   for (const proto::PeerMember& known : status.known()) {
     const FleetMember member = DecodeMember(now, known);
     const bool is_news = m_members.Learn(now, member);
+    if (is_news) {
+      ScheduleStatuses(now, member);
+    }
     if (is_news && member.role == MemberRole::kBalancer) {
       SendStatus(member.ip, MakeStatus(now));
     }
@@ -222,35 +228,37 @@
   Send(ip, m_frame_writer.Message(PeerMessageKind::kStatus, status));
 }
 
-std::vector<MemberId> FleetNode::StatusReceivers() const {
-  std::vector<MemberId> receivers;
-  for (const auto& [id, entry] : m_members.Entries()) {
-    if (m_self.role == MemberRole::kBalancer ||
-        entry.member.role == MemberRole::kBalancer) {
-      receivers.push_back(id);
-    }
+void FleetNode::ScheduleStatuses(TimePoint now, const FleetMember& member) {
+  if (IsStatusReceiver(member)) {
+    m_status_schedule.Add(now, member.id, m_members.FleetSize(m_self.role));
   }
-  return receivers;
 }
 
 void FleetNode::BroadcastStatus() {
   const TimePoint now = SteadyTime();
   const proto::PeerStatus status = MakeStatus(now);
-  for (const MemberId receiver : StatusReceivers()) {
-    SendStatus(m_members.Find(receiver)->member.ip, status);
+  for (const auto& [id, entry] : m_members.Entries()) {
+    if (IsStatusReceiver(entry.member)) {
+      SendStatus(entry.member.ip, status);
+    }
   }
   m_status_schedule.OnSentToAll(now, m_members.FleetSize(m_self.role));
 }
 
 void FleetNode::SendDueStatuses(TimePoint now) {
-  const std::vector<MemberId> due = m_status_schedule.TakeDue(
-      now, StatusReceivers(), m_members.FleetSize(m_self.role));
+  const std::vector<MemberId> due =
+      m_status_schedule.TakeDue(now, m_members.FleetSize(m_self.role));
   if (due.empty()) {
     return;
   }
   const proto::PeerStatus status = MakeStatus(now);
   for (const MemberId receiver : due) {
-    SendStatus(m_members.Find(receiver)->member.ip, status);
+    const MemberEntry* entry = m_members.Find(receiver);
+    if (entry == nullptr) {
+      m_status_schedule.Remove(receiver);
+    } else {
+      SendStatus(entry->member.ip, status);
+    }
   }
 }
 
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -106,8 +106,14 @@
                       MemberRole role,
                       bool with_members);
   void SendStatus(uint32_t ip, const proto::PeerStatus& status);
-  /// Returns the members that get this process's statuses.
-  std::vector<MemberId> StatusReceivers() const;
+  /// Returns whether a member gets this process's statuses; agents send none to
+  /// each other.
+  bool IsStatusReceiver(const FleetMember& member) const {
+    return m_self.role == MemberRole::kBalancer ||
+           member.role == MemberRole::kBalancer;
+  }
+  /// Gives a member that was heard or mentioned its turn in the schedule.
+  void ScheduleStatuses(TimePoint now, const FleetMember& member);
   /// Sends a status to each member whose turn it is.
   void SendDueStatuses(TimePoint now);
   /// Tells the other balancers of agents that the store's list lacks. Balancers
