--- a/src/forwarding/fleet_discovery.h
+++ b/src/forwarding/fleet_discovery.h
@@ -71,6 +71,16 @@
   /// Handles the result of kRegister.
   void OnRegistered(TimePoint now, StoreResult result);
 
+  /// Returns whether the other balancers have to be told of an agent that was
+  /// heard: this balancer has just started, as others may have, and the list of
+  /// registered agents, which they rely on, lacks the agent.
+  /// @param was_known whether the agent was heard or mentioned before
+  bool MustTellBalancers(TimePoint now,
+                         const FleetMember& agent,
+                         bool was_known) const {
+    return m_role == MemberRole::kBalancer && !was_known &&
+           now < m_introductions_end && m_members->IsUnlistedAgent(agent);
+  }
   /// Records a status of a balancer. After a long silence, balancers may have
   /// removed this process from the store.
   void OnBalancerHeard(TimePoint now);
--- a/src/forwarding/fleet_discovery_test.cc
+++ b/src/forwarding/fleet_discovery_test.cc
@@ -77,6 +77,24 @@
         MemberCall::kListAgents);
 }
 
+TEST_CASE("every balancer told all others of each agent that joined later") {
+  DiscoveryFixture fixture;
+  fixture.Hear(11, MemberRole::kAgent);
+  fixture.members.SetRegisteredAgents(fixture.now, {11});
+  const FleetMember listed =
+      DiscoveryFixture::MakeMember(11, MemberRole::kAgent);
+  const FleetMember unlisted =
+      DiscoveryFixture::MakeMember(12, MemberRole::kAgent);
+  const auto must_tell = [&](const FleetMember& agent, bool was_known) {
+    return fixture.discovery.MustTellBalancers(fixture.now, agent, was_known);
+  };
+  CHECK(must_tell(unlisted, false));
+  CHECK_FALSE(must_tell(listed, false));
+  CHECK_FALSE(must_tell(unlisted, true));  // Another balancer has told of it.
+  fixture.now += Seconds(3);
+  CHECK_FALSE(must_tell(unlisted, false));
+}
+
 TEST_CASE("all balancers of a large fleet registered") {
   constexpr uint64_t kBalancers = 91;
   uint32_t registered = 0;
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -132,6 +132,8 @@
   if (!is_valid || MemberId{status.self().id()} == m_self.id) {
     return;
   }
+  const bool was_known =
+      m_members.Find(MemberId{status.self().id()}) != nullptr;
   const bool is_new = m_members.OnStatus(now, status);
   const MemberEntry* sender = m_members.Find(MemberId{status.self().id()});
   if (sender == nullptr) {
@@ -146,8 +148,7 @@
         .With("role",
               sender->member.role == MemberRole::kAgent ? "agent" : "balancer")
         .With("incarnation", sender->member.incarnation);
-    if (m_self.role == MemberRole::kBalancer &&
-        m_members.IsUnlistedAgent(sender->member)) {
+    if (m_discovery.MustTellBalancers(now, sender->member, was_known)) {
       m_unlisted_agents.push_back(sender->member.id);
     }
   }
