--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -12,7 +12,9 @@
 landed=deploy/landed_scores.tsv
 played=("$@")
 [ $# -gt 0 ] || played=(large/tijolo-nordeste-large grown/tijolo-nordeste-grown
-  grown/ssv-ghat-grown further/kj-budapest further-grown/kj-budapest-grown)
+  grown/ssv-ghat-grown further/kj-budapest further-grown/kj-budapest-grown
+  demands/hanbit-gc-grown demands/lpt-tolling-grown
+  shifted/tijolo-nordeste-now-grown)
 results=$(mktemp)
 trap 'rm -f "$results"' EXIT
 
