Fix: A balancer reset flows at the old service of a route

A balancer that had started after a route was moved to another service reset open flows that a server of the old service was serving (reason=flow_unknown discovery=registered denials=69 agents=82): it knew only the services that the route had had since its own start, asked their agents and took their denials for those of all.

The service of an agent is no evidence now. A search asks agents of the current route's services first, then those of services that the route is known to have had, then all others, and a reset needs the denial of all. Each search packet names the service of its receiver; new flows go to the route's services only, as before. All searches share one query, since each one asks all agents.

Two more ways to the same reset: an owner that confirmed a flow while another service's agent was being asked got packets with the wrong service and returned them; and such a return counted as a denial by the server. The packets name the owner's service now, and the return counts as no answer.

The lab counted each packet at a server of another service as mixed; it now counts those that such a server doesn't return, as a search has to ask it.

--- a/lab/lab_type.h
+++ b/lab/lab_type.h
@@ -124,7 +124,8 @@
   /// Times that packets of an open flow reached only other servers for too
   /// long.
   uint64_t astray = 0;
-  uint64_t mixed_services = 0;     ///< Packets at a server of another service.
+  uint64_t mixed_services = 0;     ///< Packets that a server of another
+                                   ///< service did not return.
   uint64_t ran_twice = 0;          ///< Repeated executions, if not repeatable.
   uint64_t late_work = 0;          ///< New flows at a server that had left.
   uint64_t connections = 0;        ///< Flows that servers accepted.
--- a/src/forwarding/active_routes.cc
+++ b/src/forwarding/active_routes.cc
@@ -34,10 +34,19 @@
   return m_services.count(address) > 0;
 }
 
-std::vector<ServiceId> ActiveRoutes::CandidateServices(
-    SocketAddress4 address) const {
+RouteServices ActiveRoutes::ServicesOf(SocketAddress4 address) const {
+  RouteServices services;
+  const ServiceRoute* route = Find(address);
+  if (route != nullptr) {
+    for (const RouteShare& share : route->shares) {
+      services.current.push_back(share.service);
+    }
+  }
   const auto found = m_services.find(address);
-  return found == m_services.end() ? std::vector<ServiceId>() : found->second;
+  if (found != m_services.end()) {
+    services.known = found->second;
+  }
+  return services;
 }
 
 ServiceId ActiveRoutes::SelectService(const ServiceRoute& route,
--- a/src/forwarding/active_routes.h
+++ b/src/forwarding/active_routes.h
@@ -2,6 +2,7 @@
 #ifndef MEDLARGAUGE_FORWARDING_ACTIVE_ROUTES_H_
 #define MEDLARGAUGE_FORWARDING_ACTIVE_ROUTES_H_
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -35,8 +36,25 @@
   std::vector<ServiceRoute> routes;  ///< In the order of the targets.
 };
 
-/// Routes in force, and the services that earlier routes used, which open flows
-/// may still be at. The newest targets win whatever the order of arrival, so
+/// Services that are known to hold or to have held flows of an address. An
+/// agent of any other service may hold some as well: the route may have changed
+/// before this process started.
+struct RouteServices {
+  std::vector<ServiceId> current;  ///< With a share, also one of weight 0.
+  std::vector<ServiceId> known;    ///< Of all routes since the process started.
+
+  /// Returns whether the current route has the service. Thread-safe.
+  bool IsCurrent(ServiceId service) const {
+    return std::find(current.begin(), current.end(), service) != current.end();
+  }
+  /// Returns whether a route is known to have had the service. Thread-safe.
+  bool IsKnown(ServiceId service) const {
+    return std::find(known.begin(), known.end(), service) != known.end();
+  }
+};
+
+/// Routes in force, and the services that earlier routes are known to have
+/// used. The newest targets win whatever the order of arrival, so
 /// all processes converge to the same table. Not thread-safe.
 class ActiveRoutes {
  public:
@@ -50,9 +68,8 @@
   /// Returns whether the address has had a route since this process started.
   bool HadRoute(SocketAddress4 address) const;
 
-  /// Returns every service that may hold flows of the address, those of the
-  /// current route first.
-  std::vector<ServiceId> CandidateServices(SocketAddress4 address) const;
+  /// Returns the services that the address is known to have had.
+  RouteServices ServicesOf(SocketAddress4 address) const;
 
   /// Returns the service for a new flow by weighted hash. Thread-safe.
   /// Precondition: `route` has a share.
@@ -68,7 +85,7 @@
  private:
   RouteTable m_table;                             ///< Table in force.
   std::map<SocketAddress4, size_t> m_by_address;  ///< Index in m_table.
-  /// Services that each address has ever had, most recent first.
+  /// Services that each address has had since this process started.
   std::map<SocketAddress4, std::vector<ServiceId>> m_services;
 };
 
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -269,10 +269,18 @@
     RemoveFlow(packet.flow);
     return Reject(DirectorDecision::Kind::kDrop, ErrorKind::kFlowUnknown);
   }
-  if (flow.phase != Phase::kSearching && flow.agent == from) {
+  const bool was_searching = flow.phase == Phase::kSearching;
+  if (!was_searching && flow.agent == from) {
     BeginSearch(now, packet.flow, &flow);
   }
-  if (reason == ReturnReason::kMoved) {
+  if (reason == ReturnReason::kWrongService) {
+    // The packet named another service than the agent's, so its server has not
+    // denied the flow. It is asked again with the service of its next status.
+    detail::AddOnce(&flow.unresponsive, from);
+    if (was_searching && flow.agent == from) {
+      return Reject(DirectorDecision::Kind::kHold, ErrorKind::kMaybeElsewhere);
+    }
+  } else if (reason == ReturnReason::kMoved) {
     const bool follow_pointer = m_members->Find(owner) != nullptr &&
                                 !detail::Contains(flow.tried, owner);
     flow.use_pointer = false;
@@ -328,42 +336,6 @@
   return decision;
 }
 
-void FlowDirector::OnFlowConfirmed(TimePoint now,
-                                   MemberId from,
-                                   const FlowKey& key,
-                                   bool proven) {
-  const auto found = m_flows.find(key);
-  if (found == m_flows.end()) {
-    return;
-  }
-  Flow& flow = found->second;
-  if (flow.phase == Phase::kOpening) {
-    m_opening_queues[flow.service].OnAccepted(now, key);
-    flow.is_queued = false;
-  }
-  m_counters.double_openings +=
-      flow.phase == Phase::kOwnerKnown && !proven && flow.agent != from ? 1 : 0;
-  detail::AddOnce(&flow.likely_owners, from);
-  // A server retransmits its SYN-ACK even if the caller has accepted the one of
-  // another server, so an unproven confirmation is ignored during a search.
-  const bool is_conclusive = proven || flow.phase == Phase::kOpening;
-  const bool corrects_owner = proven && !flow.owner_proven;
-  if (is_conclusive && (flow.phase != Phase::kOwnerKnown || corrects_owner)) {
-    flow.agent = from;
-    flow.phase = Phase::kOwnerKnown;
-    flow.tried.clear();
-    flow.unresponsive.clear();
-    flow.syn = std::string();
-    flow.owner_since = now;
-    const MemberEntry* owner = m_members->Find(from);
-    flow.owner_incarnation = owner == nullptr ? 0 : owner->member.incarnation;
-    flow.owner_proven = proven;
-    flow.used_since = TimePoint();
-    flow.expires = now + IdleTimeout();
-    m_search_packets.Erase(key);
-  }
-}
-
 bool FlowDirector::CanServe(TimePoint now) const {
   const bool is_isolated =
       now - m_members->LastContact() > m_limits.isolation_timeout;
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -332,9 +332,9 @@
   bool MayGiveUpSilentAgents(TimePoint now,
                              const FlowKey& key,
                              const Flow& flow) const;
-  /// Returns whether a member is an agent that has not denied the flow.
+  /// Returns whether a member is an agent, of any service, that has not denied
+  /// the flow.
   bool MayOwnFlow(TimePoint now,
-                  const std::vector<ServiceId>& services,
                   const Flow& flow,
                   const MemberEntry& entry) const;
   /// Returns the agent to ask next; nullopt if all were asked.
--- a/src/forwarding/flow_query.cc
+++ b/src/forwarding/flow_query.cc
@@ -15,12 +15,10 @@
       m_search_packets.Find(key) == nullptr) {
     return false;
   }
-  const std::vector<ServiceId> services =
-      m_routes->CandidateServices(key.route);
   size_t left = 0;
   for (const auto& [id, entry] : m_members->Entries()) {
-    const bool may_answer = m_members->IsReachable(now, entry) &&
-                            MayOwnFlow(now, services, *flow, entry);
+    const bool may_answer =
+        m_members->IsReachable(now, entry) && MayOwnFlow(now, *flow, entry);
     left += may_answer ? 1 : 0;
     if (left >= m_limits.min_agents_to_query) {
       break;
@@ -33,24 +31,22 @@
   flow->is_queried = true;
   flow->queried_at = now;
   ++m_counters.queried_flows;
-  m_owner_queries.Add(key, services);
+  m_owner_queries.Add(key);
   return true;
 }
 
 void FlowDirector::StartQueries(TimePoint now) {
-  const auto agents_of = [&](const std::vector<ServiceId>& services) {
+  const auto reachable_agents = [&] {
     MemberSet agents;
     for (const auto& [id, entry] : m_members->Entries()) {
       if (entry.member.role == MemberRole::kAgent &&
-          std::find(services.begin(), services.end(), entry.member.service) !=
-              services.end() &&
           m_members->IsReachable(now, entry)) {
         agents.push_back(id);
       }
     }
     return agents;
   };
-  for (OwnerQuery& query : m_owner_queries.Start(now, agents_of)) {
+  for (OwnerQuery& query : m_owner_queries.Start(now, reachable_agents)) {
     m_counters.queries += query.agents.size();
     m_queries_to_send.push_back(std::move(query));
   }
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -139,11 +139,9 @@
       m_members->CountLiveAgents(now) < m_members->LargestReportedAgents(now)) {
     return false;
   }
-  const std::vector<ServiceId> services =
-      m_routes->CandidateServices(key.route);
   bool has_silent_agent = false;
   for (const auto& [id, entry] : m_members->Entries()) {
-    if (!MayOwnFlow(now, services, flow, entry)) {
+    if (!MayOwnFlow(now, flow, entry)) {
       continue;
     }
     if (!m_members->IsSuspected(now, entry)) {
@@ -194,7 +192,6 @@
 }
 
 bool FlowDirector::MayOwnFlow(TimePoint now,
-                              const std::vector<ServiceId>& services,
                               const Flow& flow,
                               const MemberEntry& entry) const {
   const FleetMember& member = entry.member;
@@ -206,10 +203,10 @@
                            !detail::Contains(flow.likely_owners, member.id)) ||
                           (detail::Contains(flow.server_down, member.id) &&
                            member.state == AgentState::kGone);
-  return member.role == MemberRole::kAgent &&
-         std::find(services.begin(), services.end(), member.service) !=
-             services.end() &&
-         !has_denied && !m_members->IsPresumedDead(now, entry) &&
+  // The agent's service is no evidence: the route may have had any service
+  // before this process started.
+  return member.role == MemberRole::kAgent && !has_denied &&
+         !m_members->IsPresumedDead(now, entry) &&
          !m_members->HasLeftStopped(now, entry);
 }
 
@@ -217,23 +214,27 @@
     TimePoint now,
     const FlowKey& key,
     const Flow& flow) const {
-  const std::vector<ServiceId> services =
-      m_routes->CandidateServices(key.route);
+  const RouteServices services = m_routes->ServicesOf(key.route);
   const uint64_t hash = HashFlow(key);
   std::optional<MemberId> best;
   uint64_t best_rank = 0;
   for (const auto& [id, entry] : m_members->Entries()) {
     if (detail::Contains(flow.unresponsive, id) ||
-        !MayOwnFlow(now, services, flow, entry)) {
+        !MayOwnFlow(now, flow, entry)) {
       continue;
     }
     // Likely owners come first and unreachable agents last: the search stays at
-    // an unreachable agent, which may be the owner, until it answers.
+    // an unreachable agent, which may be the owner, until it answers. Services
+    // of the current route come before those of past ones, because the first
+    // agent is the home of the flow's pointer: it must be the same in balancers
+    // that started before and after a change of the route.
     const uint64_t rank =
         (detail::Contains(flow.likely_owners, id) ? 1ULL << 63U : 0) |
         (m_members->IsReachable(now, entry) ? 1ULL << 62U : 0) |
-        (entry.member.state != AgentState::kGone ? 1ULL << 61U : 0) |
-        (MixHash(hash, id.value) >> 3U);
+        (services.IsCurrent(entry.member.service) ? 1ULL << 61U : 0) |
+        (services.IsKnown(entry.member.service) ? 1ULL << 60U : 0) |
+        (entry.member.state != AgentState::kGone ? 1ULL << 59U : 0) |
+        (MixHash(hash, id.value) >> 5U);
     if (!best.has_value() || rank > best_rank) {
       best = id;
       best_rank = rank;
@@ -242,6 +243,45 @@
   return best;
 }
 
+void FlowDirector::OnFlowConfirmed(TimePoint now,
+                                   MemberId from,
+                                   const FlowKey& key,
+                                   bool proven) {
+  const auto found = m_flows.find(key);
+  if (found == m_flows.end()) {
+    return;
+  }
+  Flow& flow = found->second;
+  if (flow.phase == Phase::kOpening) {
+    m_opening_queues[flow.service].OnAccepted(now, key);
+    flow.is_queued = false;
+  }
+  m_counters.double_openings +=
+      flow.phase == Phase::kOwnerKnown && !proven && flow.agent != from ? 1 : 0;
+  detail::AddOnce(&flow.likely_owners, from);
+  // A server retransmits its SYN-ACK even if the caller has accepted the one of
+  // another server, so an unproven confirmation is ignored during a search.
+  const bool is_conclusive = proven || flow.phase == Phase::kOpening;
+  const bool corrects_owner = proven && !flow.owner_proven;
+  if (is_conclusive && (flow.phase != Phase::kOwnerKnown || corrects_owner)) {
+    flow.agent = from;
+    flow.phase = Phase::kOwnerKnown;
+    flow.tried.clear();
+    flow.unresponsive.clear();
+    flow.syn = std::string();
+    flow.owner_since = now;
+    const MemberEntry* owner = m_members->Find(from);
+    flow.owner_incarnation = owner == nullptr ? 0 : owner->member.incarnation;
+    // A search, or a route that has changed since, may have named another one,
+    // which the owner would refuse.
+    flow.service = owner == nullptr ? flow.service : owner->member.service;
+    flow.owner_proven = proven;
+    flow.used_since = TimePoint();
+    flow.expires = now + IdleTimeout();
+    m_search_packets.Erase(key);
+  }
+}
+
 void FlowDirector::QueuePointer(TimePoint now, const FlowKey& key, Flow* flow) {
   flow->pointer_handled = true;
   // The home is the agent that a balancer without this entry asks first.
--- a/src/forwarding/owner_queries.cc
+++ b/src/forwarding/owner_queries.cc
@@ -17,38 +17,31 @@
 
 }  // namespace
 
-void OwnerQueries::Add(const FlowKey& flow,
-                       const std::vector<ServiceId>& services) {
-  m_waiting[services].push_back(flow);
-}
-
 std::vector<OwnerQuery> OwnerQueries::Start(
     TimePoint now,
-    const std::function<MemberSet(const std::vector<ServiceId>&)>& agents_of) {
+    const std::function<MemberSet()>& agents) {
   if (m_waiting.empty() || now < m_next_start) {
     return {};
   }
   m_next_start = now + kCollectionTime;
+  const std::vector<FlowKey> flows = std::exchange(m_waiting, {});
+  const MemberSet receivers = agents();
   std::vector<OwnerQuery> queries;
-  for (const auto& [services, flows] : m_waiting) {
-    const MemberSet agents = agents_of(services);
-    for (size_t begin = 0; begin < flows.size(); begin += kMaxFlows) {
-      const size_t end = std::min(begin + kMaxFlows, flows.size());
-      OwnerQuery query;
-      query.id = ++m_last_id;
-      query.agents = agents;
-      Running& running = m_running[query.id];
-      running.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(begin),
-                           flows.begin() + static_cast<std::ptrdiff_t>(end));
-      running.unanswered = agents;
-      running.sent_at = now;
-      running.deadline = now + kAnswerTimeout;
-      std::transform(running.flows.begin(), running.flows.end(),
-                     std::back_inserter(query.flow_hashes), &HashFlow);
-      queries.push_back(std::move(query));
-    }
+  for (size_t begin = 0; begin < flows.size(); begin += kMaxFlows) {
+    const size_t end = std::min(begin + kMaxFlows, flows.size());
+    OwnerQuery query;
+    query.id = ++m_last_id;
+    query.agents = receivers;
+    Running& running = m_running[query.id];
+    running.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(begin),
+                         flows.begin() + static_cast<std::ptrdiff_t>(end));
+    running.unanswered = receivers;
+    running.sent_at = now;
+    running.deadline = now + kAnswerTimeout;
+    std::transform(running.flows.begin(), running.flows.end(),
+                   std::back_inserter(query.flow_hashes), &HashFlow);
+    queries.push_back(std::move(query));
   }
-  m_waiting.clear();
   return queries;
 }
 
--- a/src/forwarding/owner_queries.h
+++ b/src/forwarding/owner_queries.h
@@ -43,16 +43,13 @@
 class OwnerQueries {
  public:
   /// Adds a flow to the next query.
-  /// @param services in which its owner may be
-  void Add(const FlowKey& flow, const std::vector<ServiceId>& services);
+  void Add(const FlowKey& flow) { m_waiting.push_back(flow); }
 
   /// Starts queries for the flows that wait, unless the last ones were started
   /// a moment ago.
-  /// @param agents_of returns the agents of some services that may answer, in
-  ///     ascending order
-  std::vector<OwnerQuery> Start(
-      TimePoint now,
-      const std::function<MemberSet(const std::vector<ServiceId>&)>& agents_of);
+  /// @param agents returns the agents that may answer, in ascending order
+  std::vector<OwnerQuery> Start(TimePoint now,
+                                const std::function<MemberSet()>& agents);
 
   /// Handles an answer. Ignores those that are late, repeated or not asked for.
   /// @param knows_all whether the agent knows each flow that its server holds;
@@ -84,7 +81,7 @@
 
   static std::vector<QueriedFlow> End(Running* running);
 
-  std::map<std::vector<ServiceId>, std::vector<FlowKey>> m_waiting;
+  std::vector<FlowKey> m_waiting;         ///< For the next query.
   std::map<uint64_t, Running> m_running;  ///< By id.
   uint64_t m_last_id = 0;                 ///< Of the last query.
   TimePoint m_next_start;                 ///< Earliest start of more queries.
