Feature: The emulator has uneven servers, a tail of work, bursts and resets

Each request draws its work when it arrives, so that every policy serves the same work; failures and refusals draw from a generator of their own. Servers have speeds. New faults: servers that reset each request, and servers that refuse at random while slots are free. Arrival rates may follow a sine. Results keep the response times and the time until a caller knew that an attempt was refused, for percentiles.

--- a/lab/lab_callers.cc
+++ b/lab/lab_callers.cc
@@ -7,10 +7,32 @@
 
 namespace medlargauge::lab::detail {
 
+double Simulation::ArrivalFactor() const {
+  constexpr double kFullTurn = 6.283185307179586;
+  const double periods =
+      std::chrono::duration<double>(Now() - m_load_start).count() /
+      std::chrono::duration<double>(m_scenario.load_period).count();
+  return m_arrival_factor *
+         (1 + m_scenario.load_amplitude * std::sin(kFullTurn * periods));
+}
+
+Duration Simulation::DrawWork(const ClassModel& model) {
+  const double sigma = std::sqrt(
+      std::log1p(model.work_time_variation * model.work_time_variation));
+  double factor =
+      std::lognormal_distribution<>(-sigma * sigma / 2, sigma)(m_work_random);
+  if (model.tail_share > 0 &&
+      std::bernoulli_distribution(model.tail_share)(m_work_random)) {
+    factor *= model.tail_factor;
+  }
+  return Duration(static_cast<int64_t>(
+      static_cast<double>(model.mean_work_time.count()) * factor));
+}
+
 void Simulation::ScheduleArrival(size_t class_index) {
   const ClassModel& model = m_scenario.classes[class_index];
   const double mean_interval_s =
-      1.0 / (model.arrivals_per_second * m_arrival_factor);
+      1.0 / (model.arrivals_per_second * ArrivalFactor());
   const double wait_s =
       std::exponential_distribution<>(1.0 / mean_interval_s)(m_arrival_random);
   m_queue.After(Duration(static_cast<int64_t>(wait_s * 1e9)),
@@ -29,6 +51,9 @@
   request.class_index = class_index;
   request.domain = m_arrival_random(m_scenario.domains);
   request.arrived_at = Now();
+  request.work = DrawWork(model);
+  m_result.arrivals.push_back(
+      {Now() - m_load_start, class_index, request.work});
   ClassResult& result = m_result.classes[model.name];
   ++result.asked;
   result.possible_worth += model.worth;
@@ -36,13 +61,19 @@
   ++window.asked;
   window.possible_worth += model.worth;
   StartAttempt(request_id);
-  m_queue.After(model.caller_timeout,
-                [this, request_id] { EndRequest(request_id, false); });
+  m_queue.After(model.caller_timeout, [this, request_id] {
+    const SimRequest& unanswered = m_requests[request_id];
+    if (!unanswered.has_ended) {
+      RecordRefusal(unanswered);
+      EndRequest(request_id, false);
+    }
+  });
 }
 
 void Simulation::StartAttempt(uint64_t request_id) {
   SimRequest& request = m_requests[request_id];
   ++request.attempts;
+  request.attempted_at = Now();
   std::deque<uint64_t>& idle = m_idle_flows[request.class_index];
   while (!idle.empty()) {
     const uint64_t flow_id = idle.front();
@@ -185,6 +216,9 @@
   if (request.has_ended) {
     return;
   }
+  if (!may_have_run) {
+    RecordRefusal(request);
+  }
   const bool can_retry =
       request.attempts < kMaxAttempts && (model.repeatable || !may_have_run);
   if (!can_retry) {
@@ -198,6 +232,13 @@
   });
 }
 
+void Simulation::RecordRefusal(const SimRequest& request) {
+  m_result.classes[m_scenario.classes[request.class_index].name]
+      .refusal_ms.push_back(
+          std::chrono::duration<float, std::milli>(Now() - request.attempted_at)
+              .count());
+}
+
 void Simulation::EndRequest(uint64_t request_id, bool answered) {
   SimRequest& request = m_requests[request_id];
   if (request.has_ended) {
@@ -205,8 +246,12 @@
   }
   request.has_ended = true;
   const ClassModel& model = m_scenario.classes[request.class_index];
-  m_result.total_response_time +=
-      answered ? Now() - request.arrived_at : Duration();
+  if (answered) {
+    const Duration elapsed = Now() - request.arrived_at;
+    m_result.total_response_time += elapsed;
+    m_result.classes[model.name].response_ms.push_back(
+        std::chrono::duration<float, std::milli>(elapsed).count());
+  }
   const bool in_aim =
       answered && Now() - request.arrived_at <= model.response_goal;
   const double earned_worth = in_aim     ? model.worth
--- a/lab/lab_faults.cc
+++ b/lab/lab_faults.cc
@@ -140,6 +140,20 @@
                       [agent] { agent->server.failure_probability = 0; });
       }
       break;
+    case FaultType::kResettingServers:
+      for (SimAgent* agent : ChooseAgents(fault)) {
+        agent->server.resets_requests = true;
+        m_queue.After(fault.duration,
+                      [agent] { agent->server.resets_requests = false; });
+      }
+      break;
+    case FaultType::kRefusingServers:
+      for (SimAgent* agent : ChooseAgents(fault)) {
+        agent->server.refusal_probability = fault.factor;
+        m_queue.After(fault.duration,
+                      [agent] { agent->server.refusal_probability = 0; });
+      }
+      break;
     case FaultType::kSlowServers:
       for (SimAgent* agent : ChooseAgents(fault)) {
         agent->server.work_time_factor = fault.factor;
--- a/lab/lab_scenarios.cc
+++ b/lab/lab_scenarios.cc
@@ -1,6 +1,8 @@
 // @file lab_scenarios.cc Built-in scenarios and policies.
 #include "lab/lab_scenarios.h"
 
+#include "lab/lab_hard_load.h"
+
 namespace medlargauge::lab {
 namespace {
 
@@ -147,6 +149,9 @@
       MakeFault(12, FaultType::kStopAgents, 2, Milliseconds(500)),
       MakeFault(15, FaultType::kPowerOff, 0, Milliseconds(800))};
   scenarios.push_back(scenario);
+  for (Scenario& hard : MakeHardLoadScenarios()) {
+    scenarios.push_back(std::move(hard));
+  }
   return scenarios;
 }
 
--- a/lab/lab_simulation.cc
+++ b/lab/lab_simulation.cc
@@ -2,6 +2,8 @@
 #include "lab/lab_simulation.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 #include "lab/lab_engine.h"
 #include "src/core/hash.h"
@@ -26,6 +28,7 @@
       agent->server.service_index = service_index;
       agent->server.id = "server-" + std::to_string(host_number);
       agent->server.address = {agent->ip, kServerPort};
+      agent->server.speed = m_scenario.services[service_index].SpeedOf(i);
       agent->server.started_at = Now() - Seconds(60);
       m_agents.push_back(std::move(agent));
     }
@@ -130,19 +133,54 @@
 
 }  // namespace detail
 
+void ClassResult::Add(const ClassResult& other) {
+  asked += other.asked;
+  in_aim += other.in_aim;
+  late += other.late;
+  failed += other.failed;
+  possible_worth += other.possible_worth;
+  earned_worth += other.earned_worth;
+  response_ms.insert(response_ms.end(), other.response_ms.begin(),
+                     other.response_ms.end());
+  refusal_ms.insert(refusal_ms.end(), other.refusal_ms.begin(),
+                    other.refusal_ms.end());
+}
+
 ClassResult Result::Total() const {
   ClassResult total;
   for (const auto& [name, result] : classes) {
-    total.asked += result.asked;
-    total.in_aim += result.in_aim;
-    total.late += result.late;
-    total.failed += result.failed;
-    total.possible_worth += result.possible_worth;
-    total.earned_worth += result.earned_worth;
+    total.Add(result);
   }
   return total;
 }
 
+std::map<uint32_t, ClassResult> Result::ByPriority(
+    const Scenario& scenario) const {
+  std::map<uint32_t, ClassResult> priorities;
+  for (const ClassModel& model : scenario.classes) {
+    priorities[model.priority].Add(classes.at(model.name));
+  }
+  return priorities;
+}
+
+double Mean(const std::vector<float>& values) {
+  return values.empty() ? 0
+                        : std::accumulate(values.begin(), values.end(), 0.0) /
+                              static_cast<double>(values.size());
+}
+
+double Percentile(std::vector<float> values, double share) {
+  if (values.empty()) {
+    return 0;
+  }
+  const auto rank = static_cast<size_t>(
+      std::ceil(share * static_cast<double>(values.size())));
+  const auto at = values.begin() +
+                  static_cast<std::ptrdiff_t>(std::max<size_t>(rank, 1) - 1);
+  std::nth_element(values.begin(), at, values.end());
+  return *at;
+}
+
 double Result::Worth() const {
   const ClassResult total = Total();
   return total.earned_worth / total.possible_worth;
--- a/lab/lab_state.h
+++ b/lab/lab_state.h
@@ -40,6 +40,8 @@
   size_t class_index = 0;   ///< Index of its class.
   uint32_t domain = 0;      ///< Failure domain of the caller.
   TimePoint arrived_at;     ///< Start of the first attempt.
+  TimePoint attempted_at;   ///< Start of the latest attempt.
+  Duration work{};          ///< Time in a slot at speed 1.
   uint32_t attempts = 0;    ///< Attempts so far.
   bool has_ended = false;   ///< Was answered or has failed.
   uint32_t executions = 0;  ///< How often a server began to work on it.
@@ -58,6 +60,9 @@
   uint64_t generation = 0;      ///< Number of restarts.
   uint64_t heartbeat_sequence = 0;  ///< Number of the last heartbeat.
   double failure_probability = 0;   ///< Probability that a request fails.
+  double refusal_probability = 0;   ///< Probability that one is refused.
+  bool resets_requests = false;     ///< Resets each flow with a request.
+  double speed = 1;                 ///< Work times are divided by it.
   double work_time_factor = 1;      ///< Factor on the work times.
   uint32_t busy_slots = 0;          ///< Requests being worked on.
   uint32_t accepted_flows = 1;      ///< Varies initial sequence numbers.
