Fix: The emulator's agents sent their statuses all at once and too often

Cause: every agent reported to all balancers every 300 ms, at the same instant. All balancers therefore saw the same idle server until the next instant, and reports of 300 agents were as fresh as those of 10. Change: an agent sends to one balancer after the other, each at the interval that StatusInterval gives for the size of the fleet (2.4 s at 300 agents and 90 balancers).

--- a/lab/lab_servers.cc
+++ b/lab/lab_servers.cc
@@ -4,6 +4,7 @@
 
 #include "lab/lab_engine.h"
 #include "src/core/hash.h"
+#include "src/forwarding/status_schedule.h"
 
 namespace medlargauge::lab::detail {
 
@@ -38,6 +39,17 @@
   });
 }
 
+void Simulation::ScheduleStatus(SimAgent* agent, size_t balancer_index) {
+  const Duration interval = StatusInterval(
+      MemberRole::kAgent, m_agents.size() + m_balancers.size() - 1);
+  m_queue.After(interval / static_cast<int64_t>(m_balancers.size()),
+                [this, agent, balancer_index] {
+                  SendStatusTo(agent, m_balancers[balancer_index].get());
+                  ScheduleStatus(agent,
+                                 (balancer_index + 1) % m_balancers.size());
+                });
+}
+
 void Simulation::SendHeartbeat(SimAgent* agent) {
   SimServer& server = agent->server;
   if (!server.running || server.unresponsive || agent->forwarder == nullptr) {
--- a/lab/lab_simulation.cc
+++ b/lab/lab_simulation.cc
@@ -44,11 +44,9 @@
       SendHeartbeat(agent.get());
     }
   });
-  RunEvery(kStatusInterval, [this] {
-    for (auto& agent : m_agents) {
-      SendStatus(agent.get());
-    }
-  });
+  for (auto& agent : m_agents) {
+    ScheduleStatus(agent.get(), agent->ip % m_balancers.size());
+  }
   RunEvery(kReadinessInterval, [this] { CheckReadiness(); });
   RunEvery(Milliseconds(50), [this] {
     for (auto& agent : m_agents) {
