Feature: No new flows go to evacuated failure domains

Three balancers read and watch op/ instead of op/config, with as many calls as before. Statuses carry the list with its era and revision. A balancer that learns of a change from the store broadcasts it at once and four more times within 3 s; a process that learns of it from another one tells 8 more. Balancers place no flow in such a domain, and its agents return new ones, also those that were delivered and not accepted. An agent that has just started returns new flows until it knows a list, at most 5 s. Where all servers of a service are evacuated, new and waiting flows are reset at once.

Old processes read the new reason of a returned packet as draining.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -114,12 +114,22 @@
   const bool is_retransmission =
       found != m_flows.end() && found->second.stage != Stage::kUnverified &&
       found->second.opening_sequence == packet.sequence;
+  if (m_domain_admission == DomainAdmission::kEvacuated) {
+    // A server that has not answered may have lost the packet, so that a copy
+    // would open the flow there.
+    const bool is_accepted =
+        is_retransmission && found->second.stage != Stage::kOpening;
+    if (!is_accepted) {
+      return Return(balancer_ip, ReturnReason::kEvacuated);
+    }
+  }
   if (!is_retransmission) {
     if (m_leaving || (m_report.has_value() && m_report->draining)) {
       return Return(balancer_ip, ReturnReason::kDraining);
     }
     // A server that has sent no heartbeat to this process may be draining.
-    if (!m_report.has_value() || IsServerUnresponsive(now)) {
+    if (!m_report.has_value() || IsServerUnresponsive(now) ||
+        IsAdmissionUnknown(now)) {
       return Return(balancer_ip, ReturnReason::kServerDown);
     }
     const ServerLoad load = Load(now);
@@ -402,7 +412,8 @@
   if (m_down) {
     return AgentState::kGone;
   }
-  if (!m_report.has_value() || IsServerUnresponsive(now)) {
+  if (!m_report.has_value() || IsServerUnresponsive(now) ||
+      IsAdmissionUnknown(now)) {
     return AgentState::kJoining;
   }
   return m_report->draining ? AgentState::kDraining : AgentState::kReady;
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/core/error_type.h"
+#include "src/forwarding/evacuation/evacuations.h"
 #include "src/forwarding/forwarding_type.h"
 #include "src/forwarding/held_flows.h"
 #include "src/forwarding/latency_histogram.h"
@@ -146,6 +147,14 @@
   /// @return flows whose callers must get a reset
   std::vector<FlowReset> OnServerDown(TimePoint now);
 
+  /// Sets whether the failure domain of this agent may get new flows; it may
+  /// unless this is called.
+  /// @param unknown_until with kUnknown: new flows are returned until then
+  void SetDomainAdmission(DomainAdmission admission, TimePoint unknown_until) {
+    m_domain_admission = admission;
+    m_unknown_until = unknown_until;
+  }
+
   /// Returns new flows to the balancer from now on, as this agent is stopping.
   void StartLeaving() { m_leaving = true; }
 
@@ -244,6 +253,11 @@
   double FailureRate(TimePoint now) const;
   /// Expects the server to send something soon.
   void AwaitServer(TimePoint now);
+  /// Returns whether it is unknown if new flows may be accepted here.
+  bool IsAdmissionUnknown(TimePoint now) const {
+    return m_domain_admission == DomainAdmission::kUnknown &&
+           now < m_unknown_until;
+  }
   /// Returns whether the server has left a packet unanswered for too long.
   bool IsServerUnresponsive(TimePoint now) const;
   /// Returns a decision to return the packet, and counts it by reason.
@@ -264,7 +278,10 @@
   TimePoint m_down_at;               ///< When OnServerDown found that.
   /// A server has deregistered; a probe has yet to show that it stopped.
   bool m_departure_unconfirmed = false;
-  bool m_leaving = false;       ///< This agent is stopping.
+  bool m_leaving = false;  ///< This agent is stopping.
+  /// See SetDomainAdmission.
+  DomainAdmission m_domain_admission = DomainAdmission::kOpen;
+  TimePoint m_unknown_until;    ///< See SetDomainAdmission.
   uint32_t m_active = 0;        ///< Number of active flows.
   uint32_t m_pending = 0;       ///< Of these: a request has arrived.
   double m_failure_rate = 0;    ///< Failure rate at m_failure_rate_at.
--- a/src/forwarding/director_fixture.h
+++ b/src/forwarding/director_fixture.h
@@ -2,6 +2,7 @@
 #ifndef MEDLARGAUGE_FORWARDING_DIRECTOR_FIXTURE_H_
 #define MEDLARGAUGE_FORWARDING_DIRECTOR_FIXTURE_H_
 
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -63,6 +64,7 @@
   std::string raw = "packet";
   uint32_t sequence = 0;
   uint64_t incarnation = 1;  ///< Incarnation in the statuses of agents.
+  std::map<uint64_t, DomainId> domains;  ///< Of agents; 1 where none is set.
 
   DirectorFixture() {
     routes.Adopt(MakeRouteTable(1, {MakeRoute(kRoute, "stock")}));
@@ -85,7 +87,8 @@
     member.ip = static_cast<uint32_t>(id);
     member.incarnation = incarnation;
     member.service = ServiceIdOf(service);
-    member.domain = DomainId{1};
+    const auto domain = domains.find(id);
+    member.domain = domain == domains.end() ? DomainId{1} : domain->second;
     member.state = state;
     member.load.active = active;
     member.load.slots = 5;
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -136,6 +136,17 @@
   return Forward(route, *flow);
 }
 
+bool FlowDirector::AcceptsFlows(TimePoint now,
+                                ServiceId service,
+                                const MemberEntry& entry) const {
+  const FleetMember& member = entry.member;
+  return member.role == MemberRole::kAgent && member.service == service &&
+         !entry.leaving &&
+         (member.state == AgentState::kReady ||
+          member.state == AgentState::kJoining) &&
+         m_members->IsReachable(now, entry);
+}
+
 std::vector<PlacementCandidate> FlowDirector::Candidates(
     TimePoint now,
     ServiceId service,
@@ -143,11 +154,7 @@
   std::vector<PlacementCandidate> candidates;
   for (const auto& [id, entry] : m_members->Entries()) {
     const FleetMember& member = entry.member;
-    const bool accepts_flows = member.role == MemberRole::kAgent &&
-                               member.service == service && !entry.leaving &&
-                               (member.state == AgentState::kReady ||
-                                member.state == AgentState::kJoining);
-    if (!accepts_flows || !m_members->IsReachable(now, entry) ||
+    if (!AcceptsFlows(now, service, entry) || IsEvacuated(member.domain) ||
         detail::Contains(excluded, id)) {
       continue;
     }
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -7,6 +7,7 @@
 #ifndef MEDLARGAUGE_FORWARDING_FLOW_DIRECTOR_H_
 #define MEDLARGAUGE_FORWARDING_FLOW_DIRECTOR_H_
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -16,6 +17,7 @@
 
 #include "src/core/error_type.h"
 #include "src/forwarding/active_routes.h"
+#include "src/forwarding/evacuation/evacuations.h"
 #include "src/forwarding/held_packets.h"
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/opening_queue.h"
@@ -200,6 +202,11 @@
     m_target_outlook = outlook;
   }
 
+  /// Sets the failure domains that get no new flows; open flows stay there.
+  void SetEvacuatedDomains(DomainSet domains) {
+    m_evacuated_domains = std::move(domains);
+  }
+
   /// Returns and clears the queued pointers. Short-lived flows get none.
   std::vector<OwnerPointer> TakePointers();
 
@@ -369,6 +376,19 @@
                              Flow* flow);
   /// Returns whether an agent of the service waits for its server.
   bool HasJoiningAgent(TimePoint now, ServiceId service) const;
+  /// Returns whether a failure domain gets no new flows.
+  bool IsEvacuated(DomainId domain) const {
+    return std::binary_search(m_evacuated_domains.begin(),
+                              m_evacuated_domains.end(), domain);
+  }
+  /// Returns whether a member could get new flows of the service if its failure
+  /// domain were not evacuated.
+  bool AcceptsFlows(TimePoint now,
+                    ServiceId service,
+                    const MemberEntry& entry) const;
+  /// Returns whether all servers of the service that could get new flows are in
+  /// evacuated domains.
+  bool IsServiceEvacuated(TimePoint now, ServiceId service) const;
   /// Returns when to give up a new flow that waits for a server. The caller
   /// keeps time for another try. @param arrived arrival of its opening packet
   TimePoint OpeningDeadline(TimePoint arrived,
@@ -432,6 +452,7 @@
   /// Deadlines of opening flows, earliest first.
   std::deque<std::pair<TimePoint, FlowKey>> m_opening_deadlines;
   std::map<ServiceId, OpeningQueue> m_opening_queues;  ///< By service.
+  DomainSet m_evacuated_domains;   ///< See SetEvacuatedDomains.
   HeldPackets m_unrouted_packets;  ///< Received before the first targets.
   TargetOutlook m_target_outlook;  ///< See SetTargetOutlook.
   HeldPackets m_search_packets;    ///< Of flows in phase kSearching.
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -108,16 +108,19 @@
                                          const FlowKey& key,
                                          Flow* flow) {
   const bool found_agents = std::exchange(flow->found_full, false);
-  const ErrorKind error =
-      found_agents ? ErrorKind::kOverloaded : ErrorKind::kNoAgent;
+  const bool is_evacuated = IsServiceEvacuated(now, flow->service);
+  const ErrorKind error = is_evacuated   ? ErrorKind::kEvacuated
+                          : found_agents ? ErrorKind::kOverloaded
+                                         : ErrorKind::kNoAgent;
   OpeningQueue& queue = m_opening_queues[flow->service];
   if (flow->is_queued) {
     queue.PutBack(now, key);
   } else {
     // Where no agent serves the service, waiting is of use only as long as some
     // may be unknown, or wait for the first heartbeat of their server.
-    const bool may_wait = found_agents || !IsDiscoveryComplete(now) ||
-                          HasJoiningAgent(now, flow->service);
+    const bool may_wait =
+        !is_evacuated && (found_agents || !IsDiscoveryComplete(now) ||
+                          HasJoiningAgent(now, flow->service));
     if (!may_wait ||
         !queue.Add(now, key, route.priority, flow->wait_deadline)) {
       return Reject(DirectorDecision::Kind::kReset, error);
@@ -140,11 +143,29 @@
                        return member.role == MemberRole::kAgent &&
                               member.service == service &&
                               member.state == AgentState::kJoining &&
+                              !IsEvacuated(member.domain) &&
                               !item.second.leaving &&
                               m_members->IsReachable(now, item.second);
                      });
 }
 
+bool FlowDirector::IsServiceEvacuated(TimePoint now, ServiceId service) const {
+  if (m_evacuated_domains.empty() || !IsDiscoveryComplete(now)) {
+    return false;
+  }
+  bool has_evacuated = false;
+  for (const auto& [id, entry] : m_members->Entries()) {
+    if (!AcceptsFlows(now, service, entry)) {
+      continue;
+    }
+    if (!IsEvacuated(entry.member.domain)) {
+      return false;
+    }
+    has_evacuated = true;
+  }
+  return has_evacuated;
+}
+
 std::vector<DeferredDecision> FlowDirector::OnTick(TimePoint now) {
   std::vector<DeferredDecision> decisions;
   RouteHeldPackets(now, &decisions);
@@ -225,15 +246,20 @@
     TimePoint now,
     std::vector<DeferredDecision>* decisions) {
   for (auto& [service, queue] : m_opening_queues) {
-    for (const FlowKey& key : queue.TakeExpired(now)) {
+    // Waiting is of no use where no server may take the flows.
+    const bool is_evacuated =
+        queue.Count() > 0 && IsServiceEvacuated(now, service);
+    const TimePoint deadline = is_evacuated ? TimePoint::max() : now;
+    for (const FlowKey& key : queue.TakeExpired(deadline)) {
       const auto found = m_flows.find(key);
       if (found == m_flows.end()) {
         continue;
       }
-      decisions->push_back(
-          {MakeSyn(key, found->second.syn_sequence),
-           {},
-           Reject(DirectorDecision::Kind::kReset, ErrorKind::kOverloaded)});
+      decisions->push_back({MakeSyn(key, found->second.syn_sequence),
+                            {},
+                            Reject(DirectorDecision::Kind::kReset,
+                                   is_evacuated ? ErrorKind::kEvacuated
+                                                : ErrorKind::kOverloaded)});
       RemoveFlow(key);
     }
   }
--- a/src/forwarding/forwarding_type.h
+++ b/src/forwarding/forwarding_type.h
@@ -127,6 +127,7 @@
   kWrongService,  ///< The host serves another service.
   kServerDown,    ///< No backend server is running.
   kMoved,         ///< Another agent owns the flow.
+  kEvacuated,     ///< The failure domain of the server gets no new flows.
 };
 
 /// Instructions that a balancer sends to the agent with each packet.
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -69,7 +69,10 @@
            [this](TimePoint now, SocketAddress4 from, const PeerFrame& frame) {
              OnPeerFrame(now, from, frame);
            },
-           [this](TimePoint, Stats* stats) { FillStats(stats); }}),
+           [this](TimePoint, Stats* stats) { FillStats(stats); },
+           [this](const Evacuations& evacuations) {
+             OnEvacuations(evacuations);
+           }}),
       m_report_server(loop,
                       [this](const HttpRequest& request) {
                         return HandleServerReport(request);
@@ -78,6 +81,12 @@
         return HandleReadinessCheck(request);
       }) {}
 
+void AgentRuntime::OnEvacuations(const Evacuations& evacuations) {
+  m_forwarder.SetDomainAdmission(
+      evacuations.AdmissionOf(DomainIdOf(m_settings.failure_domain)),
+      m_unknown_until);
+}
+
 AgentRuntime::~AgentRuntime() {
   if (m_probe_fd >= 0) {
     close(m_probe_fd);
@@ -85,6 +94,8 @@
 }
 
 bool AgentRuntime::Start(Error* reason) {
+  m_unknown_until = SteadyTime() + kUnknownEvacuationTime;
+  OnEvacuations(m_fleet_node.EvacuatedDomains());
   const bool bound =
       m_outbound_socket.Bind(*ParseAddress4(m_settings.outbound_address),
                              reason) &&
@@ -236,6 +247,11 @@
         .With("active", m_forwarder.ActiveRequests())
         .With("service_us", m_forwarder.Load(now).service_us);
   }
+  if (decision.reason == ReturnReason::kEvacuated) {
+    // Before the packet, so that the balancer tries no other agent of the
+    // domain with it.
+    m_fleet_node.SendEvacuations(now, decision.balancer_ip);
+  }
   m_platform->tag_packet(datagram, 0);
   m_fleet_node.Send(
       decision.balancer_ip,
@@ -363,6 +379,8 @@
   stats->Set(Stat::packets_returned, returned);
   stats->Set(Stat::packets_bounced,
              counters.returned[static_cast<size_t>(ReturnReason::kBounced)]);
+  stats->Set(Stat::returned_evacuated,
+             counters.returned[static_cast<size_t>(ReturnReason::kEvacuated)]);
   stats->Set(Stat::requests_active, m_forwarder.ActiveRequests());
   stats->Set(Stat::requests_answered, counters.answers);
   stats->Set(Stat::requests_failed, counters.failed);
--- a/src/runtime/agent_runtime.h
+++ b/src/runtime/agent_runtime.h
@@ -55,6 +55,8 @@
                         const ForwarderDecision& decision,
                         const FlowPacket& packet,
                         ByteSpan datagram);
+  /// Passes to the forwarder whether the own failure domain is evacuated.
+  void OnEvacuations(const Evacuations& evacuations);
   void Tick();
   /// Runs the check by TCP connection whether anything listens at the address
   /// of the backend server.
@@ -86,8 +88,11 @@
   FlowLog m_flow_log;               ///< Limits log lines about flows.
   /// State in the last status.
   AgentState m_announced_state = AgentState::kJoining;
-  int m_probe_fd = -1;        ///< Socket of the current probe; -1 if none.
-  TimePoint m_next_probe;     ///< Earliest time of the next probe.
+  int m_probe_fd = -1;     ///< Socket of the current probe; -1 if none.
+  TimePoint m_next_probe;  ///< Earliest time of the next probe.
+  /// End of the time in which new flows are refused because no process has
+  /// told whether the own failure domain is evacuated.
+  TimePoint m_unknown_until;
   bool m_stopping = false;    ///< A planned stop has begun.
   TimePoint m_stop_deadline;  ///< Stops then even if requests are active.
   TimePoint m_stop_earliest;  ///< Balancers know of the stop by then.
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -51,7 +51,10 @@
            [this](TimePoint now, SocketAddress4 from, const PeerFrame& frame) {
              OnPeerFrame(now, from, frame);
            },
-           [this](TimePoint, Stats* stats) { FillStats(stats); }}),
+           [this](TimePoint, Stats* stats) { FillStats(stats); },
+           [this](const Evacuations& evacuations) {
+             m_director.SetEvacuatedDomains(evacuations.InForce());
+           }}),
       m_director(SteadyTime(),
                  DomainIdOf(settings.failure_domain),
                  &m_fleet_node.Members(),
@@ -289,6 +292,7 @@
   stats->Set(Stat::packets_held, counters.held);
   stats->Set(Stat::packets_waiting, m_director.HeldCount());
   stats->Set(Stat::resets_overload, rejected(ErrorKind::kOverloaded));
+  stats->Set(Stat::resets_evacuated, rejected(ErrorKind::kEvacuated));
   stats->Set(Stat::resets_no_agent, rejected(ErrorKind::kNoAgent));
   stats->Set(Stat::resets_no_targets, counters.target_resets);
   stats->Set(Stat::resets_unknown, rejected(ErrorKind::kFlowUnknown));
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -153,6 +153,7 @@
     }
   }
   OnPeerEra(now, status);
+  OnPeerEvacuations(now, *sender, status);
   if (status.not_registered()) {
     m_discovery.OnNotRegistered(now);
   }
@@ -211,6 +212,7 @@
   status.set_agents_heard(m_self.role == MemberRole::kBalancer
                               ? m_members.CountLiveAgents(now)
                               : m_members.LargestReportedAgents(now));
+  EncodeEvacuations(status.mutable_evacuations());
   status.set_store_era(m_era.Era());
   const std::optional<Duration> era_age = m_era.Age(now);
   if (era_age.has_value()) {
@@ -294,6 +296,7 @@
     m_target_reader.OnSuspended();
   }
   m_last_suspended_time = suspended_time;
+  TickEvacuations(now);
   DeregisterForgottenMembers(now, m_members.OnTick(now));
   SendDueStatuses(now);
   if (!m_unlisted_agents.empty()) {
@@ -334,6 +337,8 @@
   stats.Set(Stat::targets_served, m_targets_served);
   stats.Set(Stat::store_calls, m_store_calls);
   stats.Set(Stat::store_era, m_era.Era());
+  stats.Set(Stat::evacuated_domains, m_evacuations.InForce().size());
+  stats.Set(Stat::evacuation_revision, m_evacuations.State().version.revision);
   stats.Set(Stat::store_answers_ignored, m_unusable_store_answers);
   stats.Set(Latency::store_call_ms, m_store_latency);
   const TimePoint store_contact = m_target_reader.LastStoreContact(now);
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -4,6 +4,7 @@
 #define MEDLARGAUGE_RUNTIME_FLEET_NODE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "src/forwarding/active_routes.h"
 #include "src/forwarding/byte_budget.h"
 #include "src/forwarding/era_tracker.h"
+#include "src/forwarding/evacuation/evacuations.h"
 #include "src/forwarding/fleet_discovery.h"
 #include "src/forwarding/membership_table.h"
 #include "src/forwarding/status_schedule.h"
@@ -37,6 +39,8 @@
       on_frame;
   /// Sets the metrics that belong to the role.
   std::function<void(TimePoint now, Stats* stats)> fill_stats;
+  /// Handles a change of the evacuated domains; optional.
+  std::function<void(const Evacuations&)> on_evacuations;
 };
 
 /// The part of a process that balancers and agents have in common: it exchanges
@@ -60,6 +64,10 @@
   /// agents.
   void BroadcastStatus();
 
+  /// Sends a status now to a balancer, from which this agent has just refused a
+  /// flow because of an evacuation. At most one per 20 ms is sent.
+  void SendEvacuations(TimePoint now, uint32_t ip);
+
   /// Begins a planned stop: broadcasts a status, which like all later ones says
   /// that this process is leaving.
   void StartLeaving();
@@ -82,6 +90,8 @@
   const ActiveRoutes& Routes() const { return m_routes; }
   /// Returns a writer for datagrams to pass to Send.
   PeerFrameWriter& Writer() { return m_frame_writer; }
+  /// Returns the evacuated failure domains.
+  const Evacuations& EvacuatedDomains() const { return m_evacuations; }
   /// Returns the state of reading targets from the store.
   const TargetReader& Reader() const { return m_target_reader; }
   /// Returns what is known about getting the first targets.
@@ -160,6 +170,26 @@
   /// was restored from an older copy.
   /// @param source who reported the era, for the log
   void StartEra(TimePoint now, std::string_view source);
+  /// Handles what a read or a watch says about evacuations.
+  void OnStoredEvacuations(TimePoint now, const StoredEvacuations& stored);
+  /// Handles what another process says about evacuations, and tells it of newer
+  /// ones.
+  void OnPeerEvacuations(TimePoint now,
+                         const MemberEntry& sender,
+                         const proto::PeerStatus& status);
+  /// Writes the state of evacuations into a status.
+  void EncodeEvacuations(proto::PeerEvacuations* message) const;
+  /// Logs the domains that have begun or ceased to be evacuated, and passes
+  /// them to the role.
+  /// @param source who reported the change, for the log
+  void OnEvacuationsChanged(std::string_view source);
+  /// Runs the timers of evacuations.
+  void TickEvacuations(TimePoint now);
+  /// Sends a status at once to a few members, chosen by hash, so that a change
+  /// also reaches those that the broadcast of a reader does not reach.
+  void RelayStatus(TimePoint now);
+  /// Returns the number of processes in a domain, with this one.
+  size_t CountMembersIn(DomainId domain) const;
   /// Logs when the store becomes unreachable or reachable again.
   void LogStoreTransition(StoreResult result, std::string_view call);
   /// Serves the metrics, and the targets for other members.
@@ -194,7 +224,13 @@
   bool m_leaving = false;          ///< A planned stop has begun.
   /// A call to the store that lists or changes members is in flight.
   bool m_member_call_pending = false;
-  EraTracker m_era;  ///< Era of the store.
+  EraTracker m_era;                    ///< Era of the store.
+  Evacuations m_evacuations;           ///< Evacuated failure domains.
+  DomainSet m_logged_evacuations;      ///< In force at the last log line.
+  TimePoint m_next_evacuation_reply;   ///< When SendEvacuations may send next.
+  ChangeRepeats m_evacuation_repeats;  ///< When to broadcast them again.
+  /// Names of domains from the store, for logs.
+  std::map<DomainId, std::string> m_domain_names;
   /// Answers of the store that CheckEra has refused.
   uint64_t m_unusable_store_answers = 0;
   TimePoint m_next_era_warning;      ///< When CheckEra may next log one.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -139,10 +139,9 @@
   }
   ++m_store_calls;
   const bool watches = action == ReadAction::kWatch;
-  const auto done = [this, watches, now](
-                        const StoreReply& reply,
-                        const std::optional<StoredTargets>& targets,
-                        uint64_t position) {
+  const auto done = [this, watches, now](const StoreReply& reply,
+                                         const OperatorEntries& entries,
+                                         uint64_t position) {
     const TimePoint completed_at = SteadyTime();
     const std::string_view call = watches ? "watch_targets" : "fetch_targets";
     const StoreResult result = CheckEra(reply, call);
@@ -153,8 +152,11 @@
       m_store_latency.Add(completed_at - now);
     }
     LogStoreTransition(result, call);
-    if (result == StoreResult::kOk && targets.has_value()) {
-      ApplyTargets(*targets, "store");
+    if (entries.evacuations.has_value()) {
+      OnStoredEvacuations(completed_at, *entries.evacuations);
+    }
+    if (result == StoreResult::kOk && entries.targets.has_value()) {
+      ApplyTargets(*entries.targets, "store");
     }
     ReadTargets(completed_at);
   };
--- a/src/runtime/fleet_node_targets_test.cc
+++ b/src/runtime/fleet_node_targets_test.cc
@@ -113,8 +113,9 @@
       if (store_revision != 0) {
         loop.After(store_delay, [done, store_revision] {
           done({StoreResult::kOk, {}},
-               StoredTargets{"targets " + std::to_string(store_revision),
-                             {0, store_revision}},
+               {StoredTargets{"targets " + std::to_string(store_revision),
+                              {0, store_revision}},
+                std::nullopt},
                store_revision);
         });
       }
--- a/src/runtime/flow_log.cc
+++ b/src/runtime/flow_log.cc
@@ -43,6 +43,8 @@
       return "server_down";
     case ReturnReason::kMoved:
       return "moved";
+    case ReturnReason::kEvacuated:
+      return "evacuated";
   }
   return "unknown";
 }
--- a/src/runtime/peer_wire.cc
+++ b/src/runtime/peer_wire.cc
@@ -14,6 +14,10 @@
 constexpr uint8_t kLastCandidateFlag = 2;
 constexpr uint8_t kUsePointerFlag = 4;
 
+/// Names kEvacuated in ReturnWireHeader::owner. The reason next to it is
+/// kDraining, as old processes drop returned packets with an unknown reason.
+constexpr uint64_t kEvacuatedMark = 1;
+
 /// Precedes a forwarded packet. In host byte order, because all hosts have the
 /// same architecture.
 struct ForwardWireHeader {
@@ -74,8 +78,10 @@
   ReturnWireHeader wire_header{};
   wire_header.magic = kProtocolMagic;
   wire_header.kind = static_cast<uint8_t>(PeerMessageKind::kReturn);
-  wire_header.reason = static_cast<uint8_t>(reason);
-  wire_header.owner = owner.value;
+  const bool is_evacuated = reason == ReturnReason::kEvacuated;
+  wire_header.reason =
+      static_cast<uint8_t>(is_evacuated ? ReturnReason::kDraining : reason);
+  wire_header.owner = is_evacuated ? kEvacuatedMark : owner.value;
   wire_header.active = load.active;
   wire_header.slots = load.slots;
   wire_header.service_us = load.service_us;
@@ -134,7 +140,12 @@
         return std::nullopt;
       }
       frame.reason = static_cast<ReturnReason>(wire_header.reason);
-      frame.owner.value = wire_header.owner;
+      if (frame.reason == ReturnReason::kDraining &&
+          wire_header.owner == kEvacuatedMark) {
+        frame.reason = ReturnReason::kEvacuated;
+      } else {
+        frame.owner.value = wire_header.owner;
+      }
       proto::PeerLoad load;
       load.set_active(wire_header.active);
       load.set_slots(wire_header.slots);
--- a/src/runtime/platform_hooks.h
+++ b/src/runtime/platform_hooks.h
@@ -35,11 +35,35 @@
   StatedEra era;  ///< What the answer says about the store's era.
 };
 
-/// Receives the result of reading or watching the targets.
-/// @param targets nullopt if the call has failed or found no targets
+/// An entry of the store that evacuates a failure domain, or its removal.
+struct StoredEvacuation {
+  std::string domain;     ///< Name of the failure domain.
+  uint64_t revision = 0;  ///< Revision of the write or of the removal.
+  bool ended = false;     ///< The entry was removed.
+};
+
+/// What a read or a watch says about evacuations.
+struct StoredEvacuations {
+  /// A read: `entries` are all that exist at `version`. A watch: they are
+  /// changes, and only the era of `version` counts.
+  bool is_complete = false;
+  TargetVersion version;
+  std::vector<StoredEvacuation> entries;  ///< A watch: in order.
+};
+
+/// The operators' entries in the store, as a read or a watch has found them.
+struct OperatorEntries {
+  /// nullopt if the call has failed or found no targets.
+  std::optional<StoredTargets> targets;
+  /// nullopt if the call has failed. Present also if only the targets could
+  /// not be read.
+  std::optional<StoredEvacuations> evacuations;
+};
+
+/// Receives the result of reading or watching the operators' entries.
 /// @param position revision of the store from which a watch can continue
 using TargetsCallback = std::function<void(const StoreReply& reply,
-                                           std::optional<StoredTargets> targets,
+                                           const OperatorEntries& entries,
                                            uint64_t position)>;
 /// Receives the addresses of the members of a role in the store.
 using MembersCallback =
@@ -73,10 +97,10 @@
       parse_server_message;
   /// URL path of the readiness check.
   std::string ready_path;
-  /// Reads the targets from the store.
+  /// Reads the targets and the evacuations from the store.
   std::function<void(TargetsCallback done)> fetch_targets;
-  /// Waits until the store has targets newer than `position`, or `wait` has
-  /// passed.
+  /// Waits until the store has targets or evacuations newer than `position`,
+  /// or `wait` has passed.
   std::function<void(uint64_t position, Duration wait, TargetsCallback done)>
       watch_targets;
   /// Lists the members of a role in the store.
