Fix: A server that reset every request got the most new flows

Callers saw: 4 of 43 servers that report that they are healthy and reset each connection attract 1.84 times the mean of arrivals; 1,535 requests fail in 6 s.

Cause: an agent erased a flow that its server reset, and ended the request of one on FIN, without counting a failure. The server therefore looked idle and fast.

Change: ServerHealth counts what a server leaves without an answer: a reset or FIN with a request in progress or expected on a new flow, a reset instead of accepting, a refusal although slots are free. Answered trials raise their number step by step. Not counted is what follows the caller's FIN or RST or the server's own FIN, a planned stop, a flow of a former server, and a flow that the server has not shown to hold since the agent started.

Balancers avoid a restricted server (failing = 1000, which old processes take for a high failure rate) and send it as many trials as each report wants. If all servers of a service are restricted, the forward header asks the agents to accept flows all the same, so that they share the load; a flow that finds no room waits as under overload, until its deadline.

--- a/src/forwarding/active_routes.cc
+++ b/src/forwarding/active_routes.cc
@@ -49,6 +49,18 @@
   return services;
 }
 
+bool ActiveRoutes::HasRepeatableRoute(ServiceId service) const {
+  return std::any_of(m_table.routes.begin(), m_table.routes.end(),
+                     [&](const ServiceRoute& route) {
+                       return route.repeatable &&
+                              std::any_of(route.shares.begin(),
+                                          route.shares.end(),
+                                          [&](const RouteShare& share) {
+                                            return share.service == service;
+                                          });
+                     });
+}
+
 ServiceId ActiveRoutes::SelectService(const ServiceRoute& route,
                                       uint64_t flow_hash) {
   uint64_t total = 0;
--- a/src/forwarding/active_routes.h
+++ b/src/forwarding/active_routes.h
@@ -71,6 +71,9 @@
   /// Returns the services that the address is known to have had.
   RouteServices ServicesOf(SocketAddress4 address) const;
 
+  /// Returns whether requests of a route of the service may be repeated.
+  bool HasRepeatableRoute(ServiceId service) const;
+
   /// Returns the service for a new flow by weighted hash. Thread-safe.
   /// Precondition: `route` has a share.
   static ServiceId SelectService(const ServiceRoute& route, uint64_t flow_hash);
--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -30,6 +30,7 @@
       m_service_id(ServiceIdOf(m_service)),
       m_address(address),
       m_limits(limits),
+      m_health(limits.health),
       m_caller_round_trip(limits.min_reserve, limits.max_reserve),
       m_held_flows(limits.idle, limits.max_flows) {}
 
@@ -132,6 +133,11 @@
         IsAdmissionUnknown(now)) {
       return Return(balancer_ip, ReturnReason::kServerDown);
     }
+    m_repeatable_seen_at = header.repeatable ? now : m_repeatable_seen_at;
+    if (!MayTakeFlow(now, header)) {
+      return Return(balancer_ip, header.last_candidate ? ReturnReason::kFull
+                                                       : ReturnReason::kBusy);
+    }
     const ServerLoad load = Load(now);
     if (!header.last_candidate && load.active >= load.slots) {
       return Return(balancer_ip, ReturnReason::kBusy);
@@ -154,6 +160,10 @@
     flow.caller_next_sequence = packet.sequence + 1;
     flow.started_at = now;
     flow.expires = now + m_limits.opening;
+    flow.is_trial = m_health.IsRestricted();
+    if (flow.is_trial) {
+      m_health.OnTrialStarted();
+    }
     MarkActive(now + m_limits.max_reserve, &flow);
   }
   m_held_flows.OnPacket(now, HashFlow(packet.flow));
@@ -177,9 +187,9 @@
                                        const FlowPacket& packet,
                                        bool counts,
                                        Flow* flow) {
-  const bool is_closing = packet.fin;
+  flow->caller_left = flow->caller_left || packet.fin;
   flow->acknowledged = packet.acknowledged;
-  flow->expires = now + (is_closing ? m_limits.closing : m_limits.idle);
+  flow->expires = now + (packet.fin ? m_limits.closing : m_limits.idle);
   if (packet.data_length == 0) {
     return;
   }
@@ -223,6 +233,9 @@
     return decision;
   }
   Flow& flow = found->second;
+  if (packet.rst || (packet.fin && packet.data_length == 0)) {
+    RecordClose(now, packet, flow.stage != Stage::kUnverified, &flow);
+  }
   UpdateStage(now, packet, &flow);
   decision.proven = flow.stage == Stage::kEstablished;
   decision.confirm =
@@ -242,9 +255,9 @@
   if (packet.data_length > 0) {
     RecordResponse(now, packet.answer, &flow);
   } else if (packet.fin) {
-    // The server drops the request, because its caller has left.
     EndRequest(&flow);
   }
+  flow.server_left = flow.server_left || packet.fin;
   flow.expires = now + (packet.fin ? m_limits.closing : m_limits.idle);
   return decision;
 }
@@ -253,8 +266,9 @@
                                  const FlowPacket& packet,
                                  Flow* flow) {
   flow->accepted_once = flow->stage == Stage::kOpening;
-  if (flow->stage == Stage::kOpening) {
+  if (flow->stage == Stage::kOpening && !packet.rst) {
     ++m_counters.opened;
+    m_health.OnAccepted();
     m_counters.opening.Add(now - flow->started_at);
     flow->accepted_at = now;
     flow->active_until = now + m_caller_round_trip.Timeout();
@@ -281,8 +295,9 @@
     if (is_stale) {
       return ReportOutcome::kStale;
     }
-    // What was measured at the previous server does not hold for this one.
-    m_service_us = same_instance ? m_service_us : 0;
+    if (!same_instance) {
+      ForgetServer();
+    }
   }
   const bool has_left = !m_departed_id.empty() && report.id == m_departed_id &&
                         report.started_ms <= m_departed_start_ms;
@@ -343,8 +358,7 @@
   m_held_flows.OnServerDown(now);
   m_active = 0;
   m_pending = 0;
-  m_service_us = 0;
-  m_failure_rate = 0;
+  ForgetServer();
   m_down = true;
   m_down_at = now;
   m_awaiting_server = false;
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/core/error_type.h"
+#include "src/forwarding/cost/server_health.h"
 #include "src/forwarding/evacuation/evacuations.h"
 #include "src/forwarding/forwarding_type.h"
 #include "src/forwarding/held_flows.h"
@@ -65,6 +66,7 @@
   /// Half-life of the failure rate. Without requests it decays, so that the
   /// server gets requests again.
   Duration failing_half_life = Milliseconds(1000);
+  HealthLimits health;       ///< When a failing server is restricted.
   size_t max_flows = 50000;  ///< Table entries of about 120 bytes each.
 };
 
@@ -105,6 +107,7 @@
   uint64_t answers = 0;           ///< Requests whose answer has begun.
   uint64_t failed = 0;            ///< Answers that report a failure.
   uint64_t refused = 0;           ///< Answers that refuse the request.
+  uint64_t unanswered = 0;        ///< Requests that the server left unanswered.
   LatencyHistogram opening;       ///< From SYN to the server's first packet.
   LatencyHistogram first_answer;  ///< From request to the first answer byte.
   uint64_t resets = 0;            ///< Flows reset because the server died.
@@ -203,6 +206,11 @@
     bool request_pending = false;  ///< A request arrived and has no answer yet.
     bool confirm_opening = false;  ///< The balancer waits for kAccepted.
     bool confirm_search = false;   ///< The balancer waits for kEstablished.
+    bool is_trial = false;       ///< A trial of a restricted server; no result.
+    bool is_answered = false;    ///< The server has answered a request.
+    bool caller_left = false;    ///< The caller sent FIN.
+    bool server_left = false;    ///< The server sent FIN.
+    bool former_server = false;  ///< Opened at an earlier server.
     /// kAccepted: sequence number of the server's SYN-ACK.
     uint32_t server_initial_sequence = 0;
     uint32_t balancer_ip = 0;       ///< Balancer of the last packet.
@@ -249,6 +257,21 @@
   void EraseFlow(const FlowKey& key);
   /// Updates counters, service time and failure rate from an answer.
   void RecordResponse(TimePoint now, AnswerKind answer, Flow* flow);
+  /// Returns whether a server that may be restricted takes a new flow.
+  bool MayTakeFlow(TimePoint now, const ForwardHeader& header) const;
+  /// Counts a packet of the server that ends a flow, FIN or RST, against the
+  /// server if that leaves a request without an answer.
+  /// @param is_verified the server has shown before that it holds the flow
+  void RecordClose(TimePoint now,
+                   const FlowPacket& packet,
+                   bool is_verified,
+                   Flow* flow);
+  /// Counts a request or a new flow as left without an answer.
+  void RecordUnanswered(TimePoint now, UnansweredKind kind, Flow* flow);
+  /// Updates the failure rate. @param sample 1 for a failure, otherwise 0
+  void UpdateFailureRate(TimePoint now, double sample);
+  /// Forgets what was observed at the previous server at this address.
+  void ForgetServer();
   /// Returns the failure rate, 0 to 1, decayed to the given time.
   double FailureRate(TimePoint now) const;
   /// Expects the server to send something soon.
@@ -286,6 +309,9 @@
   uint32_t m_pending = 0;       ///< Of these: a request has arrived.
   double m_failure_rate = 0;    ///< Failure rate at m_failure_rate_at.
   TimePoint m_failure_rate_at;  ///< Last update of m_failure_rate.
+  ServerHealth m_health;        ///< Whether the server answers.
+  /// Last new flow whose requests may be repeated; zero: none.
+  TimePoint m_repeatable_seen_at;
   /// Number of active requests when the server last refused one, at least the
   /// number of its slots. New flows are returned at this load.
   uint32_t m_refused_load = 0;
--- a/src/forwarding/agent_load.cc
+++ b/src/forwarding/agent_load.cc
@@ -2,6 +2,7 @@
 // measures them.
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "src/forwarding/agent_forwarder.h"
 
@@ -11,7 +12,6 @@
 /// Divisor of the exponential moving averages: a new sample has the weight
 /// 1/kMeanDivisor.
 constexpr uint64_t kMeanDivisor = 8;
-constexpr double kPerMille = 1000;  ///< Unit of ServerLoad::failing.
 /// Slots assumed for a server before its first heartbeat.
 constexpr uint32_t kDefaultSlots = 4;
 
@@ -24,6 +24,63 @@
   return m_failure_rate * std::exp2(-half_lives);
 }
 
+void AgentForwarder::UpdateFailureRate(TimePoint now, double sample) {
+  const double previous_rate = FailureRate(now);
+  m_failure_rate = previous_rate + (sample - previous_rate) / kMeanDivisor;
+  m_failure_rate_at = now;
+}
+
+bool AgentForwarder::MayTakeFlow(TimePoint now,
+                                 const ForwardHeader& header) const {
+  if (!m_health.IsRestricted() || header.all_restricted) {
+    return true;
+  }
+  // A failed trial loses a request that must not be repeated, so these are used
+  // only where no others arrive.
+  const bool fits = header.repeatable || m_repeatable_seen_at == TimePoint() ||
+                    now - m_repeatable_seen_at > m_limits.idle;
+  return fits && m_health.FreeTrials(now) > 0;
+}
+
+void AgentForwarder::RecordClose(TimePoint now,
+                                 const FlowPacket& packet,
+                                 bool is_verified,
+                                 Flow* flow) {
+  const bool is_planned = m_report.has_value() && m_report->draining;
+  const bool is_explained = flow->caller_left || flow->server_left ||
+                            flow->former_server || !is_verified || is_planned;
+  // A request on a flow that was idle may cross the server's own FIN.
+  const bool crosses_close = flow->is_answered && packet.ack &&
+                             static_cast<int32_t>(flow->caller_next_sequence -
+                                                  packet.acknowledged) > 0;
+  // A new flow is active for as long as its first request is expected.
+  if (is_explained || crosses_close || !flow->is_active) {
+    return;
+  }
+  const bool is_opening = packet.rst && flow->stage == Stage::kOpening;
+  RecordUnanswered(
+      now, is_opening ? UnansweredKind::kOpening : UnansweredKind::kRequest,
+      flow);
+}
+
+void AgentForwarder::RecordUnanswered(TimePoint now,
+                                      UnansweredKind kind,
+                                      Flow* flow) {
+  ++m_counters.unanswered;
+  UpdateFailureRate(now, 1);
+  m_health.OnUnanswered(now, kind, std::exchange(flow->is_trial, false));
+}
+
+void AgentForwarder::ForgetServer() {
+  m_service_us = 0;
+  m_failure_rate = 0;
+  m_health.Reset();
+  for (auto& [key, flow] : m_flows) {
+    flow.former_server = true;
+    flow.is_trial = false;
+  }
+}
+
 void AgentForwarder::RecordResponse(TimePoint now,
                                     AnswerKind answer,
                                     Flow* flow) {
@@ -34,18 +91,29 @@
     m_counters.first_answer.Add(now - flow->started_at);
   }
   if (flow->request_pending && answer == AnswerKind::kRefused) {
+    // Requests that the previous process of this agent delivered may occupy
+    // the slots as well.
+    const bool has_free_slot =
+        m_pending - 1 < Load(now).slots && m_held_flows.IsComplete(now);
+    const bool is_planned = m_report.has_value() && m_report->draining;
+    if (has_free_slot && !is_planned && !flow->former_server) {
+      RecordUnanswered(now, UnansweredKind::kRequest, flow);
+    }
     m_refused_load = std::max(m_active - 1, Load(now).slots);
     m_refused_load_expires = now + m_limits.refusal_memory;
     EndRequest(
         flow);  // The time to a refusal is no sample of the service time.
   }
   if (flow->request_pending && answer != AnswerKind::kUnknown) {
-    const double sample = answer == AnswerKind::kFailure ? 1.0 : 0.0;
-    const double previous_rate = FailureRate(now);
-    m_failure_rate = previous_rate + (sample - previous_rate) / kMeanDivisor;
-    m_failure_rate_at = now;
+    UpdateFailureRate(now, answer == AnswerKind::kFailure ? 1.0 : 0.0);
   }
   if (flow->request_pending) {
+    flow->is_answered = true;
+    const bool was_restricted = m_health.IsRestricted();
+    m_health.OnAnswer(Load(now).slots, std::exchange(flow->is_trial, false));
+    if (was_restricted && !m_health.IsRestricted()) {
+      m_failure_rate = 0;  // The trials have shown that it has recovered.
+    }
     const uint64_t elapsed_us =
         std::chrono::duration_cast<std::chrono::microseconds>(now -
                                                               flow->started_at)
@@ -67,7 +135,12 @@
   ServerLoad load;
   load.active = m_active;
   load.service_us = static_cast<uint32_t>(m_service_us);
-  load.failing = static_cast<uint32_t>(FailureRate(now) * kPerMille);
+  load.failing = m_health.IsRestricted()
+                     ? kRestrictedFailing
+                     : std::min(static_cast<uint32_t>(FailureRate(now) *
+                                                      kRestrictedFailing),
+                                kRestrictedFailing - 1);
+  load.trials = m_health.FreeTrials(now);
   if (m_report.has_value()) {
     load.slots = std::max(m_report->slots, 1U);
     load.warmup_ends_at = m_report_at + Milliseconds(m_report->warmup_ms);
@@ -88,6 +161,9 @@
   flow->request_pending = false;
   m_active -= flow->is_active ? 1 : 0;
   flow->is_active = false;
+  if (std::exchange(flow->is_trial, false)) {
+    m_health.OnTrialAbandoned();
+  }
 }
 
 }  // namespace medlargauge
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -99,6 +99,11 @@
   const ServiceId service = ActiveRoutes::SelectService(route, hash);
   std::vector<PlacementCandidate> candidates =
       Candidates(now, service, flow->tried);
+  if (!HasResponsive(candidates)) {
+    std::vector<PlacementCandidate> restricted =
+        RestrictedCandidates(now, service, flow);
+    candidates = restricted.empty() ? candidates : std::move(restricted);
+  }
   const bool busy_limit_reached =
       flow->busy.size() >= m_limits.max_busy_returns;
   if (flow->is_queued && flow->found_full) {
@@ -122,7 +127,14 @@
       flow->last_candidate = true;
     }
   }
-  const std::optional<size_t> chosen = m_policy(now, hash, candidates);
+  // A failed trial loses a request that must not be repeated.
+  const bool may_be_trial =
+      flow->tried.empty() && !flow->all_restricted &&
+      (route.repeatable || !m_routes->HasRepeatableRoute(service));
+  const std::optional<size_t> trial =
+      may_be_trial ? FindTrial(candidates) : std::nullopt;
+  const std::optional<size_t> chosen =
+      trial.has_value() ? trial : m_policy(now, hash, candidates);
   flow->service = service;
   if (!chosen.has_value()) {
     return QueueFlow(now, route, key, flow);
@@ -162,8 +174,9 @@
     candidate.id = id;
     candidate.load = member.load;
     candidate.pending = entry.pending;
-    candidate.responsive =
-        member.state == AgentState::kReady && entry.avoid_until <= now;
+    candidate.responsive = member.state == AgentState::kReady &&
+                           entry.avoid_until <= now &&
+                           !IsRestricted(member.load);
     candidate.same_domain = member.domain == m_domain;
     candidates.push_back(candidate);
   }
@@ -370,6 +383,8 @@
   decision.header.search = flow.phase == Phase::kSearching;
   decision.header.use_pointer = flow.use_pointer;
   decision.header.last_candidate = flow.last_candidate;
+  decision.header.repeatable = route.repeatable;
+  decision.header.all_restricted = flow.all_restricted;
   decision.header.response_limit_ms = route.goal_ms;
   decision.header.revision = m_routes->Revision();
   return decision;
@@ -401,25 +416,4 @@
   m_search_packets.Erase(key);
 }
 
-void FlowDirector::SweepFlows(TimePoint now) {
-  std::vector<FlowKey> expired;
-  for (auto& [key, flow] : m_flows) {
-    const bool needs_pointer =
-        flow.phase == Phase::kOwnerKnown && !flow.pointer_handled &&
-        now - flow.owner_since >= m_limits.pointer_min_age &&
-        flow.expires - now > m_limits.closing;
-    if (needs_pointer) {
-      QueuePointer(now, key, &flow);
-    }
-    if (flow.expires <= now) {
-      expired.push_back(key);
-    }
-  }
-  for (const FlowKey& key : expired) {
-    RemoveFlow(key);
-  }
-  m_unrouted_packets.EraseExpired(now);
-  m_search_packets.EraseExpired(now);
-}
-
 }  // namespace medlargauge
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -240,6 +240,7 @@
     bool pointer_handled = false;  ///< A pointer is queued or not needed.
     bool last_candidate = false;   ///< See ForwardHeader::last_candidate.
     bool found_full = false;       ///< Opening: an agent had no room for it.
+    bool all_restricted = false;   ///< See ForwardHeader::all_restricted.
     /// Opening: in the queue of its service; waits there while `agent` is
     /// unset.
     bool is_queued = false;
@@ -353,6 +354,11 @@
       TimePoint now,
       ServiceId service,
       const std::vector<MemberId>& excluded) const;
+  /// Returns the servers of a service if all are restricted, as none of them is
+  /// better than another then; otherwise, or the second time, nothing.
+  std::vector<PlacementCandidate> RestrictedCandidates(TimePoint now,
+                                                       ServiceId service,
+                                                       Flow* flow) const;
   /// Returns a decision to forward to the agent of the flow, and counts it.
   DirectorDecision Forward(const ServiceRoute& route, const Flow& flow);
   /// Returns whether the agent that confirmed the opening of the flow has
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -103,6 +103,32 @@
   }
 }
 
+std::vector<PlacementCandidate> FlowDirector::RestrictedCandidates(
+    TimePoint now,
+    ServiceId service,
+    Flow* flow) const {
+  if (flow->all_restricted) {
+    return {};
+  }
+  std::vector<PlacementCandidate> candidates = Candidates(now, service, {});
+  if (HasResponsive(candidates)) {
+    return {};
+  }
+  candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                  [](const PlacementCandidate& candidate) {
+                                    return !IsRestricted(candidate.load);
+                                  }),
+                   candidates.end());
+  if (!candidates.empty()) {
+    // Agents that returned the flow did not know that the others do so too.
+    flow->all_restricted = true;
+    flow->found_full = false;
+    flow->tried.clear();
+    flow->busy.clear();
+  }
+  return candidates;
+}
+
 DirectorDecision FlowDirector::QueueFlow(TimePoint now,
                                          const ServiceRoute& route,
                                          const FlowKey& key,
@@ -132,6 +158,7 @@
   flow->tried.clear();
   flow->busy.clear();
   flow->last_candidate = false;
+  flow->all_restricted = false;
   flow->answer_deadline = TimePoint();
   return Reject(DirectorDecision::Kind::kHold, error);
 }
@@ -186,6 +213,27 @@
   return decisions;
 }
 
+void FlowDirector::SweepFlows(TimePoint now) {
+  std::vector<FlowKey> expired;
+  for (auto& [key, flow] : m_flows) {
+    const bool needs_pointer =
+        flow.phase == Phase::kOwnerKnown && !flow.pointer_handled &&
+        now - flow.owner_since >= m_limits.pointer_min_age &&
+        flow.expires - now > m_limits.closing;
+    if (needs_pointer) {
+      QueuePointer(now, key, &flow);
+    }
+    if (flow.expires <= now) {
+      expired.push_back(key);
+    }
+  }
+  for (const FlowKey& key : expired) {
+    RemoveFlow(key);
+  }
+  m_unrouted_packets.EraseExpired(now);
+  m_search_packets.EraseExpired(now);
+}
+
 void FlowDirector::RouteHeldPackets(TimePoint now,
                                     std::vector<DeferredDecision>* decisions) {
   if (m_routes->Revision() == 0) {
--- a/src/forwarding/forwarding_type.h
+++ b/src/forwarding/forwarding_type.h
@@ -99,10 +99,22 @@
   uint32_t active = 0;      ///< Requests in progress or queued at the server.
   uint32_t slots = 1;       ///< Requests that the server runs concurrently.
   uint32_t service_us = 0;  ///< Mean time to the first answer byte; 0: unknown.
-  uint32_t failing = 0;     ///< Recent failure rate in thousandths.
+  /// Recent failure rate in thousandths; kRestrictedFailing: the server leaves
+  /// requests without an answer and gets trial flows only.
+  uint32_t failing = 0;
+  uint32_t trials = 0;  ///< Restricted: trial flows that it would take now.
   TimePoint warmup_ends_at;  ///< The server is slower before this time.
 };
 
+/// Value of ServerLoad::failing for a restricted server. Processes that don't
+/// know restrictions take it for the highest failure rate.
+inline constexpr uint32_t kRestrictedFailing = 1000;
+
+/// Returns whether a server gets trial flows only. Thread-safe.
+inline bool IsRestricted(const ServerLoad& load) {
+  return load.failing >= kRestrictedFailing;
+}
+
 /// One process of the fleet.
 struct FleetMember {
   MemberId id;                              ///< Derived from the process name.
@@ -138,6 +150,11 @@
   bool use_pointer = true;
   /// Accept the flow even without a free slot, unless it would answer too late.
   bool last_candidate = false;
+  /// Callers may send a request of the flow again.
+  bool repeatable = false;
+  /// Accept the flow even if the server is restricted, because all servers of
+  /// the service are.
+  bool all_restricted = false;
   uint32_t response_limit_ms = 0;  ///< A later answer is useless; 0: no limit.
   uint64_t revision = 0;           ///< Targets revision used by the balancer.
 };
--- a/src/forwarding/member_messages.cc
+++ b/src/forwarding/member_messages.cc
@@ -6,7 +6,6 @@
 namespace medlargauge {
 namespace {
 
-constexpr uint32_t kPerMille = 1000;
 constexpr uint32_t kMaxWarmupMs = 60000;  ///< Limit of reported durations.
 
 }  // namespace
@@ -17,6 +16,7 @@
   message.set_slots(load.slots);
   message.set_service_us(load.service_us);
   message.set_failing(load.failing);
+  message.set_trials(load.trials);
   if (load.warmup_ends_at > now) {
     message.set_warmup_ms(
         static_cast<uint32_t>(ToMilliseconds(load.warmup_ends_at - now)));
@@ -29,7 +29,8 @@
   load.active = message.active();
   load.slots = std::max(message.slots(), 1U);
   load.service_us = message.service_us();
-  load.failing = std::min(message.failing(), kPerMille);
+  load.failing = std::min(message.failing(), kRestrictedFailing);
+  load.trials = message.trials();
   load.warmup_ends_at =
       now + Milliseconds(std::min(message.warmup_ms(), kMaxWarmupMs));
   return load;
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -103,6 +103,25 @@
   return best.has_value() ? std::make_optional(sample[*best]) : std::nullopt;
 }
 
+bool HasResponsive(const std::vector<PlacementCandidate>& candidates) {
+  return std::any_of(
+      candidates.begin(), candidates.end(),
+      [](const PlacementCandidate& candidate) { return candidate.responsive; });
+}
+
+std::optional<size_t> FindTrial(
+    const std::vector<PlacementCandidate>& candidates) {
+  const auto found =
+      std::find_if(candidates.begin(), candidates.end(),
+                   [](const PlacementCandidate& candidate) {
+                     return IsRestricted(candidate.load) &&
+                            candidate.load.trials > candidate.pending;
+                   });
+  return found == candidates.end()
+             ? std::nullopt
+             : std::make_optional<size_t>(found - candidates.begin());
+}
+
 std::optional<size_t> PlaceByHash(
     TimePoint /*now*/,
     uint64_t flow_hash,
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -12,10 +12,11 @@
 
 /// An agent that could serve a new flow.
 struct PlacementCandidate {
-  MemberId id;              ///< The agent.
-  ServerLoad load;          ///< Latest load report.
-  uint32_t pending = 0;     ///< Flows placed there since that report.
-  bool responsive = true;   ///< Its server is known and answers.
+  MemberId id;           ///< The agent.
+  ServerLoad load;       ///< Latest load report.
+  uint32_t pending = 0;  ///< Flows placed there since that report.
+  /// Its server is known, answers and is not restricted.
+  bool responsive = true;
   bool same_domain = true;  ///< In the failure domain of the balancer.
 };
 
@@ -26,6 +27,12 @@
     uint64_t flow_hash,
     const std::vector<PlacementCandidate>&)>;
 
+/// Returns the restricted candidate that wants a trial flow; nullopt if there
+/// is none. Each report of a server allows for as many trials as it states.
+/// Thread-safe.
+std::optional<size_t> FindTrial(
+    const std::vector<PlacementCandidate>& candidates);
+
 /// Returns the expected response time, in microseconds, of a request that
 /// arrives now. Considers the queue, the mean service time and the warm-up of
 /// the server, so that load peaks and slow servers are handled. Thread-safe.
@@ -50,6 +57,9 @@
     uint64_t flow_hash,
     const std::vector<PlacementCandidate>& candidates);
 
+/// Returns whether any candidate is responsive. Thread-safe.
+bool HasResponsive(const std::vector<PlacementCandidate>& candidates);
+
 /// Chooses by rendezvous hashing, without regard to load; responsive candidates
 /// go first. Thread-safe.
 std::optional<size_t> PlaceByHash(
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -313,6 +313,19 @@
   m_forwarder.OnTick(now);
   ProbeServer(now);
   AnnounceStateChange(now);
+  LogRestriction(now);
+}
+
+void AgentRuntime::LogRestriction(TimePoint now) {
+  const bool is_restricted = IsRestricted(m_forwarder.Load(now));
+  if (is_restricted == m_was_restricted) {
+    return;
+  }
+  m_was_restricted = is_restricted;
+  EventLine(Severity::kWarning,
+            is_restricted ? "server_restricted" : "server_unrestricted")
+      .With("unanswered", m_forwarder.Counters().unanswered)
+      .With("active", m_forwarder.ActiveRequests());
 }
 
 void AgentRuntime::ProbeServer(TimePoint now) {
@@ -385,6 +398,8 @@
   stats->Set(Stat::requests_answered, counters.answers);
   stats->Set(Stat::requests_failed, counters.failed);
   stats->Set(Stat::requests_refused, counters.refused);
+  stats->Set(Stat::requests_unanswered, counters.unanswered);
+  stats->Set(Stat::server_restricted, m_was_restricted ? 1 : 0);
   stats->Set(Stat::resets_server_down, counters.resets);
   stats->Set(Stat::foreign_acks, counters.foreign_acks);
   stats->Set(Stat::send_failures, m_outbound_socket.SendFailures());
--- a/src/runtime/agent_runtime.h
+++ b/src/runtime/agent_runtime.h
@@ -68,6 +68,8 @@
   /// Ends the event loop if a planned stop can finish; otherwise checks again
   /// later.
   void FinishStopIfIdle();
+  /// Logs that the restriction of the backend server has begun or ended.
+  void LogRestriction(TimePoint now);
   void FillStats(Stats* stats) const;
   /// Handles a heartbeat or deregistration of the backend server.
   HttpResponse HandleServerReport(const HttpRequest& request);
@@ -88,6 +90,7 @@
   FlowLog m_flow_log;               ///< Limits log lines about flows.
   /// State in the last status.
   AgentState m_announced_state = AgentState::kJoining;
+  bool m_was_restricted = false;  ///< The server was, at the last tick.
   int m_probe_fd = -1;     ///< Socket of the current probe; -1 if none.
   TimePoint m_next_probe;  ///< Earliest time of the next probe.
   /// End of the time in which new flows are refused because no process has
--- a/src/runtime/peer_wire.cc
+++ b/src/runtime/peer_wire.cc
@@ -2,6 +2,7 @@
 // messages.
 #include "src/runtime/peer_wire.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace medlargauge {
@@ -13,6 +14,8 @@
 constexpr uint8_t kSearchFlag = 1;
 constexpr uint8_t kLastCandidateFlag = 2;
 constexpr uint8_t kUsePointerFlag = 4;
+constexpr uint8_t kRepeatableFlag = 8;
+constexpr uint8_t kAllRestrictedFlag = 16;
 
 /// Names kEvacuated in ReturnWireHeader::owner. The reason next to it is
 /// kDraining, as old processes drop returned packets with an unknown reason.
@@ -37,7 +40,7 @@
   uint8_t magic;
   uint8_t kind;
   uint8_t reason;
-  uint8_t reserved;
+  uint8_t trials;  ///< Old processes send 0 and ignore it.
   uint32_t active;
   uint32_t slots;
   uint32_t service_us;
@@ -60,7 +63,9 @@
   wire_header.kind = static_cast<uint8_t>(PeerMessageKind::kForward);
   wire_header.flags = (header.search ? kSearchFlag : 0) |
                       (header.last_candidate ? kLastCandidateFlag : 0) |
-                      (header.use_pointer ? kUsePointerFlag : 0);
+                      (header.use_pointer ? kUsePointerFlag : 0) |
+                      (header.repeatable ? kRepeatableFlag : 0) |
+                      (header.all_restricted ? kAllRestrictedFlag : 0);
   wire_header.service = header.service.value;
   wire_header.response_limit_ms = header.response_limit_ms;
   wire_header.revision = header.revision;
@@ -86,6 +91,8 @@
   wire_header.slots = load.slots;
   wire_header.service_us = load.service_us;
   wire_header.failing = load.failing;
+  wire_header.trials =
+      static_cast<uint8_t>(std::min<uint32_t>(load.trials, UINT8_MAX));
   wire_header.warmup_ms =
       load.warmup_ends_at > now
           ? static_cast<uint32_t>(ToMilliseconds(load.warmup_ends_at - now))
@@ -124,6 +131,9 @@
       frame.header.last_candidate =
           (wire_header.flags & kLastCandidateFlag) != 0;
       frame.header.use_pointer = (wire_header.flags & kUsePointerFlag) != 0;
+      frame.header.repeatable = (wire_header.flags & kRepeatableFlag) != 0;
+      frame.header.all_restricted =
+          (wire_header.flags & kAllRestrictedFlag) != 0;
       frame.header.response_limit_ms = wire_header.response_limit_ms;
       frame.header.revision = wire_header.revision;
       frame.packet = {datagram.data + sizeof(wire_header),
@@ -151,6 +161,7 @@
       load.set_slots(wire_header.slots);
       load.set_service_us(wire_header.service_us);
       load.set_failing(wire_header.failing);
+      load.set_trials(wire_header.trials);
       load.set_warmup_ms(wire_header.warmup_ms);
       frame.load = DecodeLoad(now, load);
       frame.packet = {datagram.data + sizeof(wire_header),
