Feature: The reset model moves the route and gives each balancer its own history

In the model all balancers shared one route table that never changed, so it could not find a reset that rests on a route's history. Some of its agents can serve another service now (other_agents), the event move-route gives the route to the other service and back, and a balancer that starts knows the targets in force only.

--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -45,6 +45,9 @@
               "",
               "reset-model: plays these events, separated by commas");
 
+DEFINE_uint32(other_agents,
+              0,
+              "reset-model: how many of the agents serve another service");
 DEFINE_bool(
     queries,
     false,
@@ -178,6 +181,7 @@
     }
     ModelConfig config;
     config.agents = FLAGS_agents;
+    config.other_agents = FLAGS_other_agents;
     config.balancers = FLAGS_balancers;
     config.seeds = FLAGS_join_seeds;
     config.opening = opening;
--- a/lab/reset_model.cc
+++ b/lab/reset_model.cc
@@ -297,6 +297,7 @@
         "\n  opening=" + std::string(OpeningName(entry.config.opening)) +
         " distance=" + std::to_string(entry.config.initial_sequence_distance) +
         " agents=" + std::to_string(entry.config.agents) +
+        " other_agents=" + std::to_string(entry.config.other_agents) +
         " balancers=" + std::to_string(entry.config.balancers) +
         " queries=" + std::to_string(entry.config.use_queries ? 1 : 0) +
         " seeds=" + std::to_string(entry.config.seeds) +
--- a/lab/reset_model_test.cc
+++ b/lab/reset_model_test.cc
@@ -136,6 +136,39 @@
   CheckNothingCounts(result);
 }
 
+/// Returns a fleet with two agents of the route's service and one of another,
+/// which the route can be moved to.
+ModelConfig MakeTwoServices(ModelOpening opening) {
+  ModelConfig config = MakeConfig(opening, 3);
+  config.other_agents = 1;
+  return config;
+}
+
+TEST_CASE("reset model: no route change and start of a balancer break one") {
+  ModelResult result;
+  for (const ModelOpening opening :
+       {ModelOpening::kPlain, ModelOpening::kCopySecond}) {
+    ModelConfig config = MakeTwoServices(opening);
+    for (const bool use_queries : kSearchWays) {
+      config.use_queries = use_queries;
+      config.actions = {"move-route", "restart", "leave",        "start",
+                        "kill",       "wait",    "crash-server", "late-copy"};
+      ExploreAll(config, 3, 0, 1, &result);
+      config.actions.clear();
+      ExploreRandomly(config, 2, 300, 8, &result);
+    }
+  }
+  CheckNothingCounts(result);
+  CHECK(result.resets > 0);
+}
+
+TEST_CASE(
+    "reset model: a balancer that starts after the route was moved resets the "
+    "flows at the old service") {
+  CheckNothingCounts(MakeTwoServices(ModelOpening::kPlain),
+                     {"move-route", "restart balancer-0", "wait 6000"});
+}
+
 TEST_CASE(
     "reset model: the answer of an agent that took its server for stopped "
     "stays "
--- a/lab/reset_world.cc
+++ b/lab/reset_world.cc
@@ -23,14 +23,6 @@
 
 ResetWorld::ResetWorld(const ModelConfig& config)
     : m_config(config), m_state(std::make_unique<State>()) {
-  RouteTable table;
-  table.identity.version.revision = 1;
-  ServiceRoute route;
-  route.name = detail::kService;
-  route.address = detail::kRouteAddress;
-  route.shares.push_back({ServiceIdOf(detail::kService), 1});
-  table.routes.push_back(route);
-  m_routes.Adopt(std::move(table));
   const uint32_t count = m_config.balancers + m_config.agents;
   for (uint32_t i = 0; i < count; ++i) {
     m_state->processes.emplace_back(i);
--- a/lab/reset_world.h
+++ b/lab/reset_world.h
@@ -39,7 +39,10 @@
 
 /// What a model consists of.
 struct ModelConfig {
-  uint32_t agents = 3;     ///< Number of agents, each with a backend server.
+  uint32_t agents = 3;  ///< Number of agents, each with a backend server.
+  /// How many of the agents, the last ones, serve another service. The route
+  /// can be moved to it and back.
+  uint32_t other_agents = 0;
   uint32_t balancers = 2;  ///< Number of balancers.
   uint32_t seeds = 2;      ///< The first balancers, which processes join by.
   ModelOpening opening = ModelOpening::kPlain;  ///< How the flow opens.
@@ -74,6 +77,7 @@
   kForgetAgents,   ///< The store loses the registrations of all agents.
   kSilenceStore,   ///< The store answers no more calls.
   kRestoreStore,   ///< It answers again.
+  kMoveRoute,      ///< The operators move the route to the other service.
   kWait,           ///< `first` milliseconds pass.
 };
 
@@ -223,10 +227,14 @@
               const std::set<uint32_t>& processes,
               std::string detail);
   std::string ProcessName(uint32_t index) const;
+  /// Returns the service of an agent.
+  std::string_view ServiceOf(const Process& agent) const;
+  /// Returns the targets in force.
+  RouteTable Targets() const;
+  void MoveRoute();
   void Trace(const std::string& text) const;
 
   ModelConfig m_config;
-  ActiveRoutes m_routes;
   std::unique_ptr<State> m_state;
   TimePoint m_opened_at;  ///< When OpenFlow had ended.
   std::function<void(Duration, const std::string&)> m_trace;  ///< May be unset.
--- a/lab/reset_world_events.cc
+++ b/lab/reset_world_events.cc
@@ -14,7 +14,7 @@
   uint32_t operands;  ///< Processes that its name states.
 };
 
-constexpr std::array<ActionName, 18> kActionNames = {{
+constexpr std::array<ActionName, 19> kActionNames = {{
     {ModelAction::kKill, "kill", 1},
     {ModelAction::kLeave, "leave", 1},
     {ModelAction::kStart, "start", 1},
@@ -32,6 +32,7 @@
     {ModelAction::kForgetAgents, "forget-all", 0},
     {ModelAction::kSilenceStore, "silence-store", 0},
     {ModelAction::kRestoreStore, "restore-store", 0},
+    {ModelAction::kMoveRoute, "move-route", 0},
     {ModelAction::kWait, "wait", 0},
 }};
 
@@ -75,6 +76,9 @@
   events.push_back({ModelAction::kForgetAgents, 0, 0});
   events.push_back({ModelAction::kSilenceStore, 0, 0});
   events.push_back({ModelAction::kRestoreStore, 0, 0});
+  if (m_config.other_agents > 0) {
+    events.push_back({ModelAction::kMoveRoute, 0, 0});
+  }
   const std::vector<std::string>& actions = m_config.actions;
   events.erase(std::remove_if(events.begin(), events.end(),
                               [&](const ModelEvent& event) {
@@ -128,6 +132,7 @@
       return m_state->store_answers;
     case ModelAction::kRestoreStore:
       return !m_state->store_answers;
+    case ModelAction::kMoveRoute:
     case ModelAction::kWait:
       return true;
   }
@@ -217,6 +222,9 @@
       m_state->store_answers = true;
       m_state->store_impaired_at = now;
       break;
+    case ModelAction::kMoveRoute:
+      MoveRoute();
+      break;
     case ModelAction::kWait:
       RunFor(Milliseconds(event.first));
       break;
@@ -245,8 +253,10 @@
         return {event.first, store};
     }
   };
-  if (a.action == ModelAction::kWait || b.action == ModelAction::kWait) {
-    return false;
+  for (const ModelAction action : {a.action, b.action}) {
+    if (action == ModelAction::kWait || action == ModelAction::kMoveRoute) {
+      return false;  // They concern all processes.
+    }
   }
   const std::vector<uint32_t> scope_a = scope(a);
   const std::vector<uint32_t> scope_b = scope(b);
@@ -262,6 +272,36 @@
   });
 }
 
+std::string_view ResetWorld::ServiceOf(const Process& agent) const {
+  const uint32_t first_other =
+      m_config.balancers + m_config.agents - m_config.other_agents;
+  return agent.index < first_other ? detail::kService : detail::kOtherService;
+}
+
+RouteTable ResetWorld::Targets() const {
+  RouteTable table;
+  table.identity.version.revision = m_state->revision;
+  ServiceRoute route;
+  route.name = "route";
+  route.address = detail::kRouteAddress;
+  route.shares.push_back(
+      {ServiceIdOf(m_state->is_route_moved ? detail::kOtherService
+                                           : detail::kService),
+       1});
+  table.routes.push_back(route);
+  return table;
+}
+
+void ResetWorld::MoveRoute() {
+  ++m_state->revision;
+  m_state->is_route_moved = !m_state->is_route_moved;
+  for (Process& process : m_state->processes) {
+    if (process.running && process.role == MemberRole::kBalancer) {
+      process.routes.Adopt(Targets());
+    }
+  }
+}
+
 std::string ResetWorld::ProcessName(uint32_t index) const {
   return index < m_config.balancers
              ? "balancer-" + std::to_string(index)
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -63,7 +63,7 @@
   }
   process->discovery->SetSeeds(std::move(seeds));
   if (process->role == MemberRole::kAgent) {
-    process->forwarder.emplace(std::string(detail::kService),
+    process->forwarder.emplace(std::string(ServiceOf(*process)),
                                SocketAddress4{detail::IpOf(process->index), 1},
                                ForwarderLimits());
     process->announced_state = AgentState::kJoining;
@@ -74,8 +74,10 @@
   const bool prefers_last = process->index > 0;
   DirectorLimits limits;
   limits.min_agents_to_query = m_config.use_queries ? 1 : SIZE_MAX;
+  process->routes = ActiveRoutes();
+  process->routes.Adopt(Targets());
   process->director.emplace(
-      now, DomainId{1}, &process->members, &m_routes, limits,
+      now, DomainId{1}, &process->members, &process->routes, limits,
       [prefers_last](TimePoint, uint64_t,
                      const std::vector<PlacementCandidate>& candidates) {
         return candidates.empty()
@@ -218,7 +220,7 @@
   self.domain = DomainId{1};
   self.state = AgentState::kReady;
   if (process->role == MemberRole::kAgent) {
-    self.service = ServiceIdOf(detail::kService);
+    self.service = ServiceIdOf(ServiceOf(*process));
     self.state = process->forwarder->State(now);
     self.load = process->forwarder->Load(now);
     process->announced_state = self.state;
--- a/lab/reset_world_flow.cc
+++ b/lab/reset_world_flow.cc
@@ -224,7 +224,7 @@
   report.started_ms = start;
   report.sequence = sequence;
   report.is_first = sequence == 1;
-  report.service = detail::kService;
+  report.service = ServiceOf(*agent);
   report.address = {detail::IpOf(agent->index), 1};
   report.slots = detail::kServerSlots;
   const bool is_applied =
--- a/lab/reset_world_state.h
+++ b/lab/reset_world_state.h
@@ -20,6 +20,7 @@
 inline constexpr uint32_t kNoProcess = UINT32_MAX;  ///< No index of a process.
 inline constexpr SocketAddress4 kRouteAddress{0xC6120001, 443};
 inline constexpr std::string_view kService = "stock";
+inline constexpr std::string_view kOtherService = "media";
 inline constexpr uint32_t kServerSlots = 5;
 /// Sequence number of the opening packet.
 inline constexpr uint32_t kCallerSequence = 1000;
@@ -102,6 +103,7 @@
   TimePoint impaired_at;
   TimePoint ended_at;
   MembershipTable members;
+  ActiveRoutes routes;  ///< Balancers only; knows the routes since its start.
   StatusSchedule schedule;
   std::optional<FleetDiscovery> discovery;
   std::optional<FlowDirector> director;     ///< Balancers only.
@@ -151,6 +153,8 @@
   bool store_answers = true;
   TimePoint store_impaired_at;
   std::set<uint32_t> registered;  ///< Processes in the store.
+  uint64_t revision = 1;          ///< Of the targets.
+  bool is_route_moved = false;    ///< The route has the other service.
   Caller caller;
   std::vector<Finding> findings;
 };
