Fix: A large fleet counted as quiet before its agents were due

A balancer without a list of the store took 1 s without discoveries, 1.5 s after its start, for the proof that it knew all agents. With 200 members an agent sends it a status only every 1.24 s, and with 1,800 every 11 s, so one lost status was enough for a reset of the flows of a serving agent when all balancers had restarted and the store was away. It now waits for two intervals, one of them without a discovery; in fleets of up to 48 members nothing changes.

--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -164,17 +164,20 @@
   }
   const Duration uptime = now - m_started_at;
   const Duration quiet_time = now - m_members->LastAgentDiscovery();
-  if (uptime >= m_limits.startup_discovery_time &&
-      quiet_time >= m_limits.discovery_quiet_time &&
-      !m_members->IsRegisteredAgentMissing(now)) {
-    return DiscoveryBasis::kQuiet;
-  }
   // Agents that remember this balancer have sent it a status within an interval
   // of the fleet. In an interval of a small fleet they have sent one to some
   // balancer, which tells the others of an agent that the list lacks. Agents
   // that have restarted join through any balancer.
   const Duration interval =
       StatusInterval(MemberRole::kAgent, m_members->Entries().size());
+  // Quiet shows nothing before each agent was due to send two statuses, of
+  // which one may be lost.
+  if (uptime >=
+          std::max<Duration>(m_limits.startup_discovery_time, 2 * interval) &&
+      quiet_time >= std::max(m_limits.discovery_quiet_time, interval) &&
+      !m_members->IsRegisteredAgentMissing(now)) {
+    return DiscoveryBasis::kQuiet;
+  }
   const Duration short_interval = StatusInterval(MemberRole::kAgent, 0);
   const bool hears_balancers =
       m_members->CountReachable(now, MemberRole::kBalancer) > 0;
