Fix: Agents denied flows that they no longer or not yet could know

Three ways in which an agent's or a balancer's knowledge was taken for complete:

- Agents forget flows that were idle for 60 s and deny them in a query.
Where the operators allow flows to be idle for longer, searches don't use queries.
- A late first heartbeat of an earlier start made an agent that had restarted beside its server deny all flows of that server, if the server has the same id.
Another start time revokes it now, as another id did.
- A late deregistration of an earlier start took a server that had restarted under its id out of service for good: all later heartbeats counted as stale.
A third heartbeat after the deregistration is now believed; two may be late.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -15,6 +15,10 @@
 /// number after it.
 constexpr uint32_t kMaxAcceptanceOffset = 1;
 
+/// Heartbeats that a server sent before it deregistered and that arrive later.
+/// They are due about every second, and calls end within two.
+constexpr uint64_t kMaxLateReports = 2;
+
 /// Returns whether `a` comes after `b` in the sequence space, which wraps
 /// around.
 bool IsAfter(uint32_t a, uint32_t b) {
@@ -299,13 +303,20 @@
       ForgetServer();
     }
   }
+  // A server that goes on sending heartbeats did not leave: the deregistration
+  // was one of an earlier start under the same id.
+  const bool has_stayed =
+      report.started_ms == m_departed_start_ms &&
+      report.sequence > m_departed_sequence + kMaxLateReports;
   const bool has_left = !m_departed_id.empty() && report.id == m_departed_id &&
-                        report.started_ms <= m_departed_start_ms;
+                        report.started_ms <= m_departed_start_ms && !has_stayed;
   if (has_left) {
     return ReportOutcome::kStale;
   }
+  // A server may restart under its id.
   const bool is_other_server =
-      m_report.has_value() && m_report->id != report.id;
+      m_report.has_value() &&
+      (m_report->id != report.id || m_report->started_ms != report.started_ms);
   if (report.is_first) {
     m_held_flows.OnFirstCall(now);
   } else if (is_other_server) {
@@ -334,6 +345,7 @@
   m_report->draining = true;
   m_departed_id = std::string(id);
   m_departed_start_ms = m_report->started_ms;
+  m_departed_sequence = m_report->sequence;
   return true;
 }
 
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -293,6 +293,7 @@
   std::optional<ServerReport> m_report;  ///< Latest heartbeat.
   uint64_t m_departed_start_ms = 0;  ///< Start of the last deregistered server.
   std::string m_departed_id;         ///< Id of the last deregistered server.
+  uint64_t m_departed_sequence = 0;  ///< Its last heartbeat before that.
   TimePoint m_report_at;             ///< Arrival of m_report.
   TimePoint m_server_seen_at;        ///< Last packet or heartbeat.
   TimePoint m_unanswered_since;      ///< Oldest unanswered packet.
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -261,6 +261,18 @@
   CHECK_FALSE(forwarder.NeedsServerProbe(now));
 }
 
+// The late deregistration of an earlier start took a server that had restarted
+// under its id out of service for good.
+TEST_CASE("a server that goes on with heartbeats has not left") {
+  ForwarderFixture fixture;
+  CHECK(fixture.forwarder.OnDeregister("i-1"));
+  CHECK(fixture.SendReport() == ReportOutcome::kStale);
+  CHECK(fixture.SendReport() == ReportOutcome::kStale);
+  CHECK(fixture.forwarder.State(fixture.now) == AgentState::kDraining);
+  CHECK(fixture.SendReport() == ReportOutcome::kApplied);
+  CHECK(fixture.forwarder.State(fixture.now) == AgentState::kReady);
+}
+
 TEST_CASE("flows of a dead server are reset once") {
   ForwarderFixture fixture;
   fixture.OpenAndRequest(1);
--- a/src/forwarding/flow_query.cc
+++ b/src/forwarding/flow_query.cc
@@ -6,12 +6,20 @@
 #include "src/forwarding/member_list.h"
 
 namespace medlargauge {
+namespace {
+
+/// Agents forget flows that were idle for longer (ForwarderLimits::idle), and
+/// would deny them in a query although their servers hold them.
+constexpr uint32_t kMaxQueriedIdleMs = 60'000;
+
+}  // namespace
 
 bool FlowDirector::JoinQuery(TimePoint now, const FlowKey& key, Flow* flow) {
   // The agent that may have a pointer is asked first.
   const bool has_asked = !flow->tried.empty() || !flow->unresponsive.empty() ||
                          !flow->server_down.empty();
   if (flow->was_queried || !has_asked ||
+      m_routes->Table().idle_timeout_ms > kMaxQueriedIdleMs ||
       m_search_packets.Find(key) == nullptr) {
     return false;
   }
--- a/src/forwarding/flow_query_test.cc
+++ b/src/forwarding/flow_query_test.cc
@@ -69,6 +69,56 @@
   CHECK(query.agents.size() + kFlows <= 3 * kFlows);
 }
 
+// All balancers had restarted while the store was away. One that had missed a
+// status of the owner's agent took a second without discoveries, less than an
+// interval between statuses in this fleet, for the proof that it knew all.
+TEST_CASE("a large fleet is not quiet before all agents were due twice") {
+  LargeFleet fleet;
+  MembershipTable members(MemberId{1}, MembershipTimeouts());
+  DirectorLimits limits;
+  limits.min_agents_to_query = SIZE_MAX;
+  FlowDirector director(fleet.now, DomainId{1}, &members, &fleet.routes, limits,
+                        &PlaceByResponseTime);
+  members.OnFleetMet();
+  const auto hear = [&](uint32_t end) {
+    for (uint32_t id = 100; id < end; ++id) {
+      proto::PeerStatus status = fleet.MakeStatus(id, MemberRole::kAgent);
+      status.set_agents_heard(0);
+      members.OnStatus(fleet.now, status);
+    }
+  };
+  hear(299);
+  const auto search = [&] {
+    const FlowPacket packet = MakeLaterPacket(++fleet.port);
+    DirectorDecision decision = director.OnCallerPacket(fleet.now, packet, {});
+    while (decision.kind == DirectorDecision::Kind::kForward) {
+      decision =
+          director.OnReturned(fleet.now, decision.agent, ReturnReason::kBounced,
+                              MemberId(), packet, {});
+    }
+    return decision.kind;
+  };
+  fleet.now += Milliseconds(1600);
+  hear(299);
+  CHECK(search() == DirectorDecision::Kind::kHold);
+  fleet.now += Milliseconds(1000);
+  hear(299);
+  CHECK(search() == DirectorDecision::Kind::kReset);
+}
+
+// Agents forget flows that were idle for 60 s.
+TEST_CASE("no query decides where flows may be idle for longer than agents") {
+  LargeFleet fleet;
+  fleet.now += Seconds(10);
+  fleet.HearAll(MemberRole::kAgent, 100, 300);
+  RouteTable table = MakeRouteTable(2, {MakeRoute(kRoute, "stock")});
+  table.idle_timeout_ms = 90'000;
+  fleet.routes.Adopt(table);
+  fleet.BeginSearch(1);
+  fleet.director.OnTick(fleet.now);
+  CHECK(fleet.director.TakeQueries().empty());
+}
+
 TEST_CASE("a balancer that was suspended acts on no old packet of a query") {
   LargeFleet fleet;
   fleet.now += Seconds(10);
--- a/src/forwarding/owner_queries_test.cc
+++ b/src/forwarding/owner_queries_test.cc
@@ -108,9 +108,12 @@
 
   StartedAgent() { forwarder.OnTick(now); }
 
-  void Report(const std::string& id, uint64_t sequence) {
+  void Report(const std::string& id,
+              uint64_t sequence,
+              uint64_t started_ms = 0) {
     ServerReport report;
     report.id = id;
+    report.started_ms = started_ms;
     report.sequence = sequence;
     report.is_first = sequence == 1;
     report.service = "stock";
@@ -150,6 +153,17 @@
   CHECK_FALSE(agent.forwarder.KnowsAllFlows(agent.now));
 }
 
+// The first heartbeat of an earlier start came late, after the agent's own
+// restart, and the agent denied all flows of the server that had the same id.
+TEST_CASE("a first call vouches for no other start under the same id") {
+  StartedAgent agent;
+  agent.Report("i-1", 1, 5000);
+  agent.Report("i-1", 57, 9000);
+  CHECK_FALSE(agent.forwarder.KnowsAllFlows(agent.now));
+  agent.Report("i-1", 1, 10'000);
+  CHECK(agent.forwarder.KnowsAllFlows(agent.now));
+}
+
 TEST_CASE("an agent that saw its server down knows the flows of the next") {
   StartedAgent agent;
   agent.Report("i-1", 57);
