Fix: One foreign entry kept the operators' targets from being in force

An entry of "routes" with a missing or invalid field made the whole document invalid, so that no change of any route came into force. Such an entry is left out now. A route in force with its name or address stays, as the removal of a route resets its open flows; an entry of which neither can be read names nothing. A document without any readable route is still refused. The log line target_entries_ignored gives the number and the first reason.

A process that starts while such an entry is in the store has no earlier route to keep and gives its callers a reset.

--- a/src/forwarding/active_routes.cc
+++ b/src/forwarding/active_routes.cc
@@ -9,6 +9,7 @@
   if (!Supersedes(table.identity, m_table.identity)) {
     return false;
   }
+  KeepUnread(&table);
   m_table = std::move(table);
   m_by_address.clear();
   for (size_t i = 0; i < m_table.routes.size(); ++i) {
@@ -25,6 +26,25 @@
   return true;
 }
 
+void ActiveRoutes::KeepUnread(RouteTable* table) const {
+  for (const ServiceRoute& route : m_table.routes) {
+    const bool is_unread = std::any_of(
+        table->unread.begin(), table->unread.end(),
+        [&route](const UnreadRoute& unread) {
+          return unread.address == route.address ||
+                 (!unread.name.empty() && unread.name == route.name);
+        });
+    const bool is_replaced =
+        std::any_of(table->routes.begin(), table->routes.end(),
+                    [&route](const ServiceRoute& other) {
+                      return other.address == route.address;
+                    });
+    if (is_unread && !is_replaced) {
+      table->routes.push_back(route);
+    }
+  }
+}
+
 const ServiceRoute* ActiveRoutes::Find(SocketAddress4 address) const {
   const auto found = m_by_address.find(address);
   return found == m_by_address.end() ? nullptr : &m_table.routes[found->second];
--- a/src/forwarding/active_routes.h
+++ b/src/forwarding/active_routes.h
@@ -28,9 +28,18 @@
   uint32_t priority = 0;           ///< 0 is the most urgent.
 };
 
+/// An entry of the targets that could not be read.
+struct UnreadRoute {
+  std::string name;        ///< Empty if that could not be read either.
+  SocketAddress4 address;  ///< Its `ip` is 0 if that could not be read either.
+};
+
 /// All routes of one version of the operators' targets.
 struct RouteTable {
   TargetIdentity identity;  ///< Its revision is 0 if there are no targets yet.
+  /// Entries that are left out of `routes`. An earlier route with the name or
+  /// the address of one of them stays in force.
+  std::vector<UnreadRoute> unread;
   /// Idle flows may be dropped after this time; 0: unknown.
   uint32_t idle_timeout_ms = 0;
   std::vector<ServiceRoute> routes;  ///< In the order of the targets.
@@ -86,6 +95,9 @@
   const RouteTable& Table() const { return m_table; }
 
  private:
+  /// Adds the routes in force that the unread entries of a new table mean.
+  void KeepUnread(RouteTable* table) const;
+
   RouteTable m_table;                             ///< Table in force.
   std::map<SocketAddress4, size_t> m_by_address;  ///< Index in m_table.
   /// Services that each address has had since this process started.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -207,6 +207,12 @@
         .With("reason", reason.detail);
     return;
   }
+  if (!table->unread.empty()) {
+    EventLine(Severity::kError, "target_entries_ignored")
+        .With("revision", targets.version.revision)
+        .With("entries", table->unread.size())
+        .With("reason", reason.detail);
+  }
   const TargetIdentity identity = table->identity;
   const size_t routes = table->routes.size();
   if (!m_routes.Adopt(std::move(*table))) {
