Feature: A cold server gets new flows at the rate that it bears

A server that had just started got as many new flows as balancers sent, although targets state the rate that it bears (warmupPerS).

The balancer states the rate with each forwarded packet, in bytes of the header that old processes leave 0. An agent that restarts beside a cold server takes the window for used up. Agents get the bounds from their settings where the deployment has them.

--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -23,10 +23,12 @@
 #define STRING_SETTING(key, required, fallback, help) #key,
 #define LIST_SETTING(key, help) #key,
 #define INT_SETTING(key, fallback, lowest, highest, help) #key,
+#define REAL_SETTING(key, fallback, lowest, highest, help) #key,
 #include "src/daemon/settings_table.inc"
 #undef STRING_SETTING
 #undef LIST_SETTING
 #undef INT_SETTING
+#undef REAL_SETTING
 };
 
 /// Reads the values of a settings file and records the first fault.
@@ -105,6 +107,26 @@
     }
   }
 
+  void ReadReal(std::string_view key,
+                double lowest,
+                double highest,
+                double* out) {
+    const auto found = m_values.find(key);
+    if (found == m_values.end()) {
+      return;
+    }
+    if (!found->is_number()) {
+      ReportFault(key, "must be a number");
+      return;
+    }
+    *out = found->get<double>();
+    if (*out < lowest || *out > highest) {
+      std::ostringstream rule;
+      rule << "must be between " << lowest << " and " << highest;
+      ReportFault(key, rule.str());
+    }
+  }
+
   void CheckUnknownKeys() {
     for (const auto& [key, value] : m_values.items()) {
       if (std::find(std::begin(kSettingKeys), std::end(kSettingKeys), key) ==
@@ -183,10 +205,13 @@
 #define LIST_SETTING(key, help) reader.ReadList(#key, &settings.key);
 #define INT_SETTING(key, fallback, lowest, highest, help) \
   reader.ReadInteger(#key, lowest, highest, &settings.key);
+#define REAL_SETTING(key, fallback, lowest, highest, help) \
+  reader.ReadReal(#key, lowest, highest, &settings.key);
 #include "src/daemon/settings_table.inc"
 #undef STRING_SETTING
 #undef LIST_SETTING
 #undef INT_SETTING
+#undef REAL_SETTING
   reader.CheckUnknownKeys();
   CheckConflicts(settings, &reader);
   if (reader.HasFault()) {
@@ -222,10 +247,14 @@
 #define INT_SETTING(key, fallback, lowest, highest, help)                  \
   text << "| `" #key "` | integer | `" << (fallback) << "` | " << (lowest) \
        << " to " << (highest) << " | " << (help) << " |\n";
+#define REAL_SETTING(key, fallback, lowest, highest, help)                \
+  text << "| `" #key "` | number | `" << (fallback) << "` | " << (lowest) \
+       << " to " << (highest) << " | " << (help) << " |\n";
 #include "src/daemon/settings_table.inc"
 #undef STRING_SETTING
 #undef LIST_SETTING
 #undef INT_SETTING
+#undef REAL_SETTING
   return text.str();
 }
 
--- a/src/daemon/settings_type.h
+++ b/src/daemon/settings_type.h
@@ -16,10 +16,13 @@
 #define LIST_SETTING(key, help) std::vector<std::string> key;
 #define INT_SETTING(key, fallback, lowest, highest, help) \
   int64_t key = fallback;
+#define REAL_SETTING(key, fallback, lowest, highest, help) \
+  double key = fallback;
 #include "src/daemon/settings_table.inc"
 #undef STRING_SETTING
 #undef LIST_SETTING
 #undef INT_SETTING
+#undef REAL_SETTING
 };
 
 }  // namespace medlargauge
--- a/src/forwarding/active_routes.h
+++ b/src/forwarding/active_routes.h
@@ -43,6 +43,9 @@
   /// Idle flows may be dropped after this time; 0: unknown.
   uint32_t idle_timeout_ms = 0;
   std::vector<ServiceRoute> routes;  ///< In the order of the targets.
+  /// New flows per second that a server of a service bears while it is cold;
+  /// services without a limit have no entry.
+  std::map<ServiceId, uint32_t> warmup_per_second;
 };
 
 /// Services that are known to hold or to have held flows of an address. An
--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -143,6 +143,13 @@
                                                        : ReturnReason::kBusy);
     }
     const ServerLoad load = Load(now);
+    m_cold_rate.OnStated(now, header.revision, header.warmup_per_second);
+    if (load.warmup_ends_at > now && m_cold_rate.IsExhausted(now)) {
+      // A last candidate that is returned as busy would be chosen again.
+      ++m_counters.returned_cold;
+      return Return(balancer_ip, header.last_candidate ? ReturnReason::kFull
+                                                       : ReturnReason::kBusy);
+    }
     if (!header.last_candidate && load.active >= load.slots) {
       return Return(balancer_ip, ReturnReason::kBusy);
     }
@@ -169,6 +176,7 @@
       m_health.OnTrialStarted();
     }
     MarkActive(now + m_limits.max_reserve, &flow);
+    m_cold_rate.OnDelivered(now);
   }
   m_held_flows.OnPacket(now, HashFlow(packet.flow));
   flow.balancer_ip = balancer_ip;
@@ -318,6 +326,7 @@
       m_report.has_value() &&
       (m_report->id != report.id || m_report->started_ms != report.started_ms);
   if (report.is_first) {
+    m_cold_rate.OnServerStart();
     m_held_flows.OnFirstCall(now);
   } else if (is_other_server) {
     m_held_flows.OnOtherServer();
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -21,6 +21,7 @@
 #include "src/forwarding/latency_histogram.h"
 #include "src/forwarding/placement.h"
 #include "src/forwarding/round_trip_estimator.h"
+#include "src/forwarding/warmup/cold_rate.h"
 
 namespace medlargauge {
 
@@ -113,6 +114,7 @@
   uint64_t resets = 0;            ///< Flows reset because the server died.
   uint64_t foreign_acks = 0;      ///< Packets that accept another server.
   std::array<uint64_t, 9> returned{};  ///< By ReturnReason.
+  uint64_t returned_cold = 0;  ///< Opening packets beyond the cold rate.
 };
 
 /// State machine of an agent. Deterministic: it maps (now, event) to a decision
@@ -158,6 +160,14 @@
     m_unknown_until = unknown_until;
   }
 
+  /// Sets how far new flows of a cold server may exceed the rate that it bears.
+  void SetColdRateBounds(ColdRateBounds bounds) {
+    m_cold_rate = ColdRate(bounds);
+  }
+
+  /// Call when the process starts: an earlier one may have delivered flows.
+  void OnStart(TimePoint now) { m_cold_rate.OnUnknownPast(now); }
+
   /// Returns new flows to the balancer from now on, as this agent is stopping.
   void StartLeaving() { m_leaving = true; }
 
@@ -321,7 +331,8 @@
   /// From the server's SYN-ACK to the next packet of the caller.
   RoundTripEstimator m_caller_round_trip;
   std::unordered_map<FlowKey, Flow, FlowKeyHash> m_flows;  ///< Flow table.
-  HeldFlows m_held_flows;  ///< What the server may hold.
+  HeldFlows m_held_flows;                  ///< What the server may hold.
+  ColdRate m_cold_rate{ColdRateBounds()};  ///< Limits flows of a cold server.
   /// Pointers to owners of flows that are searched here first.
   std::unordered_map<FlowKey, Pointer, FlowKeyHash> m_pointers;
   ForwarderCounters m_counters;  ///< See Counters.
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -387,6 +387,9 @@
   decision.header.all_restricted = flow.all_restricted;
   decision.header.response_limit_ms = route.goal_ms;
   decision.header.revision = m_routes->Revision();
+  const auto& rates = m_routes->Table().warmup_per_second;
+  const auto rate = rates.find(flow.service);
+  decision.header.warmup_per_second = rate == rates.end() ? 0 : rate->second;
   return decision;
 }
 
--- a/src/forwarding/forwarding_type.h
+++ b/src/forwarding/forwarding_type.h
@@ -4,6 +4,7 @@
 #define MEDLARGAUGE_FORWARDING_FORWARDING_TYPE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -157,6 +158,9 @@
   bool all_restricted = false;
   uint32_t response_limit_ms = 0;  ///< A later answer is useless; 0: no limit.
   uint64_t revision = 0;           ///< Targets revision used by the balancer.
+  /// New flows per second that a cold server of the service bears; 0: no limit;
+  /// nullopt: the balancer has a version that does not state it.
+  std::optional<uint32_t> warmup_per_second;
 };
 
 }  // namespace medlargauge
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -95,6 +95,9 @@
 
 bool AgentRuntime::Start(Error* reason) {
   m_unknown_until = SteadyTime() + kUnknownEvacuationTime;
+  m_forwarder.SetColdRateBounds(
+      {m_settings.warmup_overshoot, m_settings.warmup_slack});
+  m_forwarder.OnStart(SteadyTime());
   OnEvacuations(m_fleet_node.EvacuatedDomains());
   const bool bound =
       m_outbound_socket.Bind(*ParseAddress4(m_settings.outbound_address),
@@ -394,6 +397,7 @@
              counters.returned[static_cast<size_t>(ReturnReason::kBounced)]);
   stats->Set(Stat::returned_evacuated,
              counters.returned[static_cast<size_t>(ReturnReason::kEvacuated)]);
+  stats->Set(Stat::returned_cold, counters.returned_cold);
   stats->Set(Stat::requests_active, m_forwarder.ActiveRequests());
   stats->Set(Stat::requests_answered, counters.answers);
   stats->Set(Stat::requests_failed, counters.failed);
--- a/src/runtime/peer_wire.cc
+++ b/src/runtime/peer_wire.cc
@@ -30,7 +30,8 @@
   uint8_t reserved;
   uint32_t service;
   uint32_t response_limit_ms;
-  uint32_t reserved2;
+  /// 1 + new flows per second that a cold server bears; 0: not stated.
+  uint32_t warmup_plus_one;
   uint64_t revision;
 };
 static_assert(sizeof(ForwardWireHeader) == 24);
@@ -68,6 +69,10 @@
                       (header.all_restricted ? kAllRestrictedFlag : 0);
   wire_header.service = header.service.value;
   wire_header.response_limit_ms = header.response_limit_ms;
+  if (header.warmup_per_second.has_value()) {
+    wire_header.warmup_plus_one =
+        std::min(*header.warmup_per_second, UINT32_MAX - 1) + 1;
+  }
   wire_header.revision = header.revision;
   m_buffer.assign(reinterpret_cast<const char*>(&wire_header),
                   sizeof(wire_header));
@@ -136,6 +141,9 @@
           (wire_header.flags & kAllRestrictedFlag) != 0;
       frame.header.response_limit_ms = wire_header.response_limit_ms;
       frame.header.revision = wire_header.revision;
+      if (wire_header.warmup_plus_one != 0) {
+        frame.header.warmup_per_second = wire_header.warmup_plus_one - 1;
+      }
       frame.packet = {datagram.data + sizeof(wire_header),
                       datagram.size - sizeof(wire_header)};
       return frame;
