Fix: Evacuations came too late where all readers were cut off from the store

A cut that reaches the three balancers that watch the store is noticed when their watches time out, up to 5.6 s later, and another balancer read only once all three had noticed it. The readers could also all be in one failure domain.

Readers are now in different failure domains where there are several. A reader whose call fails tells the other balancers at once, and one of them, the next in rank whose calls do not fail, reads too. The number of calls without a failure is unchanged.

--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -47,6 +47,7 @@
   entry.avoid_until = TimePoint();
   entry.leaving = status.leaving();
   entry.store_era = status.store_era();
+  entry.store_failing = status.store_failing();
   entry.fleet_size = std::min(status.members(), kMaxMembers);
   entry.agents_heard = std::min(status.agents_heard(), kMaxMembers);
   m_has_met_fleet = m_has_met_fleet || member.role == MemberRole::kBalancer;
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -83,7 +83,8 @@
   bool leaving = false;  ///< The member has announced a planned stop.
   /// When the store last answered the member; zero: its last call failed.
   TimePoint store_answered_at;
-  ProbeState probe;  ///< Reset whenever the member is heard.
+  bool store_failing = false;  ///< It says that its last such call failed.
+  ProbeState probe;            ///< Reset whenever the member is heard.
 };
 
 /// Membership table of the fleet with a timeout-based failure detector. Not
--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -41,7 +41,7 @@
 bool TargetReader::ShouldRead(TimePoint now,
                               MemberId self,
                               const MembershipTable& members) {
-  std::vector<MemberId> candidates{self};
+  std::vector<Candidate> candidates{{self, m_domain, IsFailing()}};
   TimePoint newest_contact;
   for (const auto& [id, entry] : members.Entries()) {
     const bool is_candidate = entry.member.role == MemberRole::kBalancer &&
@@ -49,19 +49,52 @@
                               (!m_era_known || entry.store_era != 0) &&
                               members.IsReachable(now, entry);
     if (is_candidate) {
-      candidates.push_back(id);
+      candidates.push_back({id, entry.member.domain, entry.store_failing});
       newest_contact = std::max(newest_contact, entry.store_answered_at);
     }
   }
-  const std::vector<MemberId> readers =
-      ChooseStoreReaders(candidates, m_limits.readers);
-  const auto found = std::find(readers.begin(), readers.end(), self);
-  m_rank = static_cast<size_t>(found - readers.begin());
-  m_readers = readers.size();
-  return found != readers.end() ||
+  const std::vector<Candidate> ranked = RankCandidates(candidates);
+  m_readers = std::min(ranked.size(), m_limits.readers);
+  const auto others = ranked.begin() + static_cast<std::ptrdiff_t>(m_readers);
+  const auto is_self = [self](const Candidate& c) { return c.id == self; };
+  const auto is_failing = [](const Candidate& c) { return c.failing; };
+  m_rank = static_cast<size_t>(
+      std::find_if(ranked.begin(), ranked.end(), is_self) - ranked.begin());
+  // The other readers may be cut off from the store as well and not know it
+  // yet, as their watches are still under way.
+  const auto substitute =
+      std::any_of(ranked.begin(), others, is_failing)
+          ? std::find_if_not(others, ranked.end(), is_failing)
+          : ranked.end();
+  const bool is_substitute =
+      substitute != ranked.end() && substitute->id == self;
+  return IsReader() || is_substitute ||
          now - newest_contact > m_limits.max_contact_age;
 }
 
+std::vector<TargetReader::Candidate> TargetReader::RankCandidates(
+    const std::vector<Candidate>& candidates) {
+  std::vector<MemberId> ids;
+  ids.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    ids.push_back(candidate.id);
+  }
+  std::vector<Candidate> firsts;
+  std::vector<Candidate> rest;
+  for (const MemberId id : ChooseStoreReaders(ids, ids.size())) {
+    const Candidate& candidate =
+        *std::find_if(candidates.begin(), candidates.end(),
+                      [id](const Candidate& c) { return c.id == id; });
+    const bool is_first = std::none_of(firsts.begin(), firsts.end(),
+                                       [&candidate](const Candidate& c) {
+                                         return c.domain == candidate.domain;
+                                       });
+    (is_first ? firsts : rest).push_back(candidate);
+  }
+  firsts.insert(firsts.end(), rest.begin(), rest.end());
+  return firsts;
+}
+
 void TargetReader::OnRead(TimePoint now,
                           StoreResult result,
                           uint64_t position) {
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -64,6 +64,10 @@
                   const MembershipTable& members,
                   uint64_t revision);
 
+  /// Sets the failure domain of this process, as readers should be in
+  /// different ones.
+  void SetDomain(DomainId domain) { m_domain = domain; }
+
   /// Handles the end of a read.
   /// @param position revision of the store if the read succeeded, or found no
   ///     targets; 0: unknown
@@ -105,14 +109,28 @@
   uint64_t Position() const { return m_position; }
   /// Returns whether the last call to the store failed.
   bool IsFailing() const { return m_failures > 0; }
+  /// Returns whether this process is one of the readers, and not one that reads
+  /// because a reader's calls fail.
+  bool IsReader() const { return m_rank < m_limits.readers; }
 
  private:
   /// Updates m_rank and m_readers. @return whether this process has to read
   bool ShouldRead(TimePoint now, MemberId self, const MembershipTable& members);
+  /// A balancer that may be a reader.
+  struct Candidate {
+    MemberId id;
+    DomainId domain;
+    bool failing = false;  ///< Its last call failed.
+  };
+  /// Sorts candidates: first one of each failure domain, so that a domain that
+  /// is cut off has few readers, and then the others; by hash among each.
+  static std::vector<Candidate> RankCandidates(
+      const std::vector<Candidate>& candidates);
   void RecordResult(TimePoint now, StoreResult result);
   void ScheduleRetry(TimePoint now, uint32_t earlier_failures);
 
   TargetReaderLimits m_limits;      ///< Settings.
+  DomainId m_domain;                ///< See SetDomain.
   uint64_t m_seed;                  ///< Seed of the spread of retries.
   TimePoint m_started_at;           ///< Start of the process.
   TimePoint m_retry_at;             ///< Earliest time of the next call.
--- a/src/forwarding/target_reader_test.cc
+++ b/src/forwarding/target_reader_test.cc
@@ -1,6 +1,8 @@
 // @file target_reader_test.cc Tests of when the targets are read.
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "src/forwarding/member_fixture.h"
 #include "src/forwarding/target_reader.h"
 
@@ -57,6 +59,61 @@
   CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kRead);
 }
 
+/// Ten balancers, five in each of two domains, that hear each other.
+struct ReaderFleet {
+  TimePoint now{Seconds(100)};
+  uint32_t sequence = 0;
+
+  static DomainId DomainOf(uint64_t id) { return DomainId{id <= 5 ? 1U : 2U}; }
+  /// Returns those that read while the calls of `failing` fail.
+  std::vector<uint64_t> Readers(const std::vector<uint64_t>& failing) {
+    std::vector<uint64_t> readers;
+    for (uint64_t self = 1; self <= 10; ++self) {
+      MembershipTable members(MemberId{self}, MembershipTimeouts());
+      for (uint64_t id = 1; id <= 10; ++id) {
+        const bool fails =
+            std::find(failing.begin(), failing.end(), id) != failing.end();
+        proto::PeerStatus status = MakeStatus(now, id, MemberRole::kBalancer,
+                                              ++sequence, fails ? 0 : 1);
+        status.mutable_self()->set_domain(DomainOf(id).value);
+        status.set_store_failing(fails);
+        members.OnStatus(now, status);
+      }
+      TargetReader reader(now, self, TargetReaderLimits());
+      reader.SetDomain(DomainOf(self));
+      if (reader.Next(now, MemberId{self}, members, 5) !=
+          ReadAction::kNothing) {
+        readers.push_back(self);
+      }
+    }
+    return readers;
+  }
+};
+
+TEST_CASE("a domain that is cut off from the store has all readers") {
+  ReaderFleet fleet;
+  const std::vector<uint64_t> readers = fleet.Readers({});
+  REQUIRE(readers.size() == 3);
+  CHECK(ReaderFleet::DomainOf(readers.front()) !=
+        ReaderFleet::DomainOf(readers.back()));
+}
+
+TEST_CASE("nobody reads while some readers have yet to find the store lost") {
+  ReaderFleet fleet;
+  const std::vector<uint64_t> readers = fleet.Readers({});
+  REQUIRE(readers.size() == 3);
+  // One more reads, not the whole fleet, and the next one if it fails too.
+  std::vector<uint64_t> with_substitute = fleet.Readers({readers[0]});
+  REQUIRE(with_substitute.size() == 4);
+  const auto is_new = [&](uint64_t id) {
+    return std::find(readers.begin(), readers.end(), id) == readers.end();
+  };
+  const uint64_t substitute =
+      *std::find_if(with_substitute.begin(), with_substitute.end(), is_new);
+  const std::vector<uint64_t> next = fleet.Readers({readers[0], substitute});
+  CHECK(next.size() == 5);
+}
+
 TEST_CASE("a reader reads first, then watches, and reads again after any gap") {
   ReaderFixture fixture;
   const auto next = [&] {
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -63,6 +63,7 @@
                       return HandleHttpRequest(request);
                     }),
       m_last_suspended_time(SuspendedTime()) {
+  m_target_reader.SetDomain(m_self.domain);
   SetSeeds(settings.seeds);
   if (settings.first_start != 0) {
     m_discovery.OnFirstStart();
@@ -213,6 +214,7 @@
                               ? m_members.CountLiveAgents(now)
                               : m_members.LargestReportedAgents(now));
   EncodeEvacuations(status.mutable_evacuations());
+  status.set_store_failing(m_target_reader.IsFailing());
   status.set_store_era(m_era.Era());
   const std::optional<Duration> era_age = m_era.Age(now);
   if (era_age.has_value()) {
@@ -248,6 +250,15 @@
   m_status_schedule.OnSentToAll(now, m_members.FleetSize(m_self.role));
 }
 
+void FleetNode::BroadcastStatusToBalancers() {
+  const proto::PeerStatus status = MakeStatus(SteadyTime());
+  for (const auto& [id, entry] : m_members.Entries()) {
+    if (entry.member.role == MemberRole::kBalancer) {
+      SendStatus(entry.member.ip, status);
+    }
+  }
+}
+
 void FleetNode::SendDueStatuses(TimePoint now) {
   const std::vector<MemberId> due =
       m_status_schedule.TakeDue(now, m_members.FleetSize(m_self.role));
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -122,6 +122,8 @@
     return m_self.role == MemberRole::kBalancer ||
            member.role == MemberRole::kBalancer;
   }
+  /// Sends a status now to the other balancers.
+  void BroadcastStatusToBalancers();
   /// Gives a member that was heard or mentioned its turn in the schedule.
   void ScheduleStatuses(TimePoint now, const FleetMember& member);
   /// Sends a status to each member whose turn it is.
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -145,6 +145,7 @@
     const TimePoint completed_at = SteadyTime();
     const std::string_view call = watches ? "watch_targets" : "fetch_targets";
     const StoreResult result = CheckEra(reply, call);
+    const bool was_failing = m_target_reader.IsFailing();
     if (watches) {
       m_target_reader.OnWatch(completed_at, result, position);
     } else {
@@ -152,6 +153,10 @@
       m_store_latency.Add(completed_at - now);
     }
     LogStoreTransition(result, call);
+    if (m_target_reader.IsReader() && !was_failing &&
+        m_target_reader.IsFailing()) {
+      BroadcastStatusToBalancers();  // One of them takes over.
+    }
     if (entries.evacuations.has_value()) {
       OnStoredEvacuations(completed_at, *entries.evacuations);
     }
