Fix: Hundreds of evacuated names made statuses too large for a datagram

With 601 keys below op/evacuate/ no process learned of the evacuation among them that concerned it, and statuses no longer arrived at all. Beyond 32 domains, names that no process has are left out.

--- a/src/runtime/fleet_node_evacuation.cc
+++ b/src/runtime/fleet_node_evacuation.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::string_view kStoreSource = "store";
+/// Limit of the evacuated domains, so that statuses with them fit a datagram.
+/// Those beyond it that no process has are left out.
+constexpr size_t kMaxDomains = 32;
 /// Interval of SendEvacuations.
 constexpr Duration kReplyInterval = Milliseconds(20);
 /// Members to which a process passes on a change that it has learned from
@@ -36,6 +39,12 @@
   std::vector<DomainId> domains;
   for (const StoredEvacuation& entry : stored.entries) {
     const DomainId domain = DomainIdOf(entry.domain);
+    const size_t known = stored.is_complete
+                             ? domains.size()
+                             : m_evacuations.State().domains.size();
+    if (!entry.ended && known >= kMaxDomains && CountMembersIn(domain) == 0) {
+      continue;
+    }
     m_domain_names[domain] = entry.domain;
     domains.push_back(domain);
     if (!stored.is_complete) {
