Feature: The soak evacuates failure domains

Invariant EVAC: no opening packet reaches a server of an evacuated domain later than 5 s after the write, unless a fault of its agent or of the store excuses it.

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -53,6 +53,7 @@
       {"delay and lose at", &FaultInjector::DelayOfProcess, 0.7},
       {"cut from the store", &FaultInjector::CutFromStore, 1},
       {"write a new target", &FaultInjector::WriteTarget, 1},
+      {"evacuate the domain", &FaultInjector::EvacuateDomain, 3},
       {"reload the settings of", &FaultInjector::ReloadSettings, 1},
       {"power off all hosts", &FaultInjector::PowerOff, 0.3}};
   return fault_kinds;
@@ -401,6 +402,29 @@
   });
 }
 
+void FaultInjector::EvacuateDomain() {
+  if (!m_evacuated_domain.empty()) {
+    m_log.back() += ": one is evacuated already";
+    return;
+  }
+  // Over by the end of the faults, so that all servers serve after that.
+  const Duration duration =
+      std::min<Duration>(DrawDuration(1000, 20000), m_until - SteadyTime());
+  const auto& servers = *m_targets.servers;
+  m_evacuated_domain =
+      servers[m_random() % servers.size()]->ServerOptions().domain;
+  m_log.back() += " " + m_evacuated_domain + " for " +
+                  std::to_string(ToMilliseconds(duration)) + " ms";
+  const std::string key = "op/evacuate/" + m_evacuated_domain;
+  m_targets.store->Write(key, "{}");
+  m_targets.checker->OnEvacuation(SteadyTime(), m_evacuated_domain, true);
+  m_targets.loop->After(duration, [this, key] {
+    m_targets.checker->OnEvacuation(SteadyTime(), m_evacuated_domain, false);
+    m_targets.store->Delete(key);
+    m_evacuated_domain.clear();
+  });
+}
+
 void FaultInjector::WriteTarget() {
   m_targets.write_target();
 }
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -118,6 +118,7 @@
   void DelayOfProcess();
   void CutFromStore();
   void WriteTarget();
+  void EvacuateDomain();
   void ReloadSettings();
   void PowerOff();
 
@@ -125,6 +126,7 @@
   std::mt19937_64 m_random;           ///< Makes all choices.
   TimePoint m_started_at;             ///< Start of the soak.
   TimePoint m_until;                  ///< See Start.
+  std::string m_evacuated_domain;     ///< Empty: none is evacuated.
   uint64_t m_store_fault_number = 0;  ///< Number of the last store fault mode.
   /// Number of the last fault of each way between two processes, and of each
   /// process to the store (0).
--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr size_t kMaxStoredViolations = 50;
+/// After this time no opening packet may reach an evacuated domain.
+constexpr Duration kEvacuationTime = Seconds(5);
 constexpr uint32_t kMisroutedPackets = 3;
 constexpr size_t kMinFlowsToPrune = 1000;
 /// Far more than callers have in progress at once.
@@ -53,7 +55,33 @@
   m_excused_samples += IsExcusedByFault(m_clock(), server) ? 1 : 0;
 }
 
-void InvariantChecker::OnFlowAccepted(const FlowKey& flow, bool left) {
+void InvariantChecker::OnEvacuation(TimePoint now,
+                                    const std::string& domain,
+                                    bool evacuated) {
+  if (evacuated) {
+    m_evacuated_at[domain] = now;
+  } else {
+    m_evacuated_at.erase(domain);
+  }
+}
+
+bool InvariantChecker::IsEvacuated(TimePoint now,
+                                   const std::string& domain) const {
+  const auto found = m_evacuated_at.find(domain);
+  return found != m_evacuated_at.end() && m_store_healthy &&
+         now - std::max(found->second, m_store_health_changed_at) >
+             kEvacuationTime;
+}
+
+void InvariantChecker::OnFlowAccepted(const ServerStandin& server,
+                                      const FlowKey& flow,
+                                      bool left) {
+  const TimePoint now = m_clock();
+  const std::string& domain = server.ServerOptions().domain;
+  if (IsEvacuated(now, domain) && !IsExcusedByFault(now, server)) {
+    ReportViolation("EVAC an opening packet reached a server of domain " +
+                    domain + ", " + DescribeFlow(flow));
+  }
   if (left) {
     ReportViolation("DRAIN a leaving server accepted a flow, " +
                     DescribeFlow(flow));
--- a/soak/invariant_checker.h
+++ b/soak/invariant_checker.h
@@ -41,8 +41,11 @@
   /// Records a violation. `text` begins with the name of the invariant.
   void ReportViolation(const std::string& text);
 
-  /// A server has accepted a new flow. `left` is as in ServerHooks.
-  void OnFlowAccepted(const FlowKey& flow, bool left);
+  /// An opening packet of a new flow reached a server. `left` is as in
+  /// ServerHooks.
+  void OnFlowAccepted(const ServerStandin& server,
+                      const FlowKey& flow,
+                      bool left);
   /// A packet of a caller reached a server. `held` tells whether the server has
   /// the flow open, `balancer_ip` is the balancer that forwarded it.
   void OnCallerPacket(ServerStandin* server,
@@ -70,6 +73,8 @@
 
   /// The store has accepted a new target of the operators.
   void OnTargetWritten(TimePoint now, uint64_t revision);
+  /// The store has accepted the evacuation of a failure domain, or its end.
+  void OnEvacuation(TimePoint now, const std::string& domain, bool evacuated);
   /// The store's fault mode has changed. `healthy` tells whether the store
   /// answers correctly and in time now.
   void OnStoreHealthChanged(TimePoint now, bool healthy);
@@ -114,6 +119,8 @@
   /// Returns whether a fault of all links of a process is recent enough to
   /// excuse what it did to flows. Other faults of a balancer are no excuse.
   bool IsExcusedByIsolation(TimePoint now, uint32_t ip) const;
+  /// Returns whether each process in touch knows that the domain is evacuated.
+  bool IsEvacuated(TimePoint now, const std::string& domain) const;
   /// Records a violation if too many packets of a flow have reached only other
   /// servers for too long until `now`.
   /// @param excused_at when a fault must have been recent enough to excuse it
@@ -135,7 +142,9 @@
   std::map<int64_t, RequestCounts> m_counts;  ///< By second of arrival.
   uint64_t m_target_revision = 0;             ///< Newest in the store.
   TimePoint m_target_deadline;  ///< When that must be in force everywhere.
-  bool m_store_healthy = true;  ///< See OnStoreHealthChanged.
+  /// Since when failure domains are evacuated.
+  std::map<std::string, TimePoint> m_evacuated_at;
+  bool m_store_healthy = true;            ///< See OnStoreHealthChanged.
   TimePoint m_store_health_changed_at;    ///< Last change of m_store_healthy.
   uint64_t m_highest_revision = 0;        ///< Newest in force at any balancer.
   TimePoint m_highest_revision_deadline;  ///< When that must be everywhere.
--- a/soak/invariant_checker_test.cc
+++ b/soak/invariant_checker_test.cc
@@ -38,6 +38,7 @@
       processes.Add("invariant-checker-test", ip, true, "{}");
       platform::standin::ServerStandinOptions options;
       options.service = i == 0 ? "stock" : "media";
+      options.domain = i == 0 ? "a" : "b";
       options.address = {ip, kServerPort};
       options.agent_packet_address = {ip, kOutboundPort};
       options.reports = {ip, kHeartbeatPort};
@@ -96,6 +97,33 @@
   }
 };
 
+TEST_CASE("a new flow in an evacuated domain is reported") {
+  Fixture fixture;
+  InvariantChecker& checker = *fixture.checker;
+  fixture.time = SteadyTime() + kFaultExcuseTime + Seconds(1);
+  const auto open = [&](size_t server) {
+    checker.OnFlowAccepted(*fixture.servers[server], fixture.flow, false);
+  };
+  checker.OnEvacuation(fixture.time, "a", true);
+  fixture.time += Seconds(5);
+  open(0);
+  fixture.time += Milliseconds(1);
+  open(1);
+  // Nobody can learn of it from a store that does not answer.
+  checker.OnStoreHealthChanged(fixture.time, false);
+  open(0);
+  checker.OnStoreHealthChanged(fixture.time, true);
+  fixture.time += Seconds(5);
+  open(0);
+  CHECK(checker.ViolationCount() == 0);
+  fixture.time += Milliseconds(1);
+  open(0);
+  CHECK(fixture.ReportedOnly("EVAC"));
+  checker.OnEvacuation(fixture.time, "a", false);
+  open(0);
+  CHECK(checker.ViolationCount() == 1);
+}
+
 TEST_CASE("a request at a server of another service is reported") {
   Fixture fixture;
   fixture.checker->OnRequestStarted(*fixture.servers[0], fixture.flow, 1);
@@ -115,9 +143,9 @@
 
 TEST_CASE("a new flow at a server that has left is reported") {
   Fixture fixture;
-  fixture.checker->OnFlowAccepted(fixture.flow, false);
+  fixture.checker->OnFlowAccepted(*fixture.servers[0], fixture.flow, false);
   CHECK(fixture.checker->ViolationCount() == 0);
-  fixture.checker->OnFlowAccepted(fixture.flow, true);
+  fixture.checker->OnFlowAccepted(*fixture.servers[0], fixture.flow, true);
   CHECK(fixture.ReportedOnly("DRAIN"));
 }
 
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -202,8 +202,8 @@
   options.agent_packet_address = {ip, kOutboundPort};
   options.reports = {ip, kHeartbeatPort};
   ServerHooks hooks;
-  hooks.on_flow_accepted = [this](const FlowKey& flow, bool left) {
-    m_checker.OnFlowAccepted(flow, left);
+  hooks.on_flow_accepted = [this, index](const FlowKey& flow, bool left) {
+    m_checker.OnFlowAccepted(*m_servers[index], flow, left);
   };
   hooks.on_packet = [this, index](const FlowKey& flow, bool held,
                                   uint32_t balancer_ip) {
