Codechange: A line in a table adds a policy to the emulator

Policies were set by position in an array. They are now entries that change the present policy; functions change any limit or hook of the balancers and agents that start.

--- a/lab/lab_scenarios.cc
+++ b/lab/lab_scenarios.cc
@@ -160,36 +160,70 @@
   return scenarios;
 }
 
+template <uint32_t kPercent>
+void LimitPercent(ForwarderLimits* limits) {
+  limits->response_limit_percent = kPercent;
+}
+
+template <uint32_t kReturns>
+void BusyReturns(DirectorLimits* limits) {
+  limits->max_busy_returns = kReturns;
+}
+
+template <uint32_t kReturns>
+void PlaceByTime(Policy* policy) {
+  policy->placement = &PlaceByResponseTime;
+  policy->tune_balancer = BusyReturns<kReturns>;
+}
+
+/// A policy as a change of the present one.
+struct PolicyEntry {
+  const char* name;
+  void (*change)(Policy*);
+};
+
+/// To add a policy, add a line: `placement` places new flows, and `tune_*` set
+/// any limits or hooks of balancers and agents.
+constexpr PolicyEntry kPolicies[] = {
+    {"present", [](Policy*) {}},
+    {"to-the-limit", [](Policy* p) { p->use_response_goal = false; }},
+    {"no-asking", [](Policy* p) { p->return_when_busy = false; }},
+    {"hash",
+     [](Policy* p) {
+       p->placement = &PlaceByHash;
+       p->use_response_goal = false;
+       p->return_when_busy = false;
+       p->tune_balancer = [](DirectorLimits* l) { l->max_busy_returns = 3; };
+     }},
+    {"aim-50", [](Policy* p) { p->tune_agent = LimitPercent<50>; }},
+    {"aim-75", [](Policy* p) { p->tune_agent = LimitPercent<75>; }},
+    {"aim-100", [](Policy* p) { p->tune_agent = LimitPercent<100>; }},
+    {"aim-125", [](Policy* p) { p->tune_agent = LimitPercent<125>; }},
+    {"tries-4", [](Policy* p) { PlaceByTime<4>(p); }},
+    {"tries-6", [](Policy* p) { PlaceByTime<6>(p); }},
+    {"tries-8", [](Policy* p) { PlaceByTime<8>(p); }},
+    {"sample-3", [](Policy* p) { p->tune_balancer = BusyReturns<3>; }},
+    {"sample-5", [](Policy* p) { p->tune_balancer = BusyReturns<5>; }},
+    {"sample-7", [](Policy* p) { p->tune_balancer = BusyReturns<7>; }},
+    {"no-waiting",
+     [](Policy* p) {
+       p->tune_balancer = [](DirectorLimits* l) {
+         l->max_opening_wait = Duration();
+       };
+     }},
+    {"no-holding",
+     [](Policy* p) {
+       p->tune_balancer = [](DirectorLimits* l) { l->max_held_bytes = 0; };
+     }},
+};
+
 std::vector<Policy> MakePolicies() {
-  std::vector<Policy> policies(16);
-  policies[14].name = "no-waiting";
-  policies[14].max_opening_wait = Duration();
-  policies[15].name = "no-holding";
-  policies[15].max_held_bytes = 0;
-  for (size_t i = 11; i < 14; ++i) {
-    policies[i].max_busy_returns = 2 * static_cast<uint32_t>(i) - 19;
-    policies[i].name = "sample-" + std::to_string(policies[i].max_busy_returns);
-  }
-  for (size_t i = 8; i < 11; ++i) {
-    policies[i].placement = &PlaceByResponseTime;
-    policies[i].max_busy_returns = 2 * static_cast<uint32_t>(i) - 12;
-    policies[i].name = "tries-" + std::to_string(policies[i].max_busy_returns);
-  }
-  for (size_t i = 4; i < 8; ++i) {
-    policies[i].response_limit_percent = 25 * (i - 2);
-    policies[i].name =
-        "aim-" + std::to_string(policies[i].response_limit_percent);
+  std::vector<Policy> policies;
+  for (const PolicyEntry& entry : kPolicies) {
+    Policy& policy = policies.emplace_back();
+    policy.name = entry.name;
+    entry.change(&policy);
   }
-  policies[0].name = "present";
-  policies[1].name = "to-the-limit";
-  policies[1].use_response_goal = false;
-  policies[2].name = "no-asking";
-  policies[2].return_when_busy = false;
-  policies[3].name = "hash";
-  policies[3].max_busy_returns = 3;
-  policies[3].placement = &PlaceByHash;
-  policies[3].use_response_goal = false;
-  policies[3].return_when_busy = false;
   return policies;
 }
 
--- a/lab/lab_simulation.cc
+++ b/lab/lab_simulation.cc
@@ -88,9 +88,9 @@
   balancer->routes = std::make_unique<ActiveRoutes>();
   balancer->routes->Adopt(MakeRouteTable());
   DirectorLimits limits;
-  limits.max_busy_returns = m_policy.max_busy_returns;
-  limits.max_opening_wait = m_policy.max_opening_wait;
-  limits.max_held_bytes = m_policy.max_held_bytes;
+  if (m_policy.tune_balancer != nullptr) {
+    m_policy.tune_balancer(&limits);
+  }
   balancer->director = std::make_unique<FlowDirector>(
       Now(), DomainId{balancer->domain + 1}, balancer->members.get(),
       balancer->routes.get(), limits, m_policy.placement);
@@ -104,7 +104,9 @@
   const ServiceModel& service =
       m_scenario.services[agent->server.service_index];
   ForwarderLimits limits;
-  limits.response_limit_percent = m_policy.response_limit_percent;
+  if (m_policy.tune_agent != nullptr) {
+    m_policy.tune_agent(&limits);
+  }
   agent->forwarder = std::make_unique<AgentForwarder>(
       service.name, agent->server.address, limits);
   ++agent->incarnation;
--- a/lab/lab_type.h
+++ b/lab/lab_type.h
@@ -3,6 +3,7 @@
 #define MEDLARGAUGE_LAB_LAB_TYPE_H_
 
 #include <cmath>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -134,14 +135,9 @@
   /// The routes' response time goal is that of the class; otherwise it is the
   /// timeout of the callers. Agents refuse new flows that would exceed it.
   bool use_response_goal = true;
-  uint32_t response_limit_percent =
-      ForwarderLimits().response_limit_percent;  ///< See ForwarderLimits.
-  uint32_t max_busy_returns =
-      DirectorLimits().max_busy_returns;  ///< See DirectorLimits.
-  Duration max_opening_wait =
-      DirectorLimits().max_opening_wait;  ///< See DirectorLimits.
-  size_t max_held_bytes =
-      DirectorLimits().max_held_bytes;  ///< See DirectorLimits.
+  /// Change the limits of each process that starts; empty: the defaults.
+  std::function<void(DirectorLimits*)> tune_balancer;
+  std::function<void(ForwarderLimits*)> tune_agent;
   /// Agents without a free slot return new flows, so that balancers try others.
   bool return_when_busy = true;
 };
