--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -3,11 +3,14 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
 
 #include "lab/dead_flows.h"
 #include "lab/lab_report.h"
 #include "lab/lab_scenarios.h"
+#include "lab/lab_sweep.h"
 #include "lab/member_cost.h"
 #include "lab/reset_model.h"
 #include "src/core/error.h"
@@ -56,6 +59,14 @@
     "the other");
 DEFINE_uint32(flows, 2000, "dead-flows: number of dead flows");
 DEFINE_uint32(spread_ms, 1000, "dead-flows: time over which they show up");
+DEFINE_string(fleets,
+              "30,300,1800",
+              "load-sweep: numbers of agents, separated by commas");
+DEFINE_string(loads,
+              "0.3,0.5,0.7,0.8,0.9,1,1.1,1.2",
+              "load-sweep: loads relative to the capacity");
+DEFINE_uint32(sweep_ms, 1000, "load-sweep: duration of the load of each run");
+DEFINE_string(plot, "", "load-sweep: file that gets a plot as SVG");
 DEFINE_uint32(late_agents,
               0,
               "dead-flows: agents of each hundred that start after their "
@@ -157,6 +168,56 @@
   }
 }
 
+/// Returns the policies that --policy names, or nullopt if one is unknown.
+std::optional<std::vector<Policy>> ChosenPolicies() {
+  std::vector<Policy> chosen;
+  for (const std::string& name :
+       FLAGS_policy == "all" ? PolicyNames() : SplitByComma(FLAGS_policy)) {
+    const std::optional<Policy> policy = FindPolicy(name);
+    if (!policy.has_value()) {
+      std::cerr << "medlargauge_lab: there is no policy \"" << name << "\"\n";
+      return std::nullopt;
+    }
+    chosen.push_back(*policy);
+  }
+  return chosen;
+}
+
+/// Compares policies with the oracle at several loads.
+/// @return whether the plot was written, if one was wanted
+bool RunLoadSweep(const std::vector<Policy>& policies) {
+  SweepOptions options;
+  options.policies = policies;
+  options.first_seed = FLAGS_first_seed;
+  options.load_duration = Milliseconds(FLAGS_sweep_ms);
+  for (const std::string& agents : SplitByComma(FLAGS_fleets)) {
+    options.fleets.push_back(
+        std::max<uint32_t>(5, std::strtoul(agents.c_str(), nullptr, 10)));
+  }
+  for (const std::string& load : SplitByComma(FLAGS_loads)) {
+    options.loads.push_back(std::max(0.01, std::strtod(load.c_str(), nullptr)));
+  }
+  const std::vector<SweepPoint> points =
+      SweepLoad(options, [](const SweepPoint& point) {
+        std::printf(
+            "agents %u load %.2f %-14s mean_ms %.1f p99_ms %.1f "
+            "in_goal %.4f\n",
+            point.agents, point.load, point.policy.c_str(), point.mean_ms,
+            point.p99_ms, point.in_goal);
+        std::fflush(stdout);
+      });
+  if (FLAGS_plot.empty()) {
+    return true;
+  }
+  std::ofstream file(FLAGS_plot);
+  file << PlotSweep(points);
+  if (!file.flush()) {
+    std::cerr << "medlargauge_lab: cannot write \"" << FLAGS_plot << "\"\n";
+    return false;
+  }
+  return true;
+}
+
 int Run(const std::vector<std::string>& arguments) {
   if (arguments.size() == 1 && arguments[0] == "member-cost") {
     RunMemberCost();
@@ -169,11 +230,16 @@
   if (arguments.size() == 1 && arguments[0] == "reset-model") {
     return RunResetModel() ? 0 : 1;
   }
+  const std::optional<std::vector<Policy>> policies = ChosenPolicies();
+  if (!policies.has_value()) {
+    return Describe(ErrorKind::kBadUsage).exit_code;
+  }
+  if (arguments.size() == 1 && arguments[0] == "load-sweep") {
+    return RunLoadSweep(*policies) ? 0 : 1;
+  }
   const bool all_scenarios = arguments.size() == 1 && arguments[0] == "all";
   const std::vector<std::string> names =
       all_scenarios ? ScenarioNames() : arguments;
-  const std::vector<std::string> policies =
-      FLAGS_policy == "all" ? PolicyNames() : SplitByComma(FLAGS_policy);
   if (names.empty()) {
     std::cerr << "medlargauge_lab: no scenario given; use \"all\" or some of:";
     for (const std::string& name : ScenarioNames()) {
@@ -187,15 +253,7 @@
   options.seeds = FLAGS_seeds;
   options.as_json = FLAGS_json;
   options.with_details = FLAGS_details;
-  for (const std::string& policy_name : policies) {
-    const std::optional<Policy> policy = FindPolicy(policy_name);
-    if (!policy.has_value()) {
-      std::cerr << "medlargauge_lab: there is no policy \"" << policy_name
-                << "\"\n";
-      return Describe(ErrorKind::kBadUsage).exit_code;
-    }
-    options.policies.push_back(*policy);
-  }
+  options.policies = *policies;
   for (const std::string& name : names) {
     const std::optional<Scenario> scenario = FindScenario(name);
     if (!scenario.has_value()) {
@@ -217,7 +275,8 @@
       "  medlargauge_lab overload power-off --policy=present,hash --json\n"
       "  medlargauge_lab reset-model --depth=3\n"
       "  medlargauge_lab dead-flows --agents=300 --balancers=90\n"
-      "  medlargauge_lab member-cost");
+      "  medlargauge_lab member-cost\n"
+      "  medlargauge_lab load-sweep --policy=present,hash --plot=sweep.svg");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return medlargauge::lab::Run(std::vector<std::string>(argv + 1, argv + argc));
 }
--- a/lab/lab_test.cc
+++ b/lab/lab_test.cc
@@ -7,6 +7,8 @@
 #include "lab/lab_oracle.h"
 #include "lab/lab_scenarios.h"
 #include "lab/lab_simulation.h"
+#include "lab/lab_sweep.h"
+#include "lab/svg_plot.h"
 
 namespace medlargauge::lab {
 namespace {
@@ -232,5 +234,44 @@
   }
 }
 
+size_t CountOf(const std::string& text, const std::string& part) {
+  size_t count = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+TEST_CASE("a sweep has a point and a line for each policy and the oracle") {
+  SweepOptions options;
+  options.policies = {*FindPolicy("present")};
+  options.fleets = {10};
+  options.loads = {0.3, 1.2};
+  options.load_duration = Milliseconds(300);
+  options.min_agents = 10;
+  size_t seen = 0;
+  const std::vector<SweepPoint> points =
+      SweepLoad(options, [&seen](const SweepPoint& /*point*/) { ++seen; });
+  REQUIRE(points.size() == 4);
+  CHECK(seen == 4);
+  CHECK(points[1].policy == "oracle");
+  CHECK(points[1].mean_ms <= points[0].mean_ms);
+  CHECK(points[2].mean_ms > points[0].mean_ms);
+  CHECK(CountOf(PlotSweep(points), "<polyline") == 6);
+}
+
+// A viewer shows nothing of a document with a number that it can't read.
+TEST_CASE("a plot has no number that is not finite and no bare markup") {
+  PlotPanel panel;
+  panel.title = "a < b & c";
+  panel.log_y = true;
+  panel.series = {{"flat", {{1, 5}, {1, 5}}}, {"empty", {}}};
+  const std::string svg = DrawPlot({panel, PlotPanel()}, 1);
+  CHECK(svg.find("nan") == std::string::npos);
+  CHECK(svg.find("inf") == std::string::npos);
+  CHECK(svg.find("a &lt; b &amp; c") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace medlargauge::lab
