--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -1,7 +1,9 @@
 // @file commands.cc Table of commands and error output.
 #include <iostream>
 
+#include "platform/documents.h"
 #include "src/core/error.h"
+#include "src/ctl/check_command.h"
 #include "src/ctl/class_commands.h"
 #include "src/ctl/ctl_type.h"
 #include "src/ctl/fleet_commands.h"
@@ -29,6 +31,15 @@
        "show open flows, imbalance and broken flows by service", ShowStatus},
       {"members", 0, "",
        "show the members of the fleet as one daemon knows them", ShowMembers},
+      {"check", 1, "FILE [--against=FILE] [--json]",
+       "check the platform's targets in a file, without a fleet",
+       [](const CtlOptions& options,
+          const std::vector<std::string>& arguments) {
+         return CheckTargets(
+             options, arguments, [](std::string text, Error* reason) {
+               return platform::ReadTargets({std::move(text), {}}, reason);
+             });
+       }},
       {"trace", 2, "TRACE_ID FILE...", "print the hops of a traced flow",
        ShowTrace},
   };
--- a/src/ctl/ctl_main.cc
+++ b/src/ctl/ctl_main.cc
@@ -27,6 +27,7 @@
               "",
               "allowed excess of open flows over the mean, such as 1%");
 DEFINE_string(changed_by, "", "name of the operator; by default $USER");
+DEFINE_string(against, "", "file with the targets in force, for check");
 DEFINE_bool(json, false, "print JSON instead of text");
 DEFINE_bool(wait, false, "wait until the change is in force on every balancer");
 DEFINE_int32(wait_s, 10, "longest time to wait with --wait, in seconds");
@@ -104,6 +105,7 @@
   options.changed_by = !FLAGS_changed_by.empty() ? FLAGS_changed_by
                        : user != nullptr         ? user
                                                  : "unknown";
+  options.against = FLAGS_against;
   options.json = FLAGS_json;
   options.wait = FLAGS_wait;
   options.wait_s = FLAGS_wait_s;
--- a/src/ctl/ctl_type.h
+++ b/src/ctl/ctl_type.h
@@ -22,6 +22,7 @@
   std::string trial_share;   ///< Largest share of the trial.
   std::string evenness;      ///< Allowed excess over the mean.
   std::string changed_by;    ///< Operator who makes a change.
+  std::string against;       ///< File of the version in force, for check.
   bool json = false;         ///< Print JSON instead of text.
   bool wait = false;         ///< Wait until in force on every balancer.
   int wait_s = 10;           ///< Longest time to wait, in seconds.
