--- a/src/ctl/check_command.cc
+++ b/src/ctl/check_command.cc
@@ -22,8 +22,10 @@
   }
   std::string text{std::istreambuf_iterator<char>(file), {}};
   std::optional<RouteTable> table = decode(std::move(text), reason);
-  if (!table.has_value()) {
+  // A fleet leaves malformed entries out, which is no reason to send them.
+  if (!table.has_value() || !table->unread.empty()) {
     reason->detail = path + ": " + reason->detail;
+    return std::nullopt;
   }
   return table;
 }
