Fix: A balancer that heard only evacuated servers refused all new flows

Cause: the balancer took the servers that it hears for all, and stayed in rotation as it reached the evacuated ones.

Change: servers that are known and not presumed dead count, so that new flows wait instead; a balancer that reaches no server which may take flows, although there are some, is not ready, so that routers use others. Where all domains are evacuated nothing changes.

--- a/src/forwarding/evacuation/evacuated_placement_test.cc
+++ b/src/forwarding/evacuation/evacuated_placement_test.cc
@@ -87,5 +87,23 @@
   CHECK(fixture.Send(MakeOpeningPacket(4)).kind == Kind::kForward);
 }
 
+TEST_CASE("a balancer that hears only evacuated servers refused new flows") {
+  TwoDomains fixture;
+  fixture.director.SetEvacuatedDomains({DomainId{1}});
+  CHECK(fixture.director.CanServe(fixture.now));
+  // Agent 13 falls silent, as links pass packets one way only.
+  for (int i = 0; i < 5; ++i) {
+    fixture.now += Milliseconds(300);
+    fixture.ReceiveStatus(11, "stock");
+    fixture.ReceiveStatus(12, "stock");
+  }
+  const DirectorDecision decision = fixture.Send(MakeOpeningPacket(1));
+  CHECK(decision.kind == Kind::kHold);
+  CHECK_FALSE(fixture.director.CanServe(fixture.now));
+  // Where all domains are evacuated, no other balancer can do better.
+  fixture.director.SetEvacuatedDomains({DomainId{1}, kOther});
+  CHECK(fixture.director.CanServe(fixture.now));
+}
+
 }  // namespace
 }  // namespace medlargauge
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -362,15 +362,22 @@
   if (m_routes->Revision() == 0 || is_isolated) {
     return false;
   }
+  bool knows_open_agent = false;
+  bool reaches_evacuated_agent = false;
   for (const auto& [id, entry] : m_members->Entries()) {
-    const bool is_usable = entry.member.role == MemberRole::kAgent &&
-                           entry.member.state != AgentState::kGone &&
-                           m_members->IsReachable(now, entry);
-    if (is_usable) {
+    const bool exists = entry.member.role == MemberRole::kAgent &&
+                        entry.member.state != AgentState::kGone;
+    const bool is_reachable = exists && m_members->IsReachable(now, entry);
+    const bool is_evacuated = IsEvacuated(entry.member.domain);
+    if (is_reachable && !is_evacuated) {
       return true;
     }
+    knows_open_agent |= exists && !is_evacuated;
+    reaches_evacuated_agent |= is_reachable;
   }
-  return false;
+  // A balancer that is cut off from all servers that may take flows leaves them
+  // to balancers that are not.
+  return reaches_evacuated_agent && !knows_open_agent;
 }
 
 DirectorDecision FlowDirector::Forward(const ServiceRoute& route,
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -392,6 +392,9 @@
   bool AcceptsFlows(TimePoint now,
                     ServiceId service,
                     const MemberEntry& entry) const;
+  /// Returns whether servers of the service that are not presumed dead, heard
+  /// or not, are outside and in evacuated domains.
+  std::pair<bool, bool> KnownServers(TimePoint now, ServiceId service) const;
   /// Returns whether all servers of the service that could get new flows are in
   /// evacuated domains.
   bool IsServiceEvacuated(TimePoint now, ServiceId service) const;
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -144,9 +144,13 @@
   } else {
     // Where no agent serves the service, waiting is of use only as long as some
     // may be unknown, or wait for the first heartbeat of their server.
+    // During an evacuation, routers may pass copies of the packet to a balancer
+    // that reaches the other domains.
     const bool may_wait =
         !is_evacuated && (found_agents || !IsDiscoveryComplete(now) ||
-                          HasJoiningAgent(now, flow->service));
+                          HasJoiningAgent(now, flow->service) ||
+                          (!m_evacuated_domains.empty() &&
+                           KnownServers(now, flow->service).first));
     if (!may_wait ||
         !queue.Add(now, key, route.priority, flow->wait_deadline)) {
       return Reject(DirectorDecision::Kind::kReset, error);
@@ -176,21 +180,30 @@
                      });
 }
 
+std::pair<bool, bool> FlowDirector::KnownServers(TimePoint now,
+                                                 ServiceId service) const {
+  bool has_open = false;
+  bool has_evacuated = false;
+  for (const auto& [id, entry] : m_members->Entries()) {
+    const FleetMember& member = entry.member;
+    const bool serves = member.role == MemberRole::kAgent &&
+                        member.service == service && !entry.leaving &&
+                        (member.state == AgentState::kReady ||
+                         member.state == AgentState::kJoining) &&
+                        !m_members->IsPresumedDead(now, entry);
+    const bool is_evacuated = IsEvacuated(member.domain);
+    has_open |= serves && !is_evacuated;
+    has_evacuated |= serves && is_evacuated;
+  }
+  return {has_open, has_evacuated};
+}
+
 bool FlowDirector::IsServiceEvacuated(TimePoint now, ServiceId service) const {
   if (m_evacuated_domains.empty() || !IsDiscoveryComplete(now)) {
     return false;
   }
-  bool has_evacuated = false;
-  for (const auto& [id, entry] : m_members->Entries()) {
-    if (!AcceptsFlows(now, service, entry)) {
-      continue;
-    }
-    if (!IsEvacuated(entry.member.domain)) {
-      return false;
-    }
-    has_evacuated = true;
-  }
-  return has_evacuated;
+  const auto [has_open, has_evacuated] = KnownServers(now, service);
+  return has_evacuated && !has_open;
 }
 
 std::vector<DeferredDecision> FlowDirector::OnTick(TimePoint now) {
