Feature: Agents estimate the response time of a request by kind and age

Agents knew one mean service time, from which waiting time was removed by a formula. It followed the mix of kinds, and a request that ran for long looked like any other.

CostModel learns the slot time of each kind (route address) and, apart from it, the slowness that all kinds share, in logarithms so that a single long request does not move it. Answers of a cold server are kept apart. RemainingWork assigns the slots in the order of arrival, so that samples contain no waiting time, and sums what is left: the ratios of past times to their means give the remaining time of a request of a certain age. AgentForwarder::EstimateResponse combines both. Answers that report a failure are no samples. Another server at the address starts without estimates. Nothing decides by these estimates yet.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -75,7 +75,7 @@
   ++m_counters.delivered;
   m_held_flows.OnPacket(now, HashFlow(packet.flow));
   if (packet.rst) {
-    EraseFlow(packet.flow);
+    EraseFlow(now, packet.flow);
     return decision;
   }
   if (m_flows.size() >= m_limits.max_flows && m_flows.count(packet.flow) == 0) {
@@ -162,7 +162,7 @@
     if (too_late || at_refused_load) {
       return Return(balancer_ip, ReturnReason::kFull);
     }
-    EraseFlow(packet.flow);
+    EraseFlow(now, packet.flow);
   }
   Flow& flow = m_flows[packet.flow];
   if (!is_retransmission) {
@@ -217,6 +217,9 @@
     flow->request_id = packet.request_id;
     flow->started_at = now;
     flow->requests_ahead = m_pending++;
+    flow->hash = HashFlow(packet.flow);
+    flow->kind = packet.flow.route;
+    m_work.Start(now, flow->hash, flow->kind, Slots());
     MarkActive(now + m_limits.request_timeout, flow);
   }
 }
@@ -234,7 +237,7 @@
       m_held_flows.OnDenied(HashFlow(packet.flow));
     }
     if (found != m_flows.end()) {
-      EraseFlow(packet.flow);
+      EraseFlow(now, packet.flow);
     }
     return Return(balancer_ip, ReturnReason::kBounced);
   }
@@ -256,7 +259,7 @@
   flow.confirm_opening = false;
   flow.confirm_search = flow.confirm_search && !decision.proven;
   if (packet.rst) {
-    EraseFlow(packet.flow);
+    EraseFlow(now, packet.flow);
     return decision;
   }
   const bool is_error = packet.answer == AnswerKind::kFailure ||
@@ -267,7 +270,7 @@
   if (packet.data_length > 0) {
     RecordResponse(now, packet.answer, &flow);
   } else if (packet.fin) {
-    EndRequest(&flow);
+    EndRequest(now, &flow);
   }
   flow.server_left = flow.server_left || packet.fin;
   flow.expires = now + (packet.fin ? m_limits.closing : m_limits.idle);
@@ -409,10 +412,10 @@
   for (auto it = m_flows.begin(); it != m_flows.end();) {
     Flow& flow = it->second;
     if (flow.is_active && flow.active_until <= now) {
-      EndRequest(&flow);
+      EndRequest(now, &flow);
     }
     if (flow.expires <= now) {
-      EndRequest(&flow);
+      EndRequest(now, &flow);
       it = m_flows.erase(it);
     } else {
       ++it;
@@ -454,10 +457,10 @@
   return m_report->draining ? AgentState::kDraining : AgentState::kReady;
 }
 
-void AgentForwarder::EraseFlow(const FlowKey& key) {
+void AgentForwarder::EraseFlow(TimePoint now, const FlowKey& key) {
   const auto found = m_flows.find(key);
   if (found != m_flows.end()) {
-    EndRequest(&found->second);
+    EndRequest(now, &found->second);
     m_flows.erase(found);
   }
 }
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/core/error_type.h"
+#include "src/forwarding/cost/remaining_work.h"
 #include "src/forwarding/cost/server_health.h"
 #include "src/forwarding/evacuation/evacuations.h"
 #include "src/forwarding/forwarding_type.h"
@@ -182,6 +183,9 @@
   AgentState State(TimePoint now) const;
   /// Returns the load to announce to other members.
   ServerLoad Load(TimePoint now) const;
+  /// Returns the expected response time of a request of a route that would
+  /// arrive now; not measured until the server has answered one.
+  ResponseEstimate EstimateResponse(TimePoint now, SocketAddress4 route) const;
   /// Returns whether each flow that the server holds is recorded here.
   bool KnowsAllFlows(TimePoint now) const {
     return !m_down && m_held_flows.IsComplete(now);
@@ -231,6 +235,8 @@
     uint32_t acknowledged = 0;  ///< Last acknowledgement number of the caller.
     std::string request_id;     ///< Request in progress; empty if unknown.
     uint32_t requests_ahead = 0;  ///< Unanswered when this one arrived.
+    uint64_t hash = 0;            ///< Names the request in m_work.
+    SocketAddress4 kind;          ///< Kind of the request: its route.
     TimePoint started_at;         ///< Arrival of the SYN, later of the request.
     TimePoint active_until;       ///< Not counted in m_active after this.
     TimePoint expires;            ///< When the entry is removed.
@@ -263,8 +269,13 @@
   void MarkActive(TimePoint until, Flow* flow);
   /// Ends the request of the flow, if it has one, and stops counting the flow
   /// in m_active and m_pending.
-  void EndRequest(Flow* flow);
-  void EraseFlow(const FlowKey& key);
+  /// @return how long the request occupied a slot, if known
+  std::optional<Duration> EndRequest(TimePoint now, Flow* flow);
+  void EraseFlow(TimePoint now, const FlowKey& key);
+  /// Returns the number of slots of the server.
+  uint32_t Slots() const;
+  /// Returns whether the server is warming up.
+  bool IsCold(TimePoint now) const;
   /// Updates counters, service time and failure rate from an answer.
   void RecordResponse(TimePoint now, AnswerKind answer, Flow* flow);
   /// Returns whether a server that may be restricted takes a new flow.
@@ -321,6 +332,8 @@
   double m_failure_rate = 0;    ///< Failure rate at m_failure_rate_at.
   TimePoint m_failure_rate_at;  ///< Last update of m_failure_rate.
   ServerHealth m_health;        ///< Whether the server answers.
+  CostModel m_costs;            ///< Service times by route.
+  RemainingWork m_work;         ///< Requests in progress.
   /// Last new flow whose requests may be repeated; zero: none.
   TimePoint m_repeatable_seen_at;
   /// Number of active requests when the server last refused one, at least the
--- a/src/forwarding/agent_load.cc
+++ b/src/forwarding/agent_load.cc
@@ -75,6 +75,8 @@
   m_service_us = 0;
   m_failure_rate = 0;
   m_health.Reset();
+  m_costs.Reset();
+  m_work.Clear();
   for (auto& [key, flow] : m_flows) {
     flow.former_server = true;
     flow.is_trial = false;
@@ -101,8 +103,8 @@
     }
     m_refused_load = std::max(m_active - 1, Load(now).slots);
     m_refused_load_expires = now + m_limits.refusal_memory;
-    EndRequest(
-        flow);  // The time to a refusal is no sample of the service time.
+    // The time to a refusal is no sample of the service time.
+    EndRequest(now, flow);
   }
   if (flow->request_pending && answer != AnswerKind::kUnknown) {
     UpdateFailureRate(now, answer == AnswerKind::kFailure ? 1.0 : 0.0);
@@ -128,7 +130,38 @@
             ? sample
             : (m_service_us * (kMeanDivisor - 1) + sample) / kMeanDivisor;
   }
-  EndRequest(flow);
+  const bool was_pending = flow->request_pending;
+  const std::optional<Duration> slot_time = EndRequest(now, flow);
+  // A failed request may end at once; the server would look fast.
+  if (was_pending && slot_time.has_value() && answer != AnswerKind::kFailure) {
+    m_costs.OnAnswer(now, flow->kind, *slot_time, IsCold(now));
+  }
+}
+
+uint32_t AgentForwarder::Slots() const {
+  return m_report.has_value() ? std::max(m_report->slots, 1U) : kDefaultSlots;
+}
+
+bool AgentForwarder::IsCold(TimePoint now) const {
+  return m_report.has_value() &&
+         m_report_at + Milliseconds(m_report->warmup_ms) > now;
+}
+
+ResponseEstimate AgentForwarder::EstimateResponse(TimePoint now,
+                                                  SocketAddress4 route) const {
+  const bool is_cold = IsCold(now);
+  ResponseEstimate estimate = m_costs.ServiceTime(now, route, is_cold);
+  const uint32_t expected = m_active > m_pending ? m_active - m_pending : 0;
+  const Duration wait =
+      m_work.WaitingTime(now, m_costs, is_cold, Slots(), expected);
+  // The times of the requests ahead deviate independently of each other.
+  const double slots = Slots();
+  const double ahead = std::max(m_active + 1.0 - slots, 0.0);
+  estimate.deviation = Duration(
+      static_cast<int64_t>(static_cast<double>(estimate.deviation.count()) *
+                           std::sqrt(1 + ahead / (slots * slots))));
+  estimate.expected += wait;
+  return estimate;
 }
 
 ServerLoad AgentForwarder::Load(TimePoint now) const {
@@ -141,11 +174,9 @@
                                                       kRestrictedFailing),
                                 kRestrictedFailing - 1);
   load.trials = m_health.FreeTrials(now);
+  load.slots = Slots();
   if (m_report.has_value()) {
-    load.slots = std::max(m_report->slots, 1U);
     load.warmup_ends_at = m_report_at + Milliseconds(m_report->warmup_ms);
-  } else {
-    load.slots = kDefaultSlots;
   }
   return load;
 }
@@ -156,7 +187,10 @@
   flow->active_until = until;
 }
 
-void AgentForwarder::EndRequest(Flow* flow) {
+std::optional<Duration> AgentForwarder::EndRequest(TimePoint now, Flow* flow) {
+  const std::optional<Duration> slot_time =
+      flow->request_pending ? m_work.End(now, flow->hash, Slots())
+                            : std::nullopt;
   m_pending -= flow->request_pending ? 1 : 0;
   flow->request_pending = false;
   m_active -= flow->is_active ? 1 : 0;
@@ -164,6 +198,7 @@
   if (std::exchange(flow->is_trial, false)) {
     m_health.OnTrialAbandoned();
   }
+  return slot_time;
 }
 
 }  // namespace medlargauge
--- a/src/forwarding/agent_load_test.cc
+++ b/src/forwarding/agent_load_test.cc
@@ -127,6 +127,40 @@
         ForwarderDecision::Kind::kDeliver);
 }
 
+TEST_CASE("the expected response time follows kinds, queue and age") {
+  ForwarderFixture fixture;  // Two slots.
+  const SocketAddress4 route = MakePacket(1, true).flow.route;
+  const auto estimate = [&] {
+    return fixture.forwarder.EstimateResponse(fixture.now, route);
+  };
+  CHECK_FALSE(estimate().is_measured);
+  uint16_t port = 1;
+  for (; port <= 20; ++port) {
+    fixture.OpenAndRequest(port);
+    fixture.now += Milliseconds(40);
+    fixture.SendFromServer(port, 500, AnswerKind::kSuccess);
+  }
+  CHECK(estimate().is_measured);
+  CHECK(ToMilliseconds(estimate().expected) ==
+        doctest::Approx(40).epsilon(0.05));
+  // Failed requests that end at once do not make the server look fast.
+  for (; port <= 40; ++port) {
+    fixture.OpenAndRequest(port);
+    fixture.SendFromServer(port, 500, AnswerKind::kFailure);
+  }
+  CHECK(ToMilliseconds(estimate().expected) ==
+        doctest::Approx(40).epsilon(0.05));
+  for (int i = 0; i < 4; ++i) {
+    fixture.OpenAndRequest(port++);
+  }
+  // Two run and two wait: 20 ms until the first slot, then 20 ms each.
+  CHECK(ToMilliseconds(estimate().expected) ==
+        doctest::Approx(100).epsilon(0.1));
+  fixture.now += Milliseconds(400);
+  // The running ones take far longer than others did.
+  CHECK(ToMilliseconds(estimate().expected) > 200);
+}
+
 TEST_CASE("failed answers raise the failure rate, which decays") {
   ForwarderFixture fixture;
   for (uint16_t port = 1; port <= 20; ++port) {
