Feature: Placement by expected finish time, off by default

Balancers knew the number of requests and one mean service time of each server. A long request counted like a short one, and a server that got other kinds than its neighbours looked slower or faster.

Load reports now state how long a new request would wait for a slot, and notes and returned packets the slot time of their route at that server (PeerLoad fields 7 and 8, up to 8 bytes; in the return header in place of the owner, which only kMoved uses). FleetCosts compares the reports kind by kind: work of each kind, slowness of each server, with a bound of 8 times on what one agent says.

PlaceByFinishTime adds the cost at the speed of the server and the waiting time that is left to expect when the report has the age that it has. The setting placement = expected_finish selects it.

--- a/lab/lab_scenarios.cc
+++ b/lab/lab_scenarios.cc
@@ -205,6 +205,7 @@
     {"sample-3", [](Policy* p) { p->tune_balancer = BusyReturns<3>; }},
     {"sample-5", [](Policy* p) { p->tune_balancer = BusyReturns<5>; }},
     {"sample-7", [](Policy* p) { p->tune_balancer = BusyReturns<7>; }},
+    {"finish-3", [](Policy* p) { p->placement = FinishTimePolicy(3); }},
     {"no-waiting",
      [](Policy* p) {
        p->tune_balancer = [](DirectorLimits* l) {
--- a/lab/lab_servers.cc
+++ b/lab/lab_servers.cc
@@ -99,7 +99,8 @@
                               const ForwarderDecision& decision,
                               const SimPacket& packet) {
   SimBalancer* balancer = BalancerAt(decision.balancer_ip);
-  const ServerLoad load = agent->forwarder->Load(Now());
+  const ServerLoad load =
+      agent->forwarder->LoadFor(Now(), packet.header.flow.route);
   const MemberId id{agent->ip};
   if (agent->loses_output) {
     return;
@@ -352,7 +353,7 @@
     return;
   }
   SimBalancer* balancer = BalancerAt(decision.balancer_ip);
-  const ServerLoad load = agent->forwarder->Load(Now());
+  const ServerLoad load = agent->forwarder->LoadFor(Now(), key.route);
   const MemberId id{agent->ip};
   const bool proven = decision.proven;
   SendPacket(kHostNetworkDelay, [this, balancer, id, load, key, proven] {
--- a/src/daemon/settings.cc
+++ b/src/daemon/settings.cc
@@ -169,6 +169,11 @@
   if (!is_agent && !settings.service.empty()) {
     reader->ReportFault("service", "is only allowed for role \"agent\"");
   }
+  if (settings.placement != "sample" &&
+      settings.placement != "expected_finish") {
+    reader->ReportFault("placement",
+                        "must be \"sample\" or \"expected_finish\"");
+  }
   if (settings.removal_ms < settings.heartbeat_ms * 5) {
     reader->ReportFault("removal_ms",
                         "must be at least five times heartbeat_ms");
--- a/src/daemon/settings_test.cc
+++ b/src/daemon/settings_test.cc
@@ -54,6 +54,9 @@
             .find("capacity: must be between") != std::string::npos);
   CHECK(ParseWithFault("\"failure_domain\"", "\"speed\": 1, \"failure_domain\"")
             .find("speed: is not a setting") != std::string::npos);
+  CHECK(ParseWithFault("\"failure_domain\"",
+                       "\"placement\": \"best\", \"failure_domain\"")
+            .find("placement: must be") != std::string::npos);
   CHECK(ParseWithFault("\"failure_domain\"",
                        "\"heartbeat_ms\": 2000, \"failure_domain\"")
             .find("removal_ms") != std::string::npos);
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -183,6 +183,8 @@
   AgentState State(TimePoint now) const;
   /// Returns the load to announce to other members.
   ServerLoad Load(TimePoint now) const;
+  /// Returns the load for a message about a flow of a route.
+  ServerLoad LoadFor(TimePoint now, SocketAddress4 route) const;
   /// Returns the expected response time of a request of a route that would
   /// arrive now; not measured until the server has answered one.
   ResponseEstimate EstimateResponse(TimePoint now, SocketAddress4 route) const;
@@ -274,6 +276,8 @@
   void EraseFlow(TimePoint now, const FlowKey& key);
   /// Returns the number of slots of the server.
   uint32_t Slots() const;
+  /// Returns how long a new request is expected to wait for a slot.
+  Duration ExpectedWait(TimePoint now) const;
   /// Returns whether the server is warming up.
   bool IsCold(TimePoint now) const;
   /// Updates counters, service time and failure rate from an answer.
--- a/src/forwarding/agent_load.cc
+++ b/src/forwarding/agent_load.cc
@@ -2,6 +2,7 @@
 // measures them.
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "src/forwarding/agent_forwarder.h"
@@ -15,6 +16,13 @@
 /// Slots assumed for a server before its first heartbeat.
 constexpr uint32_t kDefaultSlots = 4;
 
+uint32_t SaturatedMicroseconds(Duration duration) {
+  const int64_t count =
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(count, 0, std::numeric_limits<uint32_t>::max()));
+}
+
 }  // namespace
 
 double AgentForwarder::FailureRate(TimePoint now) const {
@@ -147,20 +155,28 @@
          m_report_at + Milliseconds(m_report->warmup_ms) > now;
 }
 
+Duration AgentForwarder::ExpectedWait(TimePoint now) const {
+  const uint32_t expected = m_active > m_pending ? m_active - m_pending : 0;
+  return m_work.WaitingTime(now, m_costs, IsCold(now), Slots(), expected);
+}
+
+ServerLoad AgentForwarder::LoadFor(TimePoint now, SocketAddress4 route) const {
+  ServerLoad load = Load(now);
+  load.cost_us = SaturatedMicroseconds(
+      m_costs.ServiceTime(now, route, IsCold(now)).expected);
+  return load;
+}
+
 ResponseEstimate AgentForwarder::EstimateResponse(TimePoint now,
                                                   SocketAddress4 route) const {
-  const bool is_cold = IsCold(now);
-  ResponseEstimate estimate = m_costs.ServiceTime(now, route, is_cold);
-  const uint32_t expected = m_active > m_pending ? m_active - m_pending : 0;
-  const Duration wait =
-      m_work.WaitingTime(now, m_costs, is_cold, Slots(), expected);
+  ResponseEstimate estimate = m_costs.ServiceTime(now, route, IsCold(now));
   // The times of the requests ahead deviate independently of each other.
   const double slots = Slots();
   const double ahead = std::max(m_active + 1.0 - slots, 0.0);
   estimate.deviation = Duration(
       static_cast<int64_t>(static_cast<double>(estimate.deviation.count()) *
                            std::sqrt(1 + ahead / (slots * slots))));
-  estimate.expected += wait;
+  estimate.expected += ExpectedWait(now);
   return estimate;
 }
 
@@ -174,6 +190,7 @@
                                                       kRestrictedFailing),
                                 kRestrictedFailing - 1);
   load.trials = m_health.FreeTrials(now);
+  load.wait_us = SaturatedMicroseconds(ExpectedWait(now));
   load.slots = Slots();
   if (m_report.has_value()) {
     load.warmup_ends_at = m_report_at + Milliseconds(m_report->warmup_ms);
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -133,6 +133,10 @@
       (route.repeatable || !m_routes->HasRepeatableRoute(service));
   const std::optional<size_t> trial =
       may_be_trial ? FindTrial(candidates) : std::nullopt;
+  const double work_us = m_costs.WorkUs(key.route);
+  for (PlacementCandidate& candidate : candidates) {
+    candidate.work_us = work_us;
+  }
   const std::optional<size_t> chosen =
       trial.has_value() ? trial : m_policy(now, hash, candidates);
   flow->service = service;
@@ -178,6 +182,8 @@
                            entry.avoid_until <= now &&
                            !IsRestricted(member.load);
     candidate.same_domain = member.domain == m_domain;
+    candidate.load_at = entry.load_at;
+    candidate.slowness = entry.slowness;
     candidates.push_back(candidate);
   }
   return candidates;
@@ -267,6 +273,7 @@
                                           MemberId owner,
                                           const FlowPacket& packet,
                                           ByteView raw) {
+  LearnCost(now, from, packet.flow.route);
   const ServiceRoute* route = m_routes->Find(packet.flow.route);
   if (route == nullptr) {
     return OnUnroutedPacket(now, packet, raw);
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -359,6 +359,8 @@
   std::vector<PlacementCandidate> RestrictedCandidates(TimePoint now,
                                                        ServiceId service,
                                                        Flow* flow) const;
+  /// Learns from the load that an agent has sent with a message about a route.
+  void LearnCost(TimePoint now, MemberId from, SocketAddress4 route);
   /// Returns a decision to forward to the agent of the flow, and counts it.
   DirectorDecision Forward(const ServiceRoute& route, const Flow& flow);
   /// Returns whether the agent that confirmed the opening of the flow has
@@ -457,6 +459,7 @@
   const ActiveRoutes* m_routes;  ///< Routes in force.
   DirectorLimits m_limits;       ///< Timeouts and limits.
   PlacementPolicy m_policy;      ///< Places new flows.
+  FleetCosts m_costs;            ///< Work of each kind of request.
   FlowMap m_flows;               ///< Flow table.
   /// Deadlines of opening flows, earliest first.
   std::deque<std::pair<TimePoint, FlowKey>> m_opening_deadlines;
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -250,6 +250,7 @@
                                    MemberId from,
                                    const FlowKey& key,
                                    bool proven) {
+  LearnCost(now, from, key.route);
   const auto found = m_flows.find(key);
   if (found == m_flows.end()) {
     return;
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -226,6 +226,15 @@
   return decisions;
 }
 
+void FlowDirector::LearnCost(TimePoint now,
+                             MemberId from,
+                             SocketAddress4 route) {
+  MemberEntry* agent = m_members->Find(from);
+  if (agent != nullptr) {
+    m_costs.OnReport(now, route, agent->member.load.cost_us, &agent->slowness);
+  }
+}
+
 void FlowDirector::SweepFlows(TimePoint now) {
   std::vector<FlowKey> expired;
   for (auto& [key, flow] : m_flows) {
--- a/src/forwarding/forwarding_type.h
+++ b/src/forwarding/forwarding_type.h
@@ -104,6 +104,11 @@
   /// requests without an answer and gets trial flows only.
   uint32_t failing = 0;
   uint32_t trials = 0;  ///< Restricted: trial flows that it would take now.
+  /// Expected time until a new request gets a slot, in microseconds.
+  uint32_t wait_us = 0;
+  /// Expected time in a slot of a request of the kind that the message is
+  /// about, in microseconds; 0: not measured, or about no kind.
+  uint32_t cost_us = 0;
   TimePoint warmup_ends_at;  ///< The server is slower before this time.
 };
 
--- a/src/forwarding/member_messages.cc
+++ b/src/forwarding/member_messages.cc
@@ -17,6 +17,8 @@
   message.set_service_us(load.service_us);
   message.set_failing(load.failing);
   message.set_trials(load.trials);
+  message.set_wait_us(load.wait_us);
+  message.set_cost_us(load.cost_us);
   if (load.warmup_ends_at > now) {
     message.set_warmup_ms(
         static_cast<uint32_t>(ToMilliseconds(load.warmup_ends_at - now)));
@@ -31,6 +33,8 @@
   load.service_us = message.service_us();
   load.failing = std::min(message.failing(), kRestrictedFailing);
   load.trials = message.trials();
+  load.wait_us = message.wait_us();
+  load.cost_us = message.cost_us();
   load.warmup_ends_at =
       now + Milliseconds(std::min(message.warmup_ms(), kMaxWarmupMs));
   return load;
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -38,6 +38,7 @@
     RecordDiscovery(now, member);
   }
   entry.member = member;
+  entry.load_at = now;
   entry.heard = now;
   if (member.role == MemberRole::kAgent) {
     m_unheard_agents.erase(member.ip);
@@ -216,6 +217,7 @@
   entry->probe.End();
   entry->avoid_until = TimePoint();
   entry->member.load = load;
+  entry->load_at = now;
   entry->pending = 0;
 }
 
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/forwarding/cost/fleet_costs.h"
 #include "src/forwarding/forwarding_type.h"
 #include "src/forwarding/peer.pb.h"
 
@@ -75,6 +76,8 @@
                             ///< one left an opening packet unanswered.
   uint32_t sequence = 0;    ///< Sequence number of its latest status.
   uint32_t pending = 0;     ///< Flows placed there since its last load report.
+  TimePoint load_at;        ///< Last load report.
+  ServerSlowness slowness;  ///< Agents only: speed of the server.
   uint32_t fleet_size = 0;  ///< Number of other members that it counts.
   uint32_t agents_heard = 0;  ///< Number of agents that it reports as heard.
   uint64_t store_era = 0;     ///< Newest era of the store that it knows.
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "src/forwarding/cost/fleet_costs.h"
 #include "src/forwarding/forwarding_type.h"
 
 namespace medlargauge {
@@ -18,6 +19,11 @@
   /// Its server is known, answers and is not restricted.
   bool responsive = true;
   bool same_domain = true;  ///< In the failure domain of the balancer.
+  TimePoint load_at;        ///< When `load` was received.
+  ServerSlowness slowness;  ///< Speed of its server.
+  /// Time in a slot of the flow's first request at a server of slowness 1, in
+  /// microseconds; 0: unknown.
+  double work_us = 0;
 };
 
 /// Returns the index of the candidate that gets the flow; nullopt if there are
@@ -57,6 +63,18 @@
     uint64_t flow_hash,
     const std::vector<PlacementCandidate>& candidates);
 
+/// Chooses the candidate of a sample at which the first request of the flow is
+/// expected to end first: waiting time, which the age of the load report makes
+/// uncertain, plus the work of its kind at the speed of the server.
+/// Thread-safe.
+std::optional<size_t> PlaceByFinishTime(
+    TimePoint now,
+    uint64_t flow_hash,
+    const std::vector<PlacementCandidate>& candidates);
+
+/// Returns the same policy with another size of the sample.
+PlacementPolicy FinishTimePolicy(size_t sampled);
+
 /// Returns whether any candidate is responsive. Thread-safe.
 bool HasResponsive(const std::vector<PlacementCandidate>& candidates);
 
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -213,7 +213,7 @@
   }
   proto::FlowNote note;
   SetFlow(flow, &note);
-  *note.mutable_load() = EncodeLoad(now, m_forwarder.Load(now));
+  *note.mutable_load() = EncodeLoad(now, m_forwarder.LoadFor(now, flow.route));
   note.set_proven(decision.proven);
   m_fleet_node.Send(decision.balancer_ip, m_fleet_node.Writer().Message(
                                               PeerMessageKind::kNote, note));
@@ -259,7 +259,8 @@
   m_fleet_node.Send(
       decision.balancer_ip,
       m_fleet_node.Writer().Return(now, decision.reason, decision.owner,
-                                   m_forwarder.Load(now), ToView(datagram)));
+                                   m_forwarder.LoadFor(now, packet.flow.route),
+                                   ToView(datagram)));
 }
 
 HttpResponse AgentRuntime::HandleServerReport(const HttpRequest& request) {
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -60,7 +60,8 @@
                  &m_fleet_node.Members(),
                  &m_fleet_node.Routes(),
                  DirectorLimits(),
-                 &PlaceBySample),
+                 settings.placement == "expected_finish" ? &PlaceByFinishTime
+                                                         : &PlaceBySample),
       m_admin_server(loop,
                      [this](const HttpRequest& request) {
                        return HandleReadinessCheck(request);
--- a/src/runtime/peer_wire.cc
+++ b/src/runtime/peer_wire.cc
@@ -47,10 +47,22 @@
   uint32_t service_us;
   uint32_t warmup_ms;
   uint32_t failing;
+  /// Owner of the flow for kMoved. Otherwise wait_us in the low and cost_us in
+  /// the high half; old processes send 0 and ignore it.
   uint64_t owner;
 };
 static_assert(sizeof(ReturnWireHeader) == 32);
 
+/// Returns the times of a load that take the place of the owner.
+uint64_t PackTimes(const ServerLoad& load) {
+  return load.wait_us | static_cast<uint64_t>(load.cost_us) << 32U;
+}
+
+void UnpackTimes(uint64_t times, proto::PeerLoad* load) {
+  load->set_wait_us(static_cast<uint32_t>(times));
+  load->set_cost_us(static_cast<uint32_t>(times >> 32U));
+}
+
 }  // namespace
 
 ByteView PeerFrameWriter::BufferView() const {
@@ -91,7 +103,10 @@
   const bool is_evacuated = reason == ReturnReason::kEvacuated;
   wire_header.reason =
       static_cast<uint8_t>(is_evacuated ? ReturnReason::kDraining : reason);
-  wire_header.owner = is_evacuated ? kEvacuatedMark : owner.value;
+  wire_header.owner = is_evacuated                        ? kEvacuatedMark
+                      : reason == ReturnReason::kMoved    ? owner.value
+                      : reason == ReturnReason::kDraining ? 0
+                                                          : PackTimes(load);
   wire_header.active = load.active;
   wire_header.slots = load.slots;
   wire_header.service_us = load.service_us;
@@ -158,13 +173,16 @@
         return std::nullopt;
       }
       frame.reason = static_cast<ReturnReason>(wire_header.reason);
-      if (frame.reason == ReturnReason::kDraining &&
-          wire_header.owner == kEvacuatedMark) {
-        frame.reason = ReturnReason::kEvacuated;
-      } else {
+      proto::PeerLoad load;
+      if (frame.reason == ReturnReason::kMoved) {
         frame.owner.value = wire_header.owner;
+      } else if (frame.reason == ReturnReason::kDraining) {
+        frame.reason = wire_header.owner == kEvacuatedMark
+                           ? ReturnReason::kEvacuated
+                           : ReturnReason::kDraining;
+      } else {
+        UnpackTimes(wire_header.owner, &load);
       }
-      proto::PeerLoad load;
       load.set_active(wire_header.active);
       load.set_slots(wire_header.slots);
       load.set_service_us(wire_header.service_us);
