--- a/src/forwarding/agent_load.cc
+++ b/src/forwarding/agent_load.cc
@@ -13,6 +13,7 @@
 /// Divisor of the exponential moving averages: a new sample has the weight
 /// 1/kMeanDivisor.
 constexpr uint64_t kMeanDivisor = 8;
+constexpr double kPerMille = 1000;  ///< Unit of ServerLoad::slowness.
 /// Slots assumed for a server before its first heartbeat.
 constexpr uint32_t kDefaultSlots = 4;
 
@@ -191,6 +192,8 @@
                                 kRestrictedFailing - 1);
   load.trials = m_health.FreeTrials(now);
   load.wait_us = SaturatedMicroseconds(ExpectedWait(now));
+  load.slowness =
+      static_cast<uint32_t>(kPerMille * m_costs.Slowness(now, IsCold(now)));
   load.slots = Slots();
   if (m_report.has_value()) {
     load.warmup_ends_at = m_report_at + Milliseconds(m_report->warmup_ms);
--- a/src/forwarding/cost/cost_model.cc
+++ b/src/forwarding/cost/cost_model.cc
@@ -59,11 +59,11 @@
   kind->log_mean += weight * (std::log(time_us) - kind->log_mean);
 }
 
-double CostModel::SlownessAt(TimePoint now, bool is_cold) const {
-  const Slowness& slowness = m_slowness[is_cold ? 1 : 0];
-  const Slowness& warm = m_slowness[0];
+double CostModel::Slowness(TimePoint now, bool is_cold) const {
+  const SlownessState& slowness = m_slowness[is_cold ? 1 : 0];
+  const SlownessState& warm = m_slowness[0];
   if (slowness.samples == 0) {
-    return is_cold && warm.samples > 0 ? SlownessAt(now, false) : 1;
+    return is_cold && warm.samples > 0 ? Slowness(now, false) : 1;
   }
   const Duration age =
       std::max(now - slowness.updated_at - kSlownessHoldTime, Duration());
@@ -93,8 +93,8 @@
   if (replaces_cold) {
     kind = Kind();
   }
-  Slowness& slowness = m_slowness[is_cold ? 1 : 0];
-  const double previous = SlownessAt(now, is_cold);
+  SlownessState& slowness = m_slowness[is_cold ? 1 : 0];
+  const double previous = Slowness(now, is_cold);
   // What lasts becomes part of the kinds. Without this the two could drift
   // apart, as only their product is observed.
   slowness.log = std::log(previous) * (1 - kKindWeight);
@@ -129,7 +129,7 @@
     return estimate;
   }
   // What a cold server took includes its slowness.
-  const double slowness = kind.is_cold_only ? 1.0 : SlownessAt(now, is_cold);
+  const double slowness = kind.is_cold_only ? 1.0 : Slowness(now, is_cold);
   estimate.expected = FromMicroseconds(kind.mean_us * slowness);
   // The first sample tells nothing about the deviation.
   estimate.deviation = kind.samples < 2
--- a/src/forwarding/cost/finish_time_placement.cc
+++ b/src/forwarding/cost/finish_time_placement.cc
@@ -54,55 +54,22 @@
   return sample;
 }
 
-/// Returns the mean of the positive part of a normal variable.
-double MeanPositivePart(double mean, double variance) {
-  if (variance <= 0) {
-    return std::max(mean, 0.0);
-  }
-  const double deviation = std::sqrt(variance);
-  const double z = mean / deviation;
-  const double density = std::exp(-z * z / 2) / std::sqrt(2 * std::acos(-1.0));
-  const double probability = std::erfc(-z / std::sqrt(2.0)) / 2;
-  return deviation * density + mean * probability;
-}
-
-/// Returns the mean number of active requests per slot of responsive servers.
-double MeanOccupancy(const std::vector<PlacementCandidate>& candidates) {
-  uint64_t active = 0;
-  uint64_t slots = 0;
-  for (const PlacementCandidate& candidate : candidates) {
-    active += candidate.responsive ? candidate.load.active : 0;
-    slots += candidate.responsive ? candidate.load.slots : 0;
-  }
-  return slots == 0 ? 0
-                    : static_cast<double>(active) / static_cast<double>(slots);
-}
-
-double FinishTimeUs(TimePoint now,
-                    const PlacementCandidate& candidate,
-                    double mean_occupancy) {
+double FinishTimeUs(TimePoint now, const PlacementCandidate& candidate) {
   const ServerLoad& load = candidate.load;
   const double work_us =
       candidate.work_us > 0 ? candidate.work_us : kUnknownWorkUs;
-  const double cost_us = work_us * candidate.slowness.At(now);
+  const double cost_us =
+      work_us * FleetCosts::SlownessNow(now, load, candidate.slowness);
   const double slots = std::max(load.slots, 1U);
   // The remaining work tells how long the queue is. Old processes don't state
-  // it.
-  const double reported = load.wait_us == 0
-                              ? load.active
-                              : slots - 1 + load.wait_us * slots / cost_us;
-  // As the report ages, the number of requests approaches the mean of the fleet
-  // and spreads around it, as that of independent requests does.
-  const double mean = mean_occupancy * slots;
-  const double age_us =
-      std::chrono::duration<double, std::micro>(now - candidate.load_at)
-          .count();
-  const double kept = std::exp(-std::max(age_us, 0.0) / cost_us);
-  const double active = mean + (reported - mean) * kept + candidate.pending;
-  const double waiting =
-      MeanPositivePart(active + 1 - slots, mean * (1 - kept * kept));
-  return cost_us * (1 + waiting / slots) +
-         kFailureUs * load.failing / kRestrictedFailing +
+  // it. Flows that were placed since the report fill free slots first.
+  const double active = load.active + candidate.pending;
+  const double queued = std::max(active + 1 - slots, 0.0);
+  const double queued_later = std::min<double>(queued, candidate.pending);
+  const double wait_us = load.wait_us == 0
+                             ? queued * cost_us / slots
+                             : load.wait_us + queued_later * cost_us / slots;
+  return cost_us + wait_us + kFailureUs * load.failing / kRestrictedFailing +
          (candidate.same_domain ? 0 : kOtherDomainUs) +
          (candidate.responsive ? 0 : kUnresponsiveUs);
 }
@@ -113,12 +80,11 @@
     const std::vector<PlacementCandidate>& candidates,
     size_t limit) {
   const Sample sample = SampleCandidates(flow_hash, candidates, limit);
-  const double mean_occupancy = MeanOccupancy(candidates);
   std::optional<size_t> best;
   double best_time = 0;
   for (size_t i = 0; i < sample.size; ++i) {
     const size_t index = sample.indices[i];
-    const double time = FinishTimeUs(now, candidates[index], mean_occupancy);
+    const double time = FinishTimeUs(now, candidates[index]);
     if (!best.has_value() || time < best_time) {
       best = index;
       best_time = time;
--- a/src/forwarding/cost/fleet_costs.cc
+++ b/src/forwarding/cost/fleet_costs.cc
@@ -13,10 +13,19 @@
 constexpr double kSlownessWeight = 0.5;
 /// Bound of what a single report says; covers a server that is 5 times slower.
 constexpr double kMaxRatio = 8;
-/// A slowness holds for the first time and has the second one as half-life
-/// then, as at the agent.
-constexpr Duration kHoldTime = Milliseconds(200);
-constexpr Duration kHalfLife = Milliseconds(400);
+/// A usual slowness holds for the first time and has the second one as
+/// half-life then, so that a server whose host was replaced is tried again.
+/// What changes faster is in the load reports.
+constexpr Duration kHoldTime = Seconds(10);
+constexpr Duration kHalfLife = Seconds(10);
+constexpr double kPerMille = 1000;  ///< Unit of ServerLoad::slowness.
+
+/// Returns the slowness that an agent reports, within bounds.
+double ReportedSlowness(const ServerLoad& load) {
+  return load.slowness == 0
+             ? 1
+             : std::clamp(load.slowness / kPerMille, 1 / kMaxRatio, kMaxRatio);
+}
 
 }  // namespace
 
@@ -38,13 +47,13 @@
 
 void FleetCosts::OnReport(TimePoint now,
                           SocketAddress4 kind_address,
-                          uint32_t cost_us,
+                          const ServerLoad& load,
                           ServerSlowness* slowness) {
-  if (cost_us == 0) {
+  if (load.cost_us == 0) {
     return;
   }
   Kind& kind = m_kinds[kind_address];
-  const double log_cost = std::log(static_cast<double>(cost_us));
+  const double log_cost = std::log(load.cost_us / ReportedSlowness(load));
   const double log_ratio =
       kind.reports == 0 ? 0
                         : std::clamp(log_cost - kind.log_mean,
@@ -57,6 +66,12 @@
           : kind.log_mean + std::max(1 / kind.reports, kKindWeight) * log_ratio;
 }
 
+double FleetCosts::SlownessNow(TimePoint now,
+                               const ServerLoad& load,
+                               const ServerSlowness& slowness) {
+  return slowness.At(now) * ReportedSlowness(load);
+}
+
 double FleetCosts::WorkUs(SocketAddress4 kind) const {
   const auto found = m_kinds.find(kind);
   return found == m_kinds.end() ? 0 : std::exp(found->second.log_mean);
--- a/src/forwarding/cost/fleet_costs.h
+++ b/src/forwarding/cost/fleet_costs.h
@@ -11,7 +11,7 @@
 
 namespace medlargauge {
 
-/// Slowness of one server relative to the fleet: 1 is the mean. Not
+/// Usual slowness of one server relative to the fleet: 1 is the mean. Not
 /// thread-safe.
 class ServerSlowness {
  public:
@@ -34,12 +34,19 @@
   /// Updates a kind and the slowness of a server from the slot time that its
   /// agent expects for a request of the kind. What a single agent reports is
   /// believed up to 8 times the mean or an eighth of it.
-  /// @param cost_us in microseconds; 0: not measured, ignored
+  /// @param load ignored if it states no cost
   void OnReport(TimePoint now,
                 SocketAddress4 kind,
-                uint32_t cost_us,
+                const ServerLoad& load,
                 ServerSlowness* slowness);
 
+  /// Returns how many times as long as at a usual server requests take at a
+  /// server now: its usual slowness and what its agent reports on top of it.
+  /// Thread-safe.
+  static double SlownessNow(TimePoint now,
+                            const ServerLoad& load,
+                            const ServerSlowness& slowness);
+
   /// Returns the slot time of a request of the kind at a server of slowness 1,
   /// in microseconds; 0 if it is unknown.
   double WorkUs(SocketAddress4 kind) const;
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -182,7 +182,6 @@
                            entry.avoid_until <= now &&
                            !IsRestricted(member.load);
     candidate.same_domain = member.domain == m_domain;
-    candidate.load_at = entry.load_at;
     candidate.slowness = entry.slowness;
     candidates.push_back(candidate);
   }
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -231,7 +231,7 @@
                              SocketAddress4 route) {
   MemberEntry* agent = m_members->Find(from);
   if (agent != nullptr) {
-    m_costs.OnReport(now, route, agent->member.load.cost_us, &agent->slowness);
+    m_costs.OnReport(now, route, agent->member.load, &agent->slowness);
   }
 }
 
--- a/src/forwarding/forwarding_type.h
+++ b/src/forwarding/forwarding_type.h
@@ -109,6 +109,9 @@
   /// Expected time in a slot of a request of the kind that the message is
   /// about, in microseconds; 0: not measured, or about no kind.
   uint32_t cost_us = 0;
+  /// Service time of any request relative to what is usual at this server, in
+  /// thousandths; 0: not stated.
+  uint32_t slowness = 0;
   TimePoint warmup_ends_at;  ///< The server is slower before this time.
 };
 
--- a/src/forwarding/member_messages.cc
+++ b/src/forwarding/member_messages.cc
@@ -19,6 +19,7 @@
   message.set_trials(load.trials);
   message.set_wait_us(load.wait_us);
   message.set_cost_us(load.cost_us);
+  message.set_slowness(load.slowness);
   if (load.warmup_ends_at > now) {
     message.set_warmup_ms(
         static_cast<uint32_t>(ToMilliseconds(load.warmup_ends_at - now)));
@@ -35,6 +36,7 @@
   load.trials = message.trials();
   load.wait_us = message.wait_us();
   load.cost_us = message.cost_us();
+  load.slowness = message.slowness();
   load.warmup_ends_at =
       now + Milliseconds(std::min(message.warmup_ms(), kMaxWarmupMs));
   return load;
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -38,7 +38,6 @@
     RecordDiscovery(now, member);
   }
   entry.member = member;
-  entry.load_at = now;
   entry.heard = now;
   if (member.role == MemberRole::kAgent) {
     m_unheard_agents.erase(member.ip);
@@ -216,8 +215,12 @@
   entry->heard = now;
   entry->probe.End();
   entry->avoid_until = TimePoint();
+  const uint32_t slowness = entry->member.load.slowness;
   entry->member.load = load;
-  entry->load_at = now;
+  // Returned packets don't state it.
+  if (load.slowness == 0) {
+    entry->member.load.slowness = slowness;
+  }
   entry->pending = 0;
 }
 
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -76,7 +76,6 @@
                             ///< one left an opening packet unanswered.
   uint32_t sequence = 0;    ///< Sequence number of its latest status.
   uint32_t pending = 0;     ///< Flows placed there since its last load report.
-  TimePoint load_at;        ///< Last load report.
   ServerSlowness slowness;  ///< Agents only: speed of the server.
   uint32_t fleet_size = 0;  ///< Number of other members that it counts.
   uint32_t agents_heard = 0;  ///< Number of agents that it reports as heard.
--- a/src/forwarding/placement.h
+++ b/src/forwarding/placement.h
@@ -19,8 +19,7 @@
   /// Its server is known, answers and is not restricted.
   bool responsive = true;
   bool same_domain = true;  ///< In the failure domain of the balancer.
-  TimePoint load_at;        ///< When `load` was received.
-  ServerSlowness slowness;  ///< Speed of its server.
+  ServerSlowness slowness;  ///< Usual speed of its server.
   /// Time in a slot of the flow's first request at a server of slowness 1, in
   /// microseconds; 0: unknown.
   double work_us = 0;
