Feature: medlargauge-lab placement-cost, and smaller load reports

placement-cost prints the processor time of one placement at 30, 300 and 1,800 agents and the size of a load report.

--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -12,6 +12,7 @@
 #include "lab/lab_scenarios.h"
 #include "lab/lab_sweep.h"
 #include "lab/member_cost.h"
+#include "lab/placement_cost.h"
 #include "lab/reset_model.h"
 #include "src/core/error.h"
 
@@ -157,6 +158,18 @@
   }
 }
 
+/// Measures a placement in fleets of several sizes.
+void RunPlacementCost() {
+  for (const size_t agents : {30, 300, 1800}) {
+    std::printf("agents %-6zu sample %.2f us expected_finish %.2f us\n", agents,
+                MeasurePlacementUs(&PlaceBySample, agents),
+                MeasurePlacementUs(&PlaceByFinishTime, agents));
+  }
+  std::printf("load in a status %zu bytes, before %zu; in a note %zu bytes\n",
+              LoadReportBytes(true, false), LoadReportBytes(false, false),
+              LoadReportBytes(true, true));
+}
+
 /// Measures the membership of one process in fleets of several sizes.
 void RunMemberCost() {
   for (const size_t members : {30, 300, 1800, 15800}) {
@@ -219,6 +232,10 @@
 }
 
 int Run(const std::vector<std::string>& arguments) {
+  if (arguments.size() == 1 && arguments[0] == "placement-cost") {
+    RunPlacementCost();
+    return 0;
+  }
   if (arguments.size() == 1 && arguments[0] == "member-cost") {
     RunMemberCost();
     return 0;
@@ -276,7 +293,8 @@
       "  medlargauge_lab reset-model --depth=3\n"
       "  medlargauge_lab dead-flows --agents=300 --balancers=90\n"
       "  medlargauge_lab member-cost\n"
-      "  medlargauge_lab load-sweep --policy=present,hash --plot=sweep.svg");
+      "  medlargauge_lab load-sweep --policy=present,hash --plot=sweep.svg\n"
+      "  medlargauge_lab placement-cost");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   return medlargauge::lab::Run(std::vector<std::string>(argv + 1, argv + argc));
 }
--- a/src/forwarding/agent_load.cc
+++ b/src/forwarding/agent_load.cc
@@ -14,6 +14,9 @@
 /// 1/kMeanDivisor.
 constexpr uint64_t kMeanDivisor = 8;
 constexpr double kPerMille = 1000;  ///< Unit of ServerLoad::slowness.
+/// Statuses state a slowness that differs from 1 by more than this, which is
+/// what the spread of service times alone causes.
+constexpr double kStatedSlowness = 0.1;
 /// Slots assumed for a server before its first heartbeat.
 constexpr uint32_t kDefaultSlots = 4;
 
@@ -163,8 +166,11 @@
 
 ServerLoad AgentForwarder::LoadFor(TimePoint now, SocketAddress4 route) const {
   ServerLoad load = Load(now);
-  load.cost_us = SaturatedMicroseconds(
-      m_costs.ServiceTime(now, route, IsCold(now)).expected);
+  const double slowness = m_costs.Slowness(now, IsCold(now));
+  const Duration cost = m_costs.ServiceTime(now, route, IsCold(now)).expected;
+  load.cost_us = SaturatedMicroseconds(Duration(
+      static_cast<int64_t>(static_cast<double>(cost.count()) / slowness)));
+  load.slowness = static_cast<uint32_t>(kPerMille * slowness);
   return load;
 }
 
@@ -192,8 +198,11 @@
                                 kRestrictedFailing - 1);
   load.trials = m_health.FreeTrials(now);
   load.wait_us = SaturatedMicroseconds(ExpectedWait(now));
-  load.slowness =
-      static_cast<uint32_t>(kPerMille * m_costs.Slowness(now, IsCold(now)));
+  // Left out in most statuses.
+  const double slowness = m_costs.Slowness(now, IsCold(now));
+  if (std::abs(slowness - 1) > kStatedSlowness) {
+    load.slowness = static_cast<uint32_t>(kPerMille * slowness);
+  }
   load.slots = Slots();
   if (m_report.has_value()) {
     load.warmup_ends_at = m_report_at + Milliseconds(m_report->warmup_ms);
--- a/src/forwarding/cost/fleet_costs.cc
+++ b/src/forwarding/cost/fleet_costs.cc
@@ -53,7 +53,7 @@
     return;
   }
   Kind& kind = m_kinds[kind_address];
-  const double log_cost = std::log(load.cost_us / ReportedSlowness(load));
+  const double log_cost = std::log(static_cast<double>(load.cost_us));
   const double log_ratio =
       kind.reports == 0 ? 0
                         : std::clamp(log_cost - kind.log_mean,
--- a/src/forwarding/forwarding_type.h
+++ b/src/forwarding/forwarding_type.h
@@ -106,8 +106,8 @@
   uint32_t trials = 0;  ///< Restricted: trial flows that it would take now.
   /// Expected time until a new request gets a slot, in microseconds.
   uint32_t wait_us = 0;
-  /// Expected time in a slot of a request of the kind that the message is
-  /// about, in microseconds; 0: not measured, or about no kind.
+  /// Usual time in a slot of a request of the kind that the message is about,
+  /// in microseconds; 0: not measured, or about no kind.
   uint32_t cost_us = 0;
   /// Service time of any request relative to what is usual at this server, in
   /// thousandths; 0: not stated.
