Feature: An agent admits flows by measured times and their deviation

Callers got late answers from servers whose agent had measured nothing or, after a start of the server, something else: the admission assumed 30 ms and a fitted 75% of the goal.

The agent now follows which requests run and which wait, and estimates the response time with its deviation. A flow gets a place in the queue if 99 of 100 such requests would be answered within the limit. Without measurements of the present state of the server (cold or warm) only free slots are given. The age of the running requests bounds the service time from below. The estimate is that of the cost model and of the remaining work.

Two tests let the server answer first, as they need a measured service time.

--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -18,7 +18,7 @@
   "none|src/forwarding/flow_director.h|"
   "waiting for a slot|src/forwarding/flow_director.h|s/max_opening_wait = Milliseconds(1200)/max_opening_wait = Milliseconds(0)/"
   "held packets|src/forwarding/flow_director.h|s/max_held_bytes = 4'000'000/max_held_bytes = 0/"
-  "admission below the goal|src/forwarding/agent_forwarder.h|s/response_limit_percent = 75/response_limit_percent = 100/"
+  "admission below the goal|src/forwarding/overload/feasibility.cc|s/response.deviation \* kDeviations <= limit/Duration() <= limit/"
   "list of registered agents|src/forwarding/membership_table.h|s/return m_has_registered_agents && .*/return false;/"
   "short discovery|src/forwarding/flow_search.cc|s/return uptime >= 2 \* interval/return false \&\& uptime >= 2 * interval/"
   "reservation by round trip|src/forwarding/agent_forwarder.h|s/min_reserve = Milliseconds(20)/min_reserve = Milliseconds(400)/"
--- a/src/forwarding/agent_fixture.h
+++ b/src/forwarding/agent_fixture.h
@@ -71,6 +71,15 @@
     packet.sequence = sequence;
     return forwarder.OnServerPacket(now, packet);
   }
+  /// Lets the server answer requests that run for the given time.
+  void Measure(Duration service_time) {
+    for (uint16_t port = 40001; port <= 40020; ++port) {
+      OpenAndRequest(port);
+      now += service_time;
+      SendFromServer(port, 500, AnswerKind::kSuccess);
+    }
+    SendReport();
+  }
   /// Opens a flow and sends a request on it.
   void OpenAndRequest(uint16_t port) {
     Forward(MakePacket(port, true), true, 0);
--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -2,10 +2,11 @@
 // the backend server.
 #include "src/forwarding/agent_forwarder.h"
 
+#include <algorithm>
+
 namespace medlargauge {
 namespace {
 
-constexpr uint64_t kMicrosecondsPerMs = 1000;
 /// Heartbeats are due about every second. After this silence the server is
 /// probed.
 constexpr Duration kHeartbeatTimeout = Milliseconds(3000);
@@ -153,10 +154,9 @@
     if (!header.last_candidate && load.active >= load.slots) {
       return Return(balancer_ip, ReturnReason::kBusy);
     }
-    const uint64_t limit_us = header.response_limit_ms * kMicrosecondsPerMs *
-                              m_limits.response_limit_percent / 100;
-    const bool too_late =
-        limit_us != 0 && ExpectedResponseTimeUs(now, load, 0) > limit_us;
+    const bool too_late = !CanAnswerWithin(
+        EstimateResponse(now, packet.flow.route), load.active < load.slots,
+        Milliseconds(header.response_limit_ms));
     const bool at_refused_load =
         now < m_refused_load_expires && load.active >= m_refused_load;
     if (too_late || at_refused_load) {
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -20,6 +20,7 @@
 #include "src/forwarding/forwarding_type.h"
 #include "src/forwarding/held_flows.h"
 #include "src/forwarding/latency_histogram.h"
+#include "src/forwarding/overload/feasibility.h"
 #include "src/forwarding/placement.h"
 #include "src/forwarding/round_trip_estimator.h"
 #include "src/forwarding/warmup/cold_rate.h"
@@ -58,10 +59,6 @@
   /// this long and sends nothing else meanwhile. Before its first heartbeat,
   /// the same holds for any packet.
   Duration server_response_timeout = Milliseconds(70);
-  /// A new flow is refused if its expected response time exceeds this
-  /// percentage of the response limit.
-  uint32_t response_limit_percent = 75;
-
   /// How long the load at which the server refused a request is remembered as
   /// its limit.
   Duration refusal_memory = Seconds(5);
--- a/src/forwarding/agent_load.cc
+++ b/src/forwarding/agent_load.cc
@@ -183,7 +183,10 @@
   estimate.deviation = Duration(
       static_cast<int64_t>(static_cast<double>(estimate.deviation.count()) *
                            std::sqrt(1 + ahead / (slots * slots))));
-  estimate.expected += ExpectedWait(now);
+  // Running requests show that the server has become slow before it answers.
+  estimate.expected =
+      std::max(estimate.expected, m_work.MeanAge(now, Slots())) +
+      ExpectedWait(now);
   return estimate;
 }
 
--- a/src/forwarding/cost/remaining_work.cc
+++ b/src/forwarding/cost/remaining_work.cc
@@ -77,6 +77,17 @@
   return running / slots / std::max(m_running, 1U) + waiting / slots;
 }
 
+Duration RemainingWork::MeanAge(TimePoint now, uint32_t slots) const {
+  Duration sum{};
+  for (const Request& request : m_requests) {
+    if (!request.slot_since.has_value()) {
+      break;  // Those behind it wait as well.
+    }
+    sum += now - *request.slot_since;
+  }
+  return sum / static_cast<int64_t>(slots);
+}
+
 Duration RemainingWork::Total(TimePoint now,
                               const CostModel& costs,
                               bool is_cold) const {
--- a/src/forwarding/cost/remaining_work.h
+++ b/src/forwarding/cost/remaining_work.h
@@ -38,6 +38,10 @@
                        uint32_t slots,
                        uint32_t expected) const;
 
+  /// Returns the mean over all slots of the time for which their requests have
+  /// occupied them; a free slot counts as zero. Precondition: slots > 0.
+  Duration MeanAge(TimePoint now, uint32_t slots) const;
+
   /// Returns the slot time that the server still has to spend on its requests.
   Duration Total(TimePoint now, const CostModel& costs, bool is_cold) const;
 
