Feature: Flows that can be answered in time go before late ones

Callers waited in order of arrival within a priority, so a backlog of late flows made others late too. A flow that had waited was sent with its whole goal, and its agent admitted it although its answer would be late.

The queue of a balancer now orders flows that can still be answered within their goal by priority and then by what is left of the goal, and late ones after them. The time since the first copy of the opening packet counts. response_limit_ms is what is left of the goal; for a late flow it is what is left of the time limit of its route, and the flow is never a last candidate, so that it gets free slots only. A flow that waited but is not yet late may take a place in the queue of a server. A flow whose goal is shorter than the service time of every server was returned by all; now it is late.

--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -71,7 +71,7 @@
   }
   if (is_retransmission) {
     // The agent has the packet, or the retry timer will choose another one.
-    return Forward(route, found->second);
+    return Forward(now, route, found->second);
   }
   RemoveFlow(packet.flow);
   if (m_flows.size() >= m_limits.max_flows) {
@@ -81,7 +81,7 @@
   flow.syn_sequence = packet.sequence;
   flow.syn.assign(reinterpret_cast<const char*>(raw.data()), raw.size());
   flow.copy_deadline = CopyDeadline(arrived, packet);
-  flow.wait_deadline = OpeningDeadline(arrived, route.timeout_ms, packet);
+  SetOpeningDeadlines(arrived, route, packet, &flow);
   flow.expires = now + m_limits.opening;
   const DirectorDecision decision = PlaceFlow(now, route, packet.flow, &flow);
   if (decision.kind != DirectorDecision::Kind::kReset) {
@@ -106,9 +106,12 @@
   }
   const bool busy_limit_reached =
       flow->busy.size() >= m_limits.max_busy_returns;
-  if (flow->is_queued && flow->found_full) {
-    // A flow that has waited is late already. It gets a free slot, but no place
-    // in a queue before new ones, which can still be answered in time.
+  flow->is_late = IsLate(now, *flow, candidates);
+  const bool gets_spare_slots_only =
+      flow->is_late || (flow->is_queued && flow->goal_deadline == TimePoint());
+  if (gets_spare_slots_only && flow->found_full) {
+    // It gets a free slot, but no place in the queue of a server before flows
+    // that can still be answered in time.
     return QueueFlow(now, route, key, flow);
   }
   if (candidates.empty() || busy_limit_reached) {
@@ -144,12 +147,13 @@
     return QueueFlow(now, route, key, flow);
   }
   const bool is_only_candidate = candidates.size() == 1 && flow->busy.empty();
-  flow->last_candidate = flow->last_candidate || is_only_candidate;
+  flow->last_candidate =
+      !gets_spare_slots_only && (flow->last_candidate || is_only_candidate);
   flow->agent = candidates[*chosen].id;
   flow->answer_deadline = now + m_limits.opening_retry_delay;
   m_opening_deadlines.emplace_back(flow->answer_deadline, key);
   ++m_members->Find(flow->agent)->pending;
-  return Forward(route, *flow);
+  return Forward(now, route, *flow);
 }
 
 bool FlowDirector::AcceptsFlows(TimePoint now,
@@ -231,7 +235,7 @@
       OnSearchTimeout(&flow);
       return ContinueSearch(now, packet.flow, &flow);
     }
-    return Forward(route, flow);
+    return Forward(now, route, flow);
   }
   // A reset makes the caller retry at once rather than after its own timeout.
   const bool retry_elsewhere =
@@ -263,7 +267,7 @@
     return reset;
   }
   flow.used_since = flow.used_since == TimePoint() ? now : flow.used_since;
-  return Forward(route, flow);
+  return Forward(now, route, flow);
 }
 
 DirectorDecision FlowDirector::OnReturned(TimePoint now,
@@ -312,7 +316,7 @@
     flow.use_pointer = false;
     if (follow_pointer && flow.agent == from) {
       SetSearchTarget(now, owner, &flow);
-      return Forward(*route, flow);
+      return Forward(now, *route, flow);
     }
   } else if (reason == ReturnReason::kServerDown) {
     // Unlike a bounce by the server, this may change: the agent is asked again
@@ -326,7 +330,7 @@
       !detail::Contains(flow.tried, flow.agent) &&
       !detail::Contains(flow.server_down, flow.agent)) {
     // An agent that was asked earlier returned the packet late.
-    return Forward(*route, flow);
+    return Forward(now, *route, flow);
   }
   return ContinueSearch(now, packet.flow, &flow);
 }
@@ -386,7 +390,8 @@
   return reaches_evacuated_agent && !knows_open_agent;
 }
 
-DirectorDecision FlowDirector::Forward(const ServiceRoute& route,
+DirectorDecision FlowDirector::Forward(TimePoint now,
+                                       const ServiceRoute& route,
                                        const Flow& flow) {
   ++m_counters.forwarded;
   DirectorDecision decision;
@@ -398,7 +403,7 @@
   decision.header.last_candidate = flow.last_candidate;
   decision.header.repeatable = route.repeatable;
   decision.header.all_restricted = flow.all_restricted;
-  decision.header.response_limit_ms = route.goal_ms;
+  decision.header.response_limit_ms = ResponseLimitMs(now, flow);
   decision.header.revision = m_routes->Revision();
   const auto& rates = m_routes->Table().warmup_per_second;
   const auto rate = rates.find(flow.service);
--- a/src/forwarding/flow_director.h
+++ b/src/forwarding/flow_director.h
@@ -274,6 +274,11 @@
     std::string syn;       ///< Opening packet, until the owner is known.
     TimePoint answer_deadline;  ///< Opening: when to try another agent.
     TimePoint wait_deadline;    ///< Opening: when to give up waiting.
+    /// Opening: when an answer becomes late; zero: the route has no goal.
+    TimePoint goal_deadline;
+    /// Opening: when its caller gives up the request; zero: not known.
+    TimePoint request_deadline;
+    bool is_late = false;  ///< Opening: can't be answered within its goal.
     /// Opening: when the caller has given up if it has not sent the opening
     /// packet again by then; zero: it sends it no more.
     TimePoint copy_deadline;
@@ -362,7 +367,23 @@
   /// Learns from the load that an agent has sent with a message about a route.
   void LearnCost(TimePoint now, MemberId from, SocketAddress4 route);
   /// Returns a decision to forward to the agent of the flow, and counts it.
-  DirectorDecision Forward(const ServiceRoute& route, const Flow& flow);
+  DirectorDecision Forward(TimePoint now,
+                           const ServiceRoute& route,
+                           const Flow& flow);
+  /// Returns whether not even the fastest candidate can answer a new flow
+  /// within its goal.
+  static bool IsLate(TimePoint now,
+                     const Flow& flow,
+                     const std::vector<PlacementCandidate>& candidates);
+  /// Returns the time that is left for the answer to a new flow: up to its goal
+  /// or, if it is late, until its caller gives up. 0: no limit.
+  static uint32_t ResponseLimitMs(TimePoint now, const Flow& flow);
+  /// Sets the deadlines of a new flow. @param arrived arrival of its opening
+  /// packet
+  void SetOpeningDeadlines(TimePoint arrived,
+                           const ServiceRoute& route,
+                           const FlowPacket& packet,
+                           Flow* flow) const;
   /// Returns whether the agent that confirmed the opening of the flow has
   /// restarted since. The new process doesn't know its server's answer, so it
   /// would deliver packets that accept another server.
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -96,7 +96,7 @@
   }
   if (next.has_value()) {
     SetSearchTarget(now, *next, flow);
-    DirectorDecision decision = Forward(*m_routes->Find(key.route), *flow);
+    DirectorDecision decision = Forward(now, *m_routes->Find(key.route), *flow);
     decision.long_search = is_long;
     return decision;
   }
--- a/src/forwarding/flow_waiting.cc
+++ b/src/forwarding/flow_waiting.cc
@@ -23,6 +23,13 @@
 /// Delay allowed for a copy of an opening packet.
 constexpr Duration kCopyDelay = Milliseconds(100);
 
+/// Returns when the caller sent an opening packet for the first time.
+TimePoint FirstTransmission(TimePoint arrived, const FlowPacket& packet) {
+  const size_t transmission =
+      std::min<size_t>(packet.acknowledged, kSynTransmissions.size() - 1);
+  return arrived - kSynTransmissions[transmission];
+}
+
 /// Returns a SYN without data.
 FlowPacket MakeSyn(const FlowKey& flow, uint32_t sequence) {
   FlowPacket packet;
@@ -37,13 +44,48 @@
 TimePoint FlowDirector::OpeningDeadline(TimePoint arrived,
                                         uint32_t timeout_ms,
                                         const FlowPacket& packet) const {
-  const size_t transmission =
-      std::min<size_t>(packet.acknowledged, kSynTransmissions.size() - 1);
   const Duration wait = timeout_ms == 0
                             ? m_limits.max_opening_wait
                             : std::min<Duration>(m_limits.max_opening_wait,
                                                  Milliseconds(timeout_ms) / 2);
-  return arrived - kSynTransmissions[transmission] + wait;
+  return FirstTransmission(arrived, packet) + wait;
+}
+
+void FlowDirector::SetOpeningDeadlines(TimePoint arrived,
+                                       const ServiceRoute& route,
+                                       const FlowPacket& packet,
+                                       Flow* flow) const {
+  const TimePoint first = FirstTransmission(arrived, packet);
+  flow->wait_deadline = OpeningDeadline(arrived, route.timeout_ms, packet);
+  flow->goal_deadline =
+      route.goal_ms == 0 ? TimePoint() : first + Milliseconds(route.goal_ms);
+  flow->request_deadline = route.timeout_ms == 0
+                               ? TimePoint()
+                               : first + Milliseconds(route.timeout_ms);
+}
+
+bool FlowDirector::IsLate(TimePoint now,
+                          const Flow& flow,
+                          const std::vector<PlacementCandidate>& candidates) {
+  if (flow.goal_deadline == TimePoint()) {
+    return false;
+  }
+  std::optional<Duration> fastest;
+  for (const PlacementCandidate& candidate : candidates) {
+    const Duration service =
+        std::chrono::microseconds(candidate.load.service_us);
+    fastest = std::min(fastest.value_or(service), service);
+  }
+  return flow.goal_deadline - now <= fastest.value_or(Duration());
+}
+
+uint32_t FlowDirector::ResponseLimitMs(TimePoint now, const Flow& flow) {
+  const TimePoint deadline =
+      flow.is_late ? flow.request_deadline : flow.goal_deadline;
+  // At least 1 ms, as 0 means that there is no limit.
+  return deadline == TimePoint() ? 0
+                                 : static_cast<uint32_t>(std::max<int64_t>(
+                                       ToMilliseconds(deadline - now), 1));
 }
 
 TimePoint FlowDirector::CopyDeadline(TimePoint arrived,
@@ -151,8 +193,12 @@
                           HasJoiningAgent(now, flow->service) ||
                           (!m_evacuated_domains.empty() &&
                            KnownServers(now, flow->service).first));
+    const TimePoint goal =
+        flow->goal_deadline == TimePoint()
+            ? flow->wait_deadline
+            : std::min(flow->goal_deadline, flow->wait_deadline);
     if (!may_wait ||
-        !queue.Add(now, key, route.priority, flow->wait_deadline)) {
+        !queue.Add(now, key, route.priority, goal, flow->wait_deadline)) {
       return Reject(DirectorDecision::Kind::kReset, error);
     }
     ++m_counters.queued;
--- a/src/forwarding/opening_queue.cc
+++ b/src/forwarding/opening_queue.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace medlargauge {
 namespace {
@@ -30,13 +31,19 @@
 bool OpeningQueue::Add(TimePoint now,
                        const FlowKey& flow,
                        uint32_t priority,
+                       TimePoint goal,
                        TimePoint deadline) {
   if (m_entries.empty()) {
     m_busy_since = now;
   }
-  const Place place{priority, ++m_added};
-  const auto ahead =
-      std::distance(m_waiting.begin(), m_waiting.lower_bound(place));
+  MoveLateFlows(now);
+  const bool is_late = goal <= now;
+  const Place place{is_late, priority, is_late ? deadline : goal, ++m_added};
+  // Late flows count too: they were promised a spare slot by their deadline.
+  const auto ahead = std::count_if(
+      m_waiting.begin(), m_waiting.end(), [&](const auto& waiting) {
+        return std::get<1>(waiting.first) <= priority;
+      });
   const double served_by_deadline =
       AcceptedPerSecond(now) * SecondsOf(deadline - now);
   const bool is_hopeless = now - m_busy_since >= kMinObservation &&
@@ -49,6 +56,25 @@
   return true;
 }
 
+void OpeningQueue::MoveLateFlows(TimePoint now) {
+  for (auto it = m_waiting.begin();
+       it != m_waiting.end() && !std::get<0>(it->first);) {
+    if (std::get<2>(it->first) > now) {
+      // The goals within a priority ascend: go on with the next priority.
+      it = m_waiting.upper_bound({false, std::get<1>(it->first),
+                                  TimePoint::max(),
+                                  std::numeric_limits<uint64_t>::max()});
+      continue;
+    }
+    const FlowKey flow = it->second;
+    Entry& entry = m_entries[flow];
+    entry.place = {true, std::get<1>(it->first), entry.deadline,
+                   std::get<3>(it->first)};
+    m_waiting.emplace(entry.place, flow);
+    it = m_waiting.erase(it);
+  }
+}
+
 void OpeningQueue::PutBack(TimePoint now, const FlowKey& flow) {
   const auto found = m_entries.find(flow);
   if (found == m_entries.end() || found->second.waiting) {
@@ -81,6 +107,7 @@
 
 std::vector<FlowKey> OpeningQueue::Release(TimePoint now) {
   std::vector<FlowKey> released;
+  MoveLateFlows(now);
   if (now >= m_next_probe) {
     m_next_probe = now + kProbeInterval;
     ++m_credit;
--- a/src/forwarding/opening_queue.h
+++ b/src/forwarding/opening_queue.h
@@ -3,7 +3,7 @@
 #define MEDLARGAUGE_FORWARDING_OPENING_QUEUE_H_
 
 #include <map>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "src/forwarding/forwarding_type.h"
@@ -24,14 +24,17 @@
   /// Interval at which one flow is released while servers accept none.
   static constexpr Duration kProbeInterval = Milliseconds(20);
 
-  /// Adds a flow.
-  /// @param priority 0 is the most urgent; within a priority, the flow that
-  ///     waits longest comes first
+  /// Adds a flow. Flows that can still be answered within their goal come
+  /// first, by priority, then by the goal; late ones follow, by priority, then
+  /// by their deadline.
+  /// @param priority 0 is the most urgent
+  /// @param goal when its answer becomes late; at most `deadline`
   /// @param deadline when the flow has to be given up
   /// @return false if the flow can't be expected to be served by then
   bool Add(TimePoint now,
            const FlowKey& flow,
            uint32_t priority,
+           TimePoint goal,
            TimePoint deadline);
 
   /// Puts a released flow back at its place, as all servers returned it.
@@ -54,8 +57,9 @@
   size_t Count() const { return m_waiting.size(); }
 
  private:
-  /// Place of a flow in the queue: priority, then order of arrival.
-  using Place = std::pair<uint32_t, uint64_t>;
+  /// Place of a flow in the queue: whether it is late, its priority, its goal
+  /// or deadline, order of arrival.
+  using Place = std::tuple<bool, uint32_t, TimePoint, uint64_t>;
   /// A waiting or released flow.
   struct Entry {
     Place place;           ///< Key in m_waiting while the flow waits.
@@ -63,6 +67,9 @@
     bool waiting = false;  ///< In m_waiting, not released.
   };
 
+  /// Moves waiting flows whose goal has passed behind the others.
+  void MoveLateFlows(TimePoint now);
+
   /// Returns how many flows servers accept in a second.
   double AcceptedPerSecond(TimePoint now) const;
 
