Fix: A FIN that came before the answer counted as a failed request

Cause: servers that end a flow after one request send the FIN before the data that precedes it.

Change: a FIN whose sequence number is beyond the server's data so far neither ends the request nor counts against the server; the answer does when it comes.

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -248,7 +248,13 @@
     return decision;
   }
   Flow& flow = found->second;
-  if (packet.rst || (packet.fin && packet.data_length == 0)) {
+  // A FIN may be sent before the data that precedes it in the flow.
+  const bool is_bare_fin = packet.fin && packet.data_length == 0;
+  const bool precedes_answer =
+      is_bare_fin && flow.knows_server_sequence &&
+      IsAfter(packet.sequence, flow.server_next_sequence);
+  if (packet.rst ||
+      (is_bare_fin && flow.knows_server_sequence && !precedes_answer)) {
     RecordClose(now, packet, flow.stage != Stage::kUnverified, &flow);
   }
   UpdateStage(now, packet, &flow);
@@ -269,7 +275,7 @@
   }
   if (packet.data_length > 0) {
     RecordResponse(now, packet.answer, &flow);
-  } else if (packet.fin) {
+  } else if (packet.fin && !precedes_answer) {
     EndRequest(now, &flow);
   }
   flow.server_left = flow.server_left || packet.fin;
@@ -288,6 +294,14 @@
     flow->accepted_at = now;
     flow->active_until = now + m_caller_round_trip.Timeout();
   }
+  const uint32_t end =
+      packet.sequence + (packet.syn_ack ? 1 : packet.data_length);
+  const bool has_moved =
+      !flow->knows_server_sequence || IsAfter(end, flow->server_next_sequence);
+  if (!packet.fin && !packet.rst && has_moved) {
+    flow->server_next_sequence = end;
+    flow->knows_server_sequence = true;
+  }
   if (!packet.syn_ack) {
     flow->stage = Stage::kEstablished;
   } else if (flow->stage != Stage::kEstablished) {
--- a/src/forwarding/failing_server_test.cc
+++ b/src/forwarding/failing_server_test.cc
@@ -52,6 +52,25 @@
   }
 };
 
+TEST_CASE("a server that sends its FIN before the answer looked as failing") {
+  FailingFixture fixture;
+  for (uint16_t port = 1; port <= 5; ++port) {
+    fixture.OpenAndRequest(port);
+    fixture.now += Milliseconds(40);
+    // The answer of 500 bytes precedes the FIN in the flow, but not in time.
+    FlowPacket fin = MakePacket(port, false);
+    fin.from_caller = false;
+    fin.fin = true;
+    fin.sequence += 500;
+    fixture.forwarder.OnServerPacket(fixture.now, fin);
+    fixture.SendFromServer(port, 500, AnswerKind::kSuccess);
+  }
+  CHECK_FALSE(fixture.IsServerRestricted());
+  CHECK(fixture.forwarder.Counters().unanswered == 0);
+  CHECK(fixture.forwarder.Counters().answers == 5);
+  CHECK(fixture.forwarder.Load(fixture.now).service_us == 40000);
+}
+
 TEST_CASE("a server that resets or closes instead of answering looked idle") {
   for (const bool reset : {true, false}) {
     FailingFixture fixture;
--- a/src/runtime/agent_runtime.h
+++ b/src/runtime/agent_runtime.h
@@ -91,8 +91,8 @@
   /// State in the last status.
   AgentState m_announced_state = AgentState::kJoining;
   bool m_was_restricted = false;  ///< The server was, at the last tick.
-  int m_probe_fd = -1;     ///< Socket of the current probe; -1 if none.
-  TimePoint m_next_probe;  ///< Earliest time of the next probe.
+  int m_probe_fd = -1;            ///< Socket of the current probe; -1 if none.
+  TimePoint m_next_probe;         ///< Earliest time of the next probe.
   /// End of the time in which new flows are refused because no process has
   /// told whether the own failure domain is evacuated.
   TimePoint m_unknown_until;
