--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -228,7 +228,7 @@
     uint32_t server_initial_sequence = 0;
     bool knows_server_sequence = false;  ///< The next one is valid.
     uint32_t server_next_sequence = 0;   ///< End of the server's data so far.
-    uint32_t balancer_ip = 0;       ///< Balancer of the last packet.
+    uint32_t balancer_ip = 0;            ///< Balancer of the last packet.
     bool accepted_once = false;     ///< kAccepted: the server sent one SYN-ACK.
     TimePoint accepted_at;          ///< kAccepted: when it sent the first one.
     uint32_t opening_sequence = 0;  ///< Sequence number of the SYN.
