Fix: Searches waited for hosts that had started without a server

Cause: an agent that hears no heartbeat does not know whether a server runs, so neither its statuses nor its answers to queries said that it holds nothing. An agent whose server has stopped was excluded from queries as well and asked by packet, a round trip each. Change: an agent without a heartbeat 100 ms after its start probes the port of its server once. If nothing listens, it states so, and its silence is not awaited. While no server runs, the agent denies all flows of a query. Ruled out: the uptime rule of Discovery() as the cause of the pause (all agents were heard 10 ms after the start).

--- a/src/forwarding/agent_forwarder.cc
+++ b/src/forwarding/agent_forwarder.cc
@@ -394,6 +394,7 @@
   }
   m_flows.clear();
   m_held_flows.OnServerDown(now);
+  m_first_report_deadline = TimePoint();
   m_active = 0;
   m_pending = 0;
   ForgetServer();
@@ -451,8 +452,12 @@
   // Balancers must know whether flows remain at the server of an agent that
   // leaves.
   const bool is_last_chance = m_leaving && !m_report.has_value();
-  return !m_down && (IsServerUnresponsive(now) || heartbeat_overdue ||
-                     is_last_chance || m_departure_unconfirmed);
+  const bool may_be_absent = !m_report.has_value() &&
+                             m_first_report_deadline != TimePoint() &&
+                             now >= m_first_report_deadline;
+  return !m_down &&
+         (IsServerUnresponsive(now) || heartbeat_overdue || is_last_chance ||
+          m_departure_unconfirmed || may_be_absent);
 }
 
 bool AgentForwarder::IsServerUnresponsive(TimePoint now) const {
--- a/src/forwarding/agent_forwarder.h
+++ b/src/forwarding/agent_forwarder.h
@@ -59,6 +59,9 @@
   /// this long and sends nothing else meanwhile. Before its first heartbeat,
   /// the same holds for any packet.
   Duration server_response_timeout = Milliseconds(70);
+  /// After the start, a server without a heartbeat is probed. Servers that
+  /// start together with the agent send their first heartbeat at once.
+  Duration first_report_time = Milliseconds(100);
   /// How long the load at which the server refused a request is remembered as
   /// its limit.
   Duration refusal_memory = Seconds(5);
@@ -164,7 +167,10 @@
   }
 
   /// Call when the process starts: an earlier one may have delivered flows.
-  void OnStart(TimePoint now) { m_cold_rate.OnUnknownPast(now); }
+  void OnStart(TimePoint now) {
+    m_cold_rate.OnUnknownPast(now);
+    m_first_report_deadline = now + m_limits.first_report_time;
+  }
 
   /// Returns new flows to the balancer from now on, as this agent is stopping.
   void StartLeaving() { m_leaving = true; }
@@ -173,9 +179,13 @@
   void OnTick(TimePoint now);
 
   /// Returns whether the server has been silent for so long that its port
-  /// should be probed.
+  /// should be probed. A host may start without a server; balancers then wait
+  /// for its agent in searches unless it states that no server runs.
   bool NeedsServerProbe(TimePoint now) const;
 
+  /// Records that something listens at the server's address.
+  void OnServerListens() { m_first_report_deadline = TimePoint(); }
+
   /// Returns the state to announce to other members.
   AgentState State(TimePoint now) const;
   /// Returns the load to announce to other members.
@@ -185,9 +195,10 @@
   /// Returns the expected response time of a request of a route that would
   /// arrive now; not measured until the server has answered one.
   ResponseEstimate EstimateResponse(TimePoint now, SocketAddress4 route) const;
-  /// Returns whether each flow that the server holds is recorded here.
+  /// Returns whether each flow that the server holds is recorded here. While no
+  /// server runs there are none.
   bool KnowsAllFlows(TimePoint now) const {
-    return !m_down && m_held_flows.IsComplete(now);
+    return m_held_flows.IsComplete(now);
   }
   /// Returns the indices of the flows, given by their hashes, that the server
   /// may hold. It holds none of the others if KnowsAllFlows returns true.
@@ -326,6 +337,8 @@
   TimePoint m_down_at;               ///< When OnServerDown found that.
   /// A server has deregistered; a probe has yet to show that it stopped.
   bool m_departure_unconfirmed = false;
+  /// A server without a heartbeat by then is probed; zero: not needed.
+  TimePoint m_first_report_deadline;
   bool m_leaving = false;  ///< This agent is stopping.
   /// See SetDomainAdmission.
   DomainAdmission m_domain_admission = DomainAdmission::kOpen;
--- a/src/forwarding/agent_forwarder_test.cc
+++ b/src/forwarding/agent_forwarder_test.cc
@@ -331,6 +331,27 @@
   CHECK_FALSE(heard.forwarder.NeedsServerProbe(heard.now));
 }
 
+TEST_CASE(
+    "searches wait for an agent whose host has started without a server") {
+  TimePoint now{Seconds(100)};
+  AgentForwarder absent("stock", kServer, ForwarderLimits());
+  absent.OnStart(now);
+  CHECK_FALSE(absent.NeedsServerProbe(now));
+  now += ForwarderLimits().first_report_time;
+  CHECK(absent.NeedsServerProbe(now));
+  absent.OnServerDown(now);
+  CHECK(absent.State(now) == AgentState::kGone);
+  CHECK_FALSE(absent.NeedsServerProbe(now));
+  // A server that listens, or has sent a heartbeat, is not probed again.
+  AgentForwarder listening("stock", kServer, ForwarderLimits());
+  listening.OnStart(now);
+  listening.OnServerListens();
+  CHECK_FALSE(listening.NeedsServerProbe(now + Seconds(2)));
+  ForwarderFixture heard;
+  heard.forwarder.OnStart(heard.now);
+  CHECK_FALSE(heard.forwarder.NeedsServerProbe(heard.now + Seconds(2)));
+}
+
 TEST_CASE("a packet that a stopped server left behind does not revive it") {
   ForwarderFixture fixture;
   fixture.OpenAndRequest(1);
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -340,8 +340,11 @@
     close(m_probe_fd);
     m_probe_fd = -1;
     // A heartbeat or packet that came meanwhile is newer than the refusal.
-    if (socket_error == ECONNREFUSED && m_forwarder.NeedsServerProbe(now)) {
+    const bool is_refused = socket_error == ECONNREFUSED;
+    if (is_refused && m_forwarder.NeedsServerProbe(now)) {
       OnServerDown(now);
+    } else if (!is_refused) {
+      m_forwarder.OnServerListens();
     }
     return;
   }
