Fix: Agents of a new build refused all new flows among older balancers

Cause: an agent waits for the list of evacuations before it serves. Older balancers state none, and the agent could not tell "does not know of evacuations" from "has not said yet". Change: a status states the protocol version of its sender (src/forwarding/compatibility); older builds are told apart by the fields that they send. A table names each feature, since which version it exists and what is done without it. An agent serves without a list if every balancer that it hears is older than evacuations, and each one it was told of has had a status interval to answer; one newer balancer makes it wait as before.

--- a/lab/dead_flows.cc
+++ b/lab/dead_flows.cc
@@ -144,6 +144,7 @@
       proto::PeerStatus status;
       *status.mutable_self() = EncodeMember(m_now, member);
       status.set_sequence(m_status_sequence);
+      status.set_protocol(kProtocolVersion);
       status.set_members(m_config.agents + m_config.balancers - 1);
       balancer->members.OnStatus(m_now, status);
     }
--- a/lab/lab_servers.cc
+++ b/lab/lab_servers.cc
@@ -31,6 +31,7 @@
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(Now(), self);
   status.set_sequence(++agent->status_sequence);
+  status.set_protocol(kProtocolVersion);
   status.set_leaving(agent->leaving);
   SendPacket(kHostNetworkDelay, [this, balancer, status] {
     if (balancer->running && !balancer->isolated) {
--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -232,6 +232,7 @@
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(now, self);
   status.set_sequence(++process->statuses);
+  status.set_protocol(kProtocolVersion);
   status.set_leaving(process->leaving);
   status.set_members(
       static_cast<uint32_t>(process->members.FleetSize(process->role)));
--- /dev/null
+++ b/src/forwarding/compatibility/protocol.cc
@@ -0,0 +1,43 @@
+// @file protocol.cc The table of features.
+#include "src/forwarding/compatibility/protocol.h"
+
+#include <array>
+
+namespace medlargauge {
+namespace {
+
+/// In the order of Feature.
+constexpr std::array<FeatureInfo, kFeatureCount> kFeatures = {{
+    {"evacuations", kEvacuationProtocol,
+     "an agent that hears only such balancers serves without a list; a "
+     "balancer "
+     "places no new flow at such an agent in an evacuated domain"},
+    {"cold_rate", kEvacuationProtocol,
+     "the rate that another balancer stated last stays in force"},
+    {"trials", kEvacuationProtocol,
+     "a restricted server counts as one with the highest failure rate"},
+    {"expected_wait", kEvacuationProtocol,
+     "the wait and the cost count as not stated"},
+    {"sound_denials", kEvacuationProtocol,
+     "the agent is asked by packet for each flow"},
+    {"stated_version", 2, "the version is taken from the fields of a status"},
+}};
+
+}  // namespace
+
+const FeatureInfo& Describe(Feature feature) {
+  return kFeatures[static_cast<size_t>(feature)];
+}
+
+bool Supports(ProtocolVersion version, Feature feature) {
+  return version >= Describe(feature).since;
+}
+
+ProtocolVersion ProtocolOf(const proto::PeerStatus& status) {
+  if (status.protocol() != 0) {
+    return status.protocol();
+  }
+  return status.has_evacuations() ? kEvacuationProtocol : kFirstProtocol;
+}
+
+}  // namespace medlargauge
--- a/src/forwarding/director_fixture.h
+++ b/src/forwarding/director_fixture.h
@@ -64,6 +64,7 @@
   std::string raw = "packet";
   uint32_t sequence = 0;
   uint64_t incarnation = 1;  ///< Incarnation in the statuses of agents.
+  ProtocolVersion protocol = kProtocolVersion;  ///< Of the agents.
   std::map<uint64_t, DomainId> domains;  ///< Of agents; 1 where none is set.
 
   DirectorFixture() {
@@ -96,6 +97,7 @@
     proto::PeerStatus status;
     *status.mutable_self() = EncodeMember(now, member);
     status.set_sequence(++sequence);
+    status.set_protocol(protocol);
     status.set_leaving(leaving);
     members.OnStatus(now, status);
   }
--- a/src/forwarding/flow_query.cc
+++ b/src/forwarding/flow_query.cc
@@ -71,7 +71,12 @@
     bool knows_all,
     const std::vector<uint32_t>& held) {
   std::vector<DeferredDecision> decisions;
-  OnQueryResults(now, m_owner_queries.OnAnswer(from, id, knows_all, held),
+  // Agents of older builds denied flows of a server that had restarted under
+  // the same id.
+  const MemberEntry* agent = m_members->Find(from);
+  const bool is_proof = knows_all && agent != nullptr &&
+                        Supports(agent->protocol, Feature::kSoundDenials);
+  OnQueryResults(now, m_owner_queries.OnAnswer(from, id, is_proof, held),
                  &decisions);
   return decisions;
 }
--- a/src/forwarding/flow_query_test.cc
+++ b/src/forwarding/flow_query_test.cc
@@ -69,6 +69,26 @@
   CHECK(query.agents.size() + kFlows <= 3 * kFlows);
 }
 
+// Before a fix, agents denied flows of a server that had restarted under the
+// same id; such builds may still run beside this one.
+TEST_CASE("a flow is reset by the denial of a build that proves nothing") {
+  LargeFleet fleet;
+  fleet.HearBalancers();
+  fleet.now += Seconds(1);
+  constexpr uint32_t kOldAgent = 150;
+  proto::PeerStatus status = fleet.MakeStatus(kOldAgent, MemberRole::kAgent);
+  status.clear_protocol();
+  fleet.members.OnStatus(fleet.now, status);
+  fleet.BeginSearch(1);
+  const std::vector<DeferredDecision> decisions =
+      fleet.Answer(fleet.StartQuery());
+  REQUIRE(decisions.size() == 1);
+  CHECK(decisions.front().decision.kind == DirectorDecision::Kind::kForward);
+  CHECK(decisions.front().decision.agent == MemberId{kOldAgent});
+  CHECK(fleet.Bounce(MemberId{kOldAgent}, MakeLaterPacket(1)).kind ==
+        DirectorDecision::Kind::kReset);
+}
+
 // All balancers had restarted while the store was away. One that had missed a
 // status of the owner's agent took a second without discoveries, less than an
 // interval between statuses in this fleet, for the proof that it knew all.
--- a/src/forwarding/member_fixture.h
+++ b/src/forwarding/member_fixture.h
@@ -21,6 +21,7 @@
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(now, member);
   status.set_sequence(sequence);
+  status.set_protocol(kProtocolVersion);
   status.set_checked_ms(checked_ms);
   return status;
 }
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -45,6 +45,7 @@
   entry.sequence = status.sequence();
   entry.pending = 0;
   entry.avoid_until = TimePoint();
+  entry.protocol = ProtocolOf(status);
   entry.leaving = status.leaving();
   entry.store_era = status.store_era();
   entry.store_failing = status.store_failing();
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/forwarding/compatibility/protocol.h"
 #include "src/forwarding/cost/fleet_costs.h"
 #include "src/forwarding/forwarding_type.h"
 #include "src/forwarding/peer.pb.h"
@@ -68,7 +69,9 @@
 
 /// What this process knows of another member.
 struct MemberEntry {
-  FleetMember member;       ///< Latest known state.
+  FleetMember member;  ///< Latest known state.
+  /// Of its build; valid once it was heard.
+  ProtocolVersion protocol = kFirstProtocol;
   TimePoint heard;          ///< Last message from the member; zero: none yet.
   TimePoint status_at;      ///< Last status of this incarnation; zero: none.
   TimePoint discovered_at;  ///< First status, or first mention by a peer.
--- a/src/runtime/agent_runtime.cc
+++ b/src/runtime/agent_runtime.cc
@@ -11,6 +11,7 @@
 
 #include "src/core/error.h"
 #include "src/core/event_log.h"
+#include "src/forwarding/evacuation/unaware_fleet.h"
 
 namespace medlargauge {
 namespace {
@@ -70,8 +71,8 @@
              OnPeerFrame(now, from, frame);
            },
            [this](TimePoint, Stats* stats) { FillStats(stats); },
-           [this](const Evacuations& evacuations) {
-             OnEvacuations(evacuations);
+           [this](const Evacuations&) {
+             UpdateDomainAdmission(SteadyTime());
            }}),
       m_report_server(loop,
                       [this](const HttpRequest& request) {
@@ -81,10 +82,14 @@
         return HandleReadinessCheck(request);
       }) {}
 
-void AgentRuntime::OnEvacuations(const Evacuations& evacuations) {
-  m_forwarder.SetDomainAdmission(
-      evacuations.AdmissionOf(DomainIdOf(m_settings.failure_domain)),
-      m_unknown_until);
+void AgentRuntime::UpdateDomainAdmission(TimePoint now) {
+  DomainAdmission admission = m_fleet_node.EvacuatedDomains().AdmissionOf(
+      DomainIdOf(m_settings.failure_domain));
+  if (admission == DomainAdmission::kUnknown &&
+      IsFleetUnawareOfEvacuations(now, m_fleet_node.Members())) {
+    admission = DomainAdmission::kOpen;
+  }
+  m_forwarder.SetDomainAdmission(admission, m_unknown_until);
 }
 
 AgentRuntime::~AgentRuntime() {
@@ -98,7 +103,7 @@
   m_forwarder.SetColdRateBounds(
       {m_settings.warmup_overshoot, m_settings.warmup_slack});
   m_forwarder.OnStart(SteadyTime());
-  OnEvacuations(m_fleet_node.EvacuatedDomains());
+  UpdateDomainAdmission(SteadyTime());
   const bool bound =
       m_outbound_socket.Bind(*ParseAddress4(m_settings.outbound_address),
                              reason) &&
@@ -314,6 +319,7 @@
 
 void AgentRuntime::Tick() {
   const TimePoint now = SteadyTime();
+  UpdateDomainAdmission(now);
   m_forwarder.OnTick(now);
   ProbeServer(now);
   AnnounceStateChange(now);
--- a/src/runtime/agent_runtime.h
+++ b/src/runtime/agent_runtime.h
@@ -55,8 +55,8 @@
                         const ForwarderDecision& decision,
                         const FlowPacket& packet,
                         ByteSpan datagram);
-  /// Passes to the forwarder whether the own failure domain is evacuated.
-  void OnEvacuations(const Evacuations& evacuations);
+  /// Tells the forwarder whether the own failure domain may get new flows.
+  void UpdateDomainAdmission(TimePoint now);
   void Tick();
   /// Runs the check by TCP connection whether anything listens at the address
   /// of the backend server.
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -208,6 +208,7 @@
   proto::PeerStatus status;
   *status.mutable_self() = EncodeMember(now, m_self);
   status.set_sequence(++m_status_sequence);
+  status.set_protocol(kProtocolVersion);
   status.set_leaving(m_leaving);
   status.set_members(static_cast<uint32_t>(m_members.FleetSize(m_self.role)));
   status.set_agents_heard(m_self.role == MemberRole::kBalancer
