Fix: Searches waited 5 s for agents that were known by mention only

Cause: a member that was never heard could not be suspected, whatever its probes said, and its statement that no server runs did not count when it came by mention. Change: failed probes count for members that were only mentioned as well. Processes mention agents without a server only while they reach them (a promise of protocol 2, table of features), so such a mention and a failed probe show that the agent has left without a flow. An agent among older balancers waits for 200 ms, two join requests, in place of 450 ms.

--- a/src/forwarding/compatibility/protocol.cc
+++ b/src/forwarding/compatibility/protocol.cc
@@ -20,6 +20,8 @@
      "the wait and the cost count as not stated"},
     {"sound_denials", kEvacuationProtocol,
      "the agent is asked by packet for each flow"},
+    {"fresh_mentions", 2,
+     "what it says of an agent does not show that the agent holds no flow"},
     {"stated_version", 2, "the version is taken from the fields of a status"},
 }};
 
--- a/src/forwarding/compatibility/protocol.h
+++ b/src/forwarding/compatibility/protocol.h
@@ -33,9 +33,11 @@
   kTrials,         ///< Restricts failing servers and asks for trials.
   kExpectedWait,   ///< Reports the wait for a slot and the cost of a kind.
   kSoundDenials,   ///< Its answers to queries prove what they deny.
+  kFreshMentions,  ///< Passes on the state of stopped agents only while it
+                   ///< reaches them.
   kStatedVersion,  ///< States its protocol version.
 };
-inline constexpr size_t kFeatureCount = 6;
+inline constexpr size_t kFeatureCount = 7;
 
 /// A row of the table of features.
 struct FeatureInfo {
--- a/src/forwarding/evacuation/unaware_fleet.cc
+++ b/src/forwarding/evacuation/unaware_fleet.cc
@@ -7,9 +7,9 @@
 
 bool IsFleetUnawareOfEvacuations(TimePoint now,
                                  const MembershipTable& members) {
-  // A balancer that gets the first status of an agent answers at once, and else
-  // within its interval.
-  const Duration answer_time = StatusInterval(MemberRole::kBalancer, 0);
+  // A balancer answers the first status of an agent at once. The agent repeats
+  // it once in this time, as a datagram may be lost.
+  const Duration answer_time = 2 * JoinRetryDelay(1);
   bool has_waited = false;
   for (const auto& [id, entry] : members.Entries()) {
     if (entry.member.role != MemberRole::kBalancer) {
--- a/src/forwarding/member_liveness.cc
+++ b/src/forwarding/member_liveness.cc
@@ -29,9 +29,10 @@
       m_timeouts.suspected, kTimeoutsToSuspect * ReachabilityTimeout(entry));
   const Duration probed_limit = std::max(
       m_timeouts.suspected, kTimeoutsToSuspect * m_timeouts.unreachable);
-  return !entry.leaving && entry.heard != TimePoint() &&
-         (CountedSilence(now, entry) > limit ||
-          ProbedSilence(now, entry) > probed_limit);
+  const bool is_silent =
+      entry.heard != TimePoint() && CountedSilence(now, entry) > limit;
+  return !entry.leaving &&
+         (is_silent || ProbedSilence(now, entry) > probed_limit);
 }
 
 bool MembershipTable::IsPresumedDead(TimePoint now,
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -78,7 +78,9 @@
   return true;
 }
 
-bool MembershipTable::Learn(TimePoint now, const FleetMember& member) {
+bool MembershipTable::Learn(TimePoint now,
+                            const FleetMember& member,
+                            ProtocolVersion sender) {
   const bool ignored = !member.id.IsSet() || member.id == m_self ||
                        m_entries.count(member.id) > 0 ||
                        FindByAddress(member.ip, member.role) != nullptr;
@@ -89,6 +91,7 @@
   MemberEntry& entry = m_entries[member.id];
   entry.member = member;
   entry.discovered_at = now;
+  entry.mentioned_as_reachable = Supports(sender, Feature::kFreshMentions);
   RecordDiscovery(now, member);
   return true;
 }
@@ -276,7 +279,8 @@
   for (const auto& [id, entry] : m_entries) {
     const bool wanted = role == MemberRole::kBalancer ||
                         entry.member.role == MemberRole::kBalancer;
-    if (wanted && entry.heard != TimePoint() && !IsPresumedDead(now, entry)) {
+    if (wanted && entry.heard != TimePoint() && !IsPresumedDead(now, entry) &&
+        !HasLeftStopped(now, entry)) {
       list.push_back(&entry.member);
     }
   }
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -86,6 +86,9 @@
   /// Agents only: since when it no longer counts as live; zero: it does.
   TimePoint ended_at;
   bool leaving = false;  ///< The member has announced a planned stop.
+  /// Not heard yet: another process reached the member when it passed on the
+  /// state in `member`.
+  bool mentioned_as_reachable = false;
   /// When the store last answered the member; zero: its last call failed.
   TimePoint store_answered_at;
   bool store_failing = false;  ///< It says that its last such call failed.
@@ -108,8 +111,9 @@
 
   /// Adds a member that another process mentioned. Ignores members that are
   /// known and members at the address of a known one.
+  /// @param sender version of that process, which decides what a mention shows
   /// @return whether it was added
-  bool Learn(TimePoint now, const FleetMember& member);
+  bool Learn(TimePoint now, const FleetMember& member, ProtocolVersion sender);
 
   /// Updates the load of a known agent from its load report.
   void OnLoad(TimePoint now, MemberId id, const ServerLoad& load);
@@ -149,7 +153,8 @@
 
   /// Returns the members that a joining member of this role needs to know:
   /// those that sent a message and are not presumed dead; for an agent only
-  /// balancers, because agents do not talk to each other.
+  /// balancers, because agents do not talk to each other. Agents without a
+  /// server are listed only while they are reachable.
   std::vector<const FleetMember*> KnownPeersFor(TimePoint now,
                                                 MemberRole role) const;
 
@@ -157,7 +162,9 @@
   /// no probe has failed since.
   bool IsReachable(TimePoint now, const MemberEntry& entry) const;
   /// Returns whether the member has been silent for longer than an unplanned
-  /// restart takes, although others were heard and it had announced no stop.
+  /// restart takes, although others were heard and it had announced no stop. A
+  /// member that was only mentioned may not know this process, so only failed
+  /// probes count there.
   /// An accepted probe ends a silence, here and in IsPresumedDead; probes that
   /// fail for as long as the timeout of a small fleet show the same.
   bool IsSuspected(TimePoint now, const MemberEntry& entry) const;
@@ -165,11 +172,14 @@
   /// were heard, that its flows have to be given up.
   bool IsPresumedDead(TimePoint now, const MemberEntry& entry) const;
   /// Returns whether the agent's server had stopped when the agent was last
-  /// heard, and the agent leaves as well, so that no flow remains there.
+  /// heard, and the agent leaves as well, so that no flow remains there. Of an
+  /// agent that was only mentioned, probes have to show that it has left.
   bool HasLeftStopped(TimePoint now, const MemberEntry& entry) const {
-    return entry.heard != TimePoint() &&
-           entry.member.state == AgentState::kGone &&
-           (entry.leaving || !IsReachable(now, entry));
+    const bool has_left = entry.heard != TimePoint()
+                              ? entry.leaving || !IsReachable(now, entry)
+                              : entry.mentioned_as_reachable &&
+                                    entry.probe.failing_since != TimePoint();
+    return has_left && entry.member.state == AgentState::kGone;
   }
   /// Returns the number of reachable members of a role.
   size_t CountReachable(TimePoint now, MemberRole role) const;
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -160,7 +160,7 @@
   }
   for (const proto::PeerMember& known : status.known()) {
     const FleetMember member = DecodeMember(now, known);
-    const bool is_news = m_members.Learn(now, member);
+    const bool is_news = m_members.Learn(now, member, sender->protocol);
     if (is_news) {
       ScheduleStatuses(now, member);
     }
--- a/src/runtime/peer_exercise.h
+++ b/src/runtime/peer_exercise.h
@@ -31,7 +31,7 @@
   MembershipTable members(MemberId{1}, MembershipTimeouts());
   members.OnStatus(now, status);
   for (const proto::PeerMember& known : status.known()) {
-    members.Learn(now, DecodeMember(now, known));
+    members.Learn(now, DecodeMember(now, known), kProtocolVersion);
   }
   for (const auto& [id, entry] : members.Entries()) {
     const bool is_valid = id.IsSet() && entry.member.ip != 0 &&
