Fix: One balancer that noticed a lost host late held up the resets of all

Cause, from a line with the state of Discovery() every 20 ms: a host without a server had come back and gone dark. Balancers that got its last status took it off their count at once; one that missed it did so up to 1.4 s later, and agents passed that count on. As a balancer resets only if nobody counts more agents than it, all of them waited. Change: statuses carry a digest, by id and incarnation, of the live agents that have not stated that no server runs. A report with the own digest is not compared by its number: sets decide where they are equal, numbers elsewhere. Processes without it are compared by number. Ruled out: an incomplete list, unheard registered agents (both 0 in that line).

--- a/lab/reset_world_fleet.cc
+++ b/lab/reset_world_fleet.cc
@@ -239,6 +239,9 @@
   status.set_agents_heard(process->role == MemberRole::kBalancer
                               ? process->members.CountLiveAgents(now)
                               : process->members.LargestReportedAgents(now));
+  status.set_serving_digest(process->role == MemberRole::kBalancer
+                                ? process->members.ServingDigest(now)
+                                : process->members.LargestReportedDigest(now));
   return status;
 }
 
--- a/src/forwarding/flow_director.cc
+++ b/src/forwarding/flow_director.cc
@@ -254,8 +254,7 @@
   }
   // Another member that hears more agents may hear the owner.
   const bool may_reset =
-      retry_elsewhere && reaches_agents &&
-      m_members->CountLiveAgents(now) >= m_members->LargestReportedAgents(now);
+      retry_elsewhere && reaches_agents && !m_members->MayMissAgents(now);
   if (may_reset) {
     DirectorDecision reset =
         Reject(DirectorDecision::Kind::kReset, ErrorKind::kFlowUnknown);
--- a/src/forwarding/flow_query_test.cc
+++ b/src/forwarding/flow_query_test.cc
@@ -69,6 +69,29 @@
   CHECK(query.agents.size() + kFlows <= 3 * kFlows);
 }
 
+// After a loss of all power, one balancer noticed 1.4 s later than the others
+// that a host without a server had gone dark, and no flow was reset meanwhile.
+TEST_CASE("a peer that counts a stopped agent longer holds up all resets") {
+  LargeFleet fleet;
+  fleet.HearBalancers();
+  fleet.now += Milliseconds(900);
+  fleet.HearLeaving(100);
+  fleet.now += Milliseconds(300);
+  const auto report = [&](uint64_t digest) {
+    proto::PeerStatus status = fleet.MakeStatus(2, MemberRole::kBalancer);
+    status.set_serving_digest(digest);
+    fleet.members.OnStatus(fleet.now, status);
+  };
+  report(0);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kHold);
+  const uint64_t own = fleet.members.ServingDigest(fleet.now);
+  report(own);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kReset);
+  // It hears another agent in place of one that is heard here.
+  report(own + 1);
+  CHECK(fleet.Search().kind == DirectorDecision::Kind::kHold);
+}
+
 // Before a fix, agents denied flows of a server that had restarted under the
 // same id; such builds may still run beside this one.
 TEST_CASE("a flow is reset by the denial of a build that proves nothing") {
--- a/src/forwarding/flow_search.cc
+++ b/src/forwarding/flow_search.cc
@@ -135,8 +135,7 @@
 bool FlowDirector::MayGiveUpSilentAgents(TimePoint now,
                                          const FlowKey& key,
                                          const Flow& flow) const {
-  if (!m_routes->Find(key.route)->repeatable ||
-      m_members->CountLiveAgents(now) < m_members->LargestReportedAgents(now)) {
+  if (!m_routes->Find(key.route)->repeatable || m_members->MayMissAgents(now)) {
     return false;
   }
   bool has_silent_agent = false;
@@ -158,8 +157,7 @@
   }
   // Silence of a member that can't know this balancer proves nothing, so the
   // fleet must have been met, and no member may report more agents.
-  if (!m_members->HasMetFleet() ||
-      m_members->CountLiveAgents(now) < m_members->LargestReportedAgents(now)) {
+  if (!m_members->HasMetFleet() || m_members->MayMissAgents(now)) {
     return DiscoveryBasis::kIncomplete;
   }
   const Duration uptime = now - m_started_at;
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "src/core/hash.h"
 #include "src/forwarding/status_schedule.h"
 
 namespace medlargauge {
@@ -51,6 +52,7 @@
   entry.store_failing = status.store_failing();
   entry.fleet_size = std::min(status.members(), kMaxMembers);
   entry.agents_heard = std::min(status.agents_heard(), kMaxMembers);
+  entry.serving_digest = status.serving_digest();
   m_has_met_fleet = m_has_met_fleet || member.role == MemberRole::kBalancer;
   entry.store_answered_at = status.checked_ms() == 0
                                 ? TimePoint()
@@ -162,7 +164,35 @@
   }
 }
 
+uint64_t MembershipTable::ServingDigest(TimePoint now) const {
+  // A sum, so that the order of the agents is of no importance.
+  uint64_t digest = 0;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.member.state != AgentState::kGone && IsLiveAgent(now, entry)) {
+      digest += MixHash(id.value, entry.member.incarnation);
+    }
+  }
+  return std::max<uint64_t>(digest, 1);
+}
+
 uint32_t MembershipTable::LargestReportedAgents(TimePoint now) const {
+  return LargestReport(now, 0).second;
+}
+
+bool MembershipTable::MayMissAgents(TimePoint now) const {
+  const uint32_t live = CountLiveAgents(now);
+  return live < LargestReport(now, 0).second &&
+         live < LargestReport(now, ServingDigest(now)).second;
+}
+
+uint64_t MembershipTable::LargestReportedDigest(TimePoint now) const {
+  const MemberEntry* reporter = LargestReport(now, 0).first;
+  return reporter == nullptr ? 0 : reporter->serving_digest;
+}
+
+std::pair<const MemberEntry*, uint32_t> MembershipTable::LargestReport(
+    TimePoint now,
+    uint64_t own_digest) const {
   std::vector<TimePoint> ends;
   for (const auto& [id, entry] : m_entries) {
     if (entry.member.role == MemberRole::kAgent &&
@@ -171,17 +201,24 @@
     }
   }
   std::sort(ends.begin(), ends.end());
+  const MemberEntry* reporter = nullptr;
   uint32_t largest = 0;
   for (const auto& [id, entry] : m_entries) {
-    if (IsReachable(now, entry)) {
-      const auto ended = static_cast<uint32_t>(
-          ends.end() - std::upper_bound(ends.begin(), ends.end(),
-                                        AgentsCountedAfter(entry)));
-      largest = std::max(
-          largest, entry.agents_heard - std::min(entry.agents_heard, ended));
+    const bool is_same = own_digest != 0 && entry.serving_digest == own_digest;
+    if (is_same || !IsReachable(now, entry)) {
+      continue;
+    }
+    const auto ended = static_cast<uint32_t>(
+        ends.end() -
+        std::upper_bound(ends.begin(), ends.end(), AgentsCountedAfter(entry)));
+    const uint32_t reported =
+        entry.agents_heard - std::min(entry.agents_heard, ended);
+    if (reporter == nullptr || reported > largest) {
+      reporter = &entry;
+      largest = reported;
     }
   }
-  return largest;
+  return {reporter, largest};
 }
 
 size_t MembershipTable::LargestReportedSize(TimePoint now) const {
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -82,7 +82,9 @@
   ServerSlowness slowness;  ///< Agents only: speed of the server.
   uint32_t fleet_size = 0;  ///< Number of other members that it counts.
   uint32_t agents_heard = 0;  ///< Number of agents that it reports as heard.
-  uint64_t store_era = 0;     ///< Newest era of the store that it knows.
+  /// Which of them may hold flows, see ServingDigest; 0: not stated.
+  uint64_t serving_digest = 0;
+  uint64_t store_era = 0;  ///< Newest era of the store that it knows.
   /// Agents only: since when it no longer counts as live; zero: it does.
   TimePoint ended_at;
   bool leaving = false;  ///< The member has announced a planned stop.
@@ -198,6 +200,17 @@
   /// heard; 0 if none does. Agents that have ended since the report was made
   /// don't count, as this process knows better by now.
   uint32_t LargestReportedAgents(TimePoint now) const;
+  /// Returns whether a reachable member may hear an agent with flows that is
+  /// not heard here: it reports more agents, and not the same ones with a
+  /// server. Those without one hold no flow, and some processes notice later
+  /// than others that they have left.
+  bool MayMissAgents(TimePoint now) const;
+  /// Identifies the live agents that have not stated that no server runs, by
+  /// id and incarnation. Never 0.
+  uint64_t ServingDigest(TimePoint now) const;
+  /// Returns the digest that belongs to LargestReportedAgents of an agent,
+  /// which passes on what balancers have reported; 0 if none has stated one.
+  uint64_t LargestReportedDigest(TimePoint now) const;
 
   /// Records that this process has met the fleet: it has heard another
   /// balancer, or no other process exists to join through.
@@ -263,6 +276,12 @@
   bool IsLiveAgent(TimePoint now, const MemberEntry& entry) const;
   /// Updates MemberEntry::ended_at.
   void UpdateEnd(TimePoint now, MemberEntry* entry) const;
+  /// Returns the reachable member with the largest report that has to be
+  /// compared with the own count, and that count; null if there is none.
+  /// @param own_digest reports with this digest are left out; 0: none is
+  std::pair<const MemberEntry*, uint32_t> LargestReport(
+      TimePoint now,
+      uint64_t own_digest) const;
   /// Returns a time before which the number of agents that the member reports
   /// was counted by nobody.
   TimePoint AgentsCountedAfter(const MemberEntry& entry) const;
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -214,6 +214,9 @@
   status.set_agents_heard(m_self.role == MemberRole::kBalancer
                               ? m_members.CountLiveAgents(now)
                               : m_members.LargestReportedAgents(now));
+  status.set_serving_digest(m_self.role == MemberRole::kBalancer
+                                ? m_members.ServingDigest(now)
+                                : m_members.LargestReportedDigest(now));
   EncodeEvacuations(status.mutable_evacuations());
   status.set_store_failing(m_target_reader.IsFailing());
   status.set_store_era(m_era.Era());
