Feature: medlargauge-lab outage-bound, the best case around a loss of all processes

The bound plays callers with their timers before a system without delays and with free slots, and tells for each window what can't be served in time and why: no balancer ran, the request ran when its server ended, it may run once and met a dead flow.

--- a/lab/lab_main.cc
+++ b/lab/lab_main.cc
@@ -6,12 +6,14 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 #include "lab/dead_flows.h"
 #include "lab/lab_report.h"
 #include "lab/lab_scenarios.h"
 #include "lab/lab_sweep.h"
 #include "lab/member_cost.h"
+#include "lab/outage_bound.h"
 #include "lab/placement_cost.h"
 #include "lab/reset_model.h"
 #include "src/core/error.h"
@@ -231,6 +233,34 @@
   return true;
 }
 
+/// Prints the bound of an outage, a line for each window.
+/// @return exit code
+int RunOutageBound(const std::string& file) {
+  std::ifstream stream(file);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  Error reason;
+  const std::optional<Outage> outage = ParseOutage(text.str(), &reason);
+  if (!outage.has_value()) {
+    std::cerr << "medlargauge_lab: " << file << ": " << reason.detail << '\n';
+    return Describe(ErrorKind::kBadUsage).exit_code;
+  }
+  size_t index = 0;
+  for (const OutageWindow& window :
+       ComputeOutageBound(*outage, FLAGS_first_seed)) {
+    std::printf("window %zu asked %u in_goal %u late %u failed %u worth %.3f",
+                index++, window.asked, window.in_goal, window.late,
+                window.failed, window.worth_earned / window.worth_asked);
+    for (size_t cause = 1; cause < static_cast<size_t>(OutageCause::kCount);
+         ++cause) {
+      const std::string name(NameOf(static_cast<OutageCause>(cause)));
+      std::printf(" %s %u", name.c_str(), window.causes[cause]);
+    }
+    std::printf("\n");
+  }
+  return 0;
+}
+
 int Run(const std::vector<std::string>& arguments) {
   if (arguments.size() == 1 && arguments[0] == "placement-cost") {
     RunPlacementCost();
@@ -240,6 +270,9 @@
     RunMemberCost();
     return 0;
   }
+  if (arguments.size() == 2 && arguments[0] == "outage-bound") {
+    return RunOutageBound(arguments[1]);
+  }
   if (arguments.size() == 1 && arguments[0] == "dead-flows") {
     RunDeadFlows();
     return 0;
@@ -292,6 +325,7 @@
       "  medlargauge_lab overload power-off --policy=present,hash --json\n"
       "  medlargauge_lab reset-model --depth=3\n"
       "  medlargauge_lab dead-flows --agents=300 --balancers=90\n"
+      "  medlargauge_lab outage-bound lab/outages/power-off-long-flows.json\n"
       "  medlargauge_lab member-cost\n"
       "  medlargauge_lab load-sweep --policy=present,hash --plot=sweep.svg\n"
       "  medlargauge_lab placement-cost");
--- a/lab/outage_bound.cc
+++ b/lab/outage_bound.cc
@@ -31,7 +31,13 @@
   OutageCause cause = OutageCause::kNone;
 };
 
-/// A request and the balancers that it meets.
+/// A long flow of a client.
+struct ClientFlow {
+  Duration free_at{};    ///< Its last request has ended.
+  Duration opened_at{};  ///< When it was opened; 0: before the first window.
+};
+
+/// The requests of all clients, and the balancers that they meet.
 class Player {
  public:
   Player(const Outage& outage, uint64_t seed)
@@ -40,18 +46,17 @@
   std::vector<OutageWindow> Run() {
     m_windows.resize(m_outage.windows);
     for (const OutageClass& kind : m_outage.classes) {
-      if (kind.flows == 0) {
+      if (kind.clients == 0) {
         PlayFresh(kind);
       }
-      for (uint32_t flow = 0; flow < kind.flows; ++flow) {
-        PlayFlow(kind);
+      for (uint32_t client = 0; client < kind.clients; ++client) {
+        PlayClient(kind);
       }
     }
     return std::move(m_windows);
   }
 
  private:
-  double Uniform() { return std::uniform_real_distribution<>(0, 1)(m_random); }
   Duration Gap(double per_second) {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
         std::exponential_distribution<>(per_second)(m_random)));
@@ -59,9 +64,9 @@
   Duration End() const { return m_outage.window * m_outage.windows; }
   /// Returns when the balancer of some flow runs again.
   Duration BalancerUp() {
-    return m_outage.first_up +
-           std::chrono::duration_cast<Duration>(
-               Uniform() * (m_outage.last_up - m_outage.first_up));
+    const size_t count = m_outage.balancers_up.size();
+    return m_outage.balancers_up[std::uniform_int_distribution<size_t>(
+        0, count - 1)(m_random)];
   }
   bool IsLost(Duration time, Duration up) const {
     return time >= m_outage.lost_at && time < up;
@@ -92,9 +97,9 @@
         continue;
       }
       answer.at = *reached + 2 * m_outage.round_trip + kind.work;
-      const bool ends_running =
-          m_outage.servers_end && *reached < m_outage.lost_at &&
-          *answer.at >= m_outage.lost_at;
+      const bool ends_running = m_outage.servers_end &&
+                                *reached < m_outage.lost_at &&
+                                *answer.at >= m_outage.lost_at;
       if (ends_running) {
         return {std::nullopt, OutageCause::kRunning};
       }
@@ -137,8 +142,8 @@
     OutageWindow& window = m_windows[index];
     ++window.asked;
     window.worth_asked += kind.worth;
-    const bool is_served = answer.at.has_value() &&
-                           *answer.at - asked <= kind.limit;
+    const bool is_served =
+        answer.at.has_value() && *answer.at - asked <= kind.limit;
     if (!is_served) {
       ++window.failed;
     } else if (*answer.at - asked <= kind.goal) {
@@ -159,24 +164,34 @@
     }
   }
 
-  void PlayFlow(const OutageClass& kind) {
-    const double per_second = kind.per_second / kind.flows;
-    bool is_dead = false;
-    bool has_ended = false;  // Once, with its server.
-    Duration free_at{};
+  void PlayClient(const OutageClass& kind) {
+    const double per_second = kind.per_second / kind.clients;
+    // Before the loss a client needs one flow at a time.
+    std::vector<ClientFlow> flows(1);
     for (Duration now = Gap(per_second); now < End(); now += Gap(per_second)) {
-      const Duration start = std::max(now, free_at);
-      is_dead = is_dead || (m_outage.servers_end && !has_ended &&
-                            start >= m_outage.lost_at);
-      has_ended = has_ended || is_dead;
+      ClientFlow* flow =
+          &*std::min_element(flows.begin(), flows.end(),
+                             [](const ClientFlow& a, const ClientFlow& b) {
+                               return a.free_at < b.free_at;
+                             });
+      if (flow->free_at > now && flows.size() < kind.flows_per_client) {
+        const Answer answer = Open(now, kind.retries + 1, kind);
+        flows.push_back({answer.at.value_or(now + kind.limit), now});
+        Record(now, answer, kind);
+        continue;
+      }
+      const Duration start = std::max(now, flow->free_at);
+      const bool is_dead = m_outage.servers_end &&
+                           flow->opened_at < m_outage.lost_at &&
+                           start >= m_outage.lost_at;
       Answer answer = Use(start, is_dead, kind);
       if (start > now && answer.cause == OutageCause::kNone) {
         answer.cause = OutageCause::kBehind;
       }
-      // Otherwise its caller has been reset, or has given it up.
-      is_dead = false;
-      has_ended = has_ended || answer.cause == OutageCause::kRunning;
-      free_at = answer.at.value_or(now + kind.limit);
+      flow->free_at = answer.at.value_or(now + kind.limit);
+      if (is_dead || answer.cause == OutageCause::kRunning) {
+        flow->opened_at = flow->free_at;
+      }
       Record(now, answer, kind);
     }
   }
@@ -191,6 +206,9 @@
   const auto found = object.find(key);
   if (found == object.end() || !found->is_number() ||
       found->get<double>() < 0) {
+    if (reason->kind != ErrorKind::kNone) {
+      return 0;  // The first fault is reported.
+    }
     Fail(reason, ErrorKind::kMalformedValue,
          std::string("\"") + key + "\" must be a number of at least 0");
     return 0;
@@ -209,7 +227,9 @@
   kind.name = object.value("name", "");
   kind.repeatable = object.value("repeatable", false);
   kind.per_second = ReadNumber(object, "per_second", reason);
-  kind.flows = static_cast<uint32_t>(ReadNumber(object, "flows", reason));
+  kind.clients = static_cast<uint32_t>(ReadNumber(object, "clients", reason));
+  kind.flows_per_client =
+      static_cast<uint32_t>(ReadNumber(object, "flows_per_client", reason));
   kind.goal = ReadMs(object, "goal_ms", reason);
   kind.limit = ReadMs(object, "limit_ms", reason);
   kind.work = ReadMs(object, "work_ms", reason);
@@ -240,8 +260,10 @@
   }
   Outage outage;
   outage.lost_at = ReadMs(values, "lost_at_ms", &fault);
-  outage.first_up = ReadMs(values, "first_up_ms", &fault);
-  outage.last_up = ReadMs(values, "last_up_ms", &fault);
+  for (const json& up : values.value("balancers_up_ms", json::array())) {
+    outage.balancers_up.push_back(
+        Milliseconds(up.is_number() ? up.get<int64_t>() : 0));
+  }
   outage.servers_end = values.value("servers_end", true);
   outage.round_trip = ReadMs(values, "round_trip_ms", &fault);
   outage.window = ReadMs(values, "window_ms", &fault);
@@ -249,13 +271,17 @@
   for (const json& entry : values["classes"]) {
     outage.classes.push_back(ReadClass(entry, &fault));
   }
-  const bool in_order = outage.lost_at <= outage.first_up &&
-                        outage.first_up <= outage.last_up &&
-                        outage.window > Duration() && outage.windows > 0;
-  if (fault.kind == ErrorKind::kNone && !in_order) {
+  const bool is_in_order =
+      std::all_of(outage.balancers_up.begin(), outage.balancers_up.end(),
+                  [&](Duration up) { return up >= outage.lost_at; });
+  if (fault.kind == ErrorKind::kNone &&
+      (outage.balancers_up.empty() || !is_in_order)) {
     Fail(&fault, ErrorKind::kMalformedValue,
-         "lost_at_ms, first_up_ms and last_up_ms must be in order, and windows "
-         "must not be empty");
+         "\"balancers_up_ms\" must list times after \"lost_at_ms\"");
+  }
+  if (fault.kind == ErrorKind::kNone &&
+      (outage.window <= Duration() || outage.windows == 0)) {
+    Fail(&fault, ErrorKind::kMalformedValue, "there must be a window");
   }
   if (fault.kind != ErrorKind::kNone) {
     *reason = fault;
--- a/lab/outage_bound.h
+++ b/lab/outage_bound.h
@@ -4,8 +4,8 @@
 // The system of the bound decides in no time, knows every flow and has free
 // slots for all requests. What is left is what callers and hosts impose: a
 // packet reaches a balancer only when the caller sends it and the balancer
-// runs, a caller learns of a dead flow only in answer to a packet, and a request
-// that may run once only is not repeated on another flow.
+// runs, a caller learns of a dead flow only in answer to a packet, and a
+// request that may run once only is not repeated on another flow.
 #ifndef MEDLARGAUGE_LAB_OUTAGE_BOUND_H_
 #define MEDLARGAUGE_LAB_OUTAGE_BOUND_H_
 
@@ -24,7 +24,8 @@
 struct OutageClass {
   std::string name;
   double per_second = 0;
-  uint32_t flows = 0;  ///< Long flows that share them; 0: a flow for each.
+  uint32_t clients = 0;           ///< Keep long flows; 0: a flow a request.
+  uint32_t flows_per_client = 0;  ///< Long flows of a client at most.
   bool repeatable = false;
   Duration goal{};   ///< Answers are worth `worth` up to this time.
   Duration limit{};  ///< The caller gives up.
@@ -36,9 +37,8 @@
 
 /// A loss of all processes. Times count from the start of the first window.
 struct Outage {
-  Duration lost_at{};   ///< All processes end.
-  Duration first_up{};  ///< The first balancer runs again.
-  Duration last_up{};   ///< The last balancer runs again.
+  Duration lost_at{};                  ///< All processes end.
+  std::vector<Duration> balancers_up;  ///< When each balancer runs again.
   bool servers_end = true;  ///< The servers end as well, with their flows.
   Duration round_trip{};    ///< Between a caller and its server.
   Duration window{};        ///< Length of a window of the result.
@@ -48,12 +48,12 @@
 
 /// Why a request can't be answered within its goal.
 enum class OutageCause : uint8_t {
-  kNone,         ///< It can.
-  kRunning,      ///< It was at a server that ended; nobody repeats it.
-  kRunOnce,      ///< It was sent on a dead flow and may run once only.
-  kNoBalancer,   ///< No balancer ran when its packets came.
-  kDeadFlow,     ///< The reset of its dead flow came too late for the goal.
-  kBehind,       ///< It waited behind another request on its flow.
+  kNone,        ///< It can.
+  kRunning,     ///< It was at a server that ended; nobody repeats it.
+  kRunOnce,     ///< It was sent on a dead flow and may run once only.
+  kNoBalancer,  ///< No balancer ran when its packets came.
+  kDeadFlow,    ///< The reset of its dead flow came too late for the goal.
+  kBehind,      ///< It waited behind others on the flows of its client.
   kCount,
 };
 
@@ -77,7 +77,7 @@
 std::optional<Outage> ParseOutage(std::string_view text, Error* reason);
 
 /// Plays the outage with random arrivals. Deterministic for a seed.
-/// Thread-safe. Precondition: the times of the outage are in order.
+/// Thread-safe. Precondition: the outage has balancers and windows.
 /// @return a row for each window
 std::vector<OutageWindow> ComputeOutageBound(const Outage& outage,
                                              uint64_t seed);
