--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -261,7 +261,10 @@
 // dark, and that a balancer that started later only knew by mention.
 TEST_CASE("failed probes of a mentioned agent count like those of others") {
   MentionedAgentFixture fixture(AgentState::kReady, kProtocolVersion);
+  // The first probe starts after 100 ms.
   fixture.RunFor(Milliseconds(1900), ProbeOutcome::kNoAnswer);
+  CHECK_FALSE(fixture.IsSuspected());
+  fixture.RunFor(Milliseconds(100), ProbeOutcome::kNoAnswer);
   CHECK_FALSE(fixture.HasLeftStopped());
   CHECK(fixture.IsSuspected());
   CHECK_FALSE(fixture.IsPresumedDead());
