Feature: Processes tell when members run other builds

Operators could not see from outside whether an upgrade had reached all hosts. A process logs builds_differ when it hears a member whose build has another protocol version, and builds_agree when it hears none any more; members_other_protocol counts them.

--- a/src/forwarding/evacuation/unaware_fleet_test.cc
+++ b/src/forwarding/evacuation/unaware_fleet_test.cc
@@ -68,6 +68,16 @@
   CHECK(mentioned.IsUnaware());
 }
 
+TEST_CASE("an upgrade that stopped half-way is not seen") {
+  AgentView view;
+  view.Hear(2, false);
+  CHECK(view.members.CountOtherProtocols(view.now).first == 0);
+  view.Hear(3, true);
+  const auto [members, lowest] = view.members.CountOtherProtocols(view.now);
+  CHECK(members == 1);
+  CHECK(lowest == kFirstProtocol);
+}
+
 TEST_CASE("the version of a build is read from statuses without one") {
   proto::PeerStatus status;
   CHECK(ProtocolOf(status) == kFirstProtocol);
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -324,6 +324,19 @@
   return list;
 }
 
+std::pair<size_t, ProtocolVersion> MembershipTable::CountOtherProtocols(
+    TimePoint now) const {
+  size_t count = 0;
+  ProtocolVersion lowest = kProtocolVersion;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.protocol != kProtocolVersion && IsReachable(now, entry)) {
+      ++count;
+      lowest = std::min(lowest, entry.protocol);
+    }
+  }
+  return {count, lowest};
+}
+
 size_t MembershipTable::CountReachable(TimePoint now, MemberRole role) const {
   return std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& e) {
     return e.second.member.role == role && IsReachable(now, e.second);
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -183,6 +183,9 @@
                                     entry.probe.failing_since != TimePoint();
     return has_left && entry.member.state == AgentState::kGone;
   }
+  /// Returns the number of reachable members whose build has another protocol
+  /// version than this one, and the lowest version among them.
+  std::pair<size_t, ProtocolVersion> CountOtherProtocols(TimePoint now) const;
   /// Returns the number of reachable members of a role.
   size_t CountReachable(TimePoint now, MemberRole role) const;
 
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -311,6 +311,7 @@
     m_target_reader.OnSuspended();
   }
   m_last_suspended_time = suspended_time;
+  LogOtherBuilds(now);
   TickEvacuations(now);
   DeregisterForgottenMembers(now, m_members.OnTick(now));
   SendDueStatuses(now);
@@ -327,6 +328,19 @@
   }
 }
 
+void FleetNode::LogOtherBuilds(TimePoint now) {
+  const auto [members, lowest] = m_members.CountOtherProtocols(now);
+  const bool differ = members > 0;
+  if (differ == m_builds_differ) {
+    return;
+  }
+  m_builds_differ = differ;
+  EventLine(Severity::kInfo, differ ? "builds_differ" : "builds_agree")
+      .With("protocol", kProtocolVersion)
+      .With("lowest", lowest)
+      .With("members", members);
+}
+
 void FleetNode::SendContacts(TimePoint now,
                              const std::vector<MemberContact>& contacts) {
   if (contacts.empty()) {
@@ -346,6 +360,8 @@
   stats.Set(Stat::members_heard,
             m_members.CountReachable(now, MemberRole::kBalancer) +
                 m_members.CountReachable(now, MemberRole::kAgent));
+  stats.Set(Stat::members_other_protocol,
+            m_members.CountOtherProtocols(now).first);
   stats.Set(Stat::target_revision, m_stored_targets.version.revision);
   stats.Set(Stat::target_bytes, m_stored_targets.value.size());
   stats.Set(Stat::target_fetches, m_target_fetches);
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -132,6 +132,8 @@
   /// that have just started rely on that list.
   void TellOfUnlistedAgents(TimePoint now);
   void Tick();
+  /// Logs when members of other builds appear, and when none is left.
+  void LogOtherBuilds(TimePoint now);
   /// Sends a status to each of these members.
   void SendContacts(TimePoint now, const std::vector<MemberContact>& contacts);
   /// Makes the call to the store's lists of members that is due, if any.
@@ -224,6 +226,7 @@
   std::unique_ptr<HttpClient> m_target_client;
   uint32_t m_status_sequence = 0;  ///< Sequence number of the last status.
   bool m_leaving = false;          ///< A planned stop has begun.
+  bool m_builds_differ = false;    ///< At the last line of LogOtherBuilds.
   /// A call to the store that lists or changes members is in flight.
   bool m_member_call_pending = false;
   EraTracker m_era;                    ///< Era of the store.
