Fix: Agents beyond the first 24 that one tick heard were not told to other balancers

Balancers that start rely on the store's list of agents; one that hears an agent which the list lacks tells the others. A status has room for 24 members and the rest was dropped, so that another balancer could take an incomplete list for complete. MakeMemberLists distributes members over as many statuses as they need, there and in the answers to join requests, which had the loop already.

--- a/src/forwarding/member_messages.cc
+++ b/src/forwarding/member_messages.cc
@@ -60,6 +60,21 @@
   return message;
 }
 
+std::vector<proto::PeerStatus> MakeMemberLists(
+    TimePoint now,
+    const std::vector<const FleetMember*>& members,
+    int per_status,
+    const std::function<proto::PeerStatus()>& make_status) {
+  std::vector<proto::PeerStatus> statuses{make_status()};
+  for (const FleetMember* member : members) {
+    if (statuses.back().known_size() == per_status) {
+      statuses.push_back(make_status());
+    }
+    *statuses.back().add_known() = EncodeMember(now, *member);
+  }
+  return statuses;
+}
+
 FleetMember DecodeMember(TimePoint now, const proto::PeerMember& message) {
   FleetMember member;
   const bool usable =
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -2,6 +2,7 @@
 #ifndef MEDLARGAUGE_FORWARDING_MEMBERSHIP_TABLE_H_
 #define MEDLARGAUGE_FORWARDING_MEMBERSHIP_TABLE_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -321,6 +322,15 @@
 /// Converts a wire message to a member; the id is 0 if the message is
 /// malformed. Thread-safe.
 FleetMember DecodeMember(TimePoint now, const proto::PeerMember& message);
+/// Distributes members over statuses, as a datagram has room for a limited
+/// number of them. Thread-safe if `make_status` is.
+/// @param per_status largest number of members of a status; at least one
+/// @return one status at least
+std::vector<proto::PeerStatus> MakeMemberLists(
+    TimePoint now,
+    const std::vector<const FleetMember*>& members,
+    int per_status,
+    const std::function<proto::PeerStatus()>& make_status);
 /// Converts a load to its wire message. Thread-safe.
 proto::PeerLoad EncodeLoad(TimePoint now, const ServerLoad& load);
 /// Converts a wire message to a load; limits values that are out of range.
--- a/src/forwarding/membership_table_test.cc
+++ b/src/forwarding/membership_table_test.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
 
 #include "src/forwarding/member_fixture.h"
 #include "src/forwarding/status_schedule.h"
@@ -449,6 +450,38 @@
   CHECK(members.Entries().size() == 1);
 }
 
+// Agents beyond the first 24 that a balancer heard in 100 ms were not told to
+// the others, which could take an incomplete list for complete.
+TEST_CASE("members that do not fit one datagram are dropped") {
+  const TimePoint now{Seconds(100)};
+  std::vector<FleetMember> members(60);
+  std::vector<const FleetMember*> listed;
+  for (size_t i = 0; i < members.size(); ++i) {
+    members[i].id = MemberId{i + 2};
+    members[i].ip = static_cast<uint32_t>(i + 2);
+    listed.push_back(&members[i]);
+  }
+  uint32_t sequence = 0;
+  const auto make_status = [&] {
+    proto::PeerStatus status;
+    status.set_sequence(++sequence);
+    return status;
+  };
+  const std::vector<proto::PeerStatus> statuses =
+      MakeMemberLists(now, listed, 24, make_status);
+  REQUIRE(statuses.size() == 3);
+  std::set<uint64_t> told;
+  for (const proto::PeerStatus& status : statuses) {
+    CHECK(status.known_size() <= 24);
+    for (const proto::PeerMember& member : status.known()) {
+      told.insert(member.id());
+    }
+  }
+  CHECK(told.size() == members.size());
+  CHECK(statuses.back().sequence() == 3);
+  CHECK(MakeMemberLists(now, {}, 24, make_status).size() == 1);
+}
+
 TEST_CASE("malformed members are ignored") {
   const TimePoint now{Seconds(100)};
   MembershipTable members(MemberId{1}, MembershipTimeouts());
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -187,19 +187,15 @@
                                uint32_t ip,
                                MemberRole role,
                                bool with_members) {
-  proto::PeerStatus response = MakeStatus(now);
   std::vector<const FleetMember*> listed;
   if (with_members) {
     listed = m_members.KnownPeersFor(now, role);
   }
-  for (const FleetMember* member : listed) {
-    *response.add_known() = EncodeMember(now, *member);
-    if (response.known_size() == kMembersPerDatagram) {
-      SendStatus(ip, response);
-      response = MakeStatus(now);
-    }
+  for (const proto::PeerStatus& response :
+       MakeMemberLists(now, listed, kMembersPerDatagram,
+                       [this, now] { return MakeStatus(now); })) {
+    SendStatus(ip, response);
   }
-  SendStatus(ip, response);
 }
 
 proto::PeerStatus FleetNode::MakeStatus(TimePoint now) {
@@ -281,18 +277,21 @@
 }
 
 void FleetNode::TellOfUnlistedAgents(TimePoint now) {
-  const std::vector<MemberId> agents = std::exchange(m_unlisted_agents, {});
-  proto::PeerStatus status = MakeStatus(now);
-  for (const MemberId id : agents) {
+  std::vector<const FleetMember*> agents;
+  for (const MemberId id : std::exchange(m_unlisted_agents, {})) {
     const MemberEntry* entry = m_members.Find(id);
-    if (entry != nullptr && status.known_size() < kMembersPerDatagram) {
-      *status.add_known() = EncodeMember(now, entry->member);
+    if (entry != nullptr) {
+      agents.push_back(&entry->member);
     }
   }
-  for (const auto& [id, entry] : m_members.Entries()) {
-    if (entry.member.role == MemberRole::kBalancer &&
-        m_members.IsReachable(now, entry)) {
-      SendStatus(entry.member.ip, status);
+  for (const proto::PeerStatus& status :
+       MakeMemberLists(now, agents, kMembersPerDatagram,
+                       [this, now] { return MakeStatus(now); })) {
+    for (const auto& [id, entry] : m_members.Entries()) {
+      if (entry.member.role == MemberRole::kBalancer &&
+          m_members.IsReachable(now, entry)) {
+        SendStatus(entry.member.ip, status);
+      }
     }
   }
 }
