--- a/src/forwarding/compatibility/protocol.cc
+++ b/src/forwarding/compatibility/protocol.cc
@@ -2,6 +2,7 @@
 #include "src/forwarding/compatibility/protocol.h"
 
 #include <array>
+#include <sstream>
 
 namespace medlargauge {
 namespace {
@@ -9,9 +10,8 @@
 /// In the order of Feature.
 constexpr std::array<FeatureInfo, kFeatureCount> kFeatures = {{
     {"evacuations", kEvacuationProtocol,
-     "an agent that hears only such balancers serves without a list; a "
-     "balancer "
-     "places no new flow at such an agent in an evacuated domain"},
+     "an agent that hears only such balancers serves without a list; new flows "
+     "are placed at no such agent in an evacuated domain"},
     {"cold_rate", kEvacuationProtocol,
      "the rate that another balancer stated last stays in force"},
     {"trials", kEvacuationProtocol,
@@ -31,6 +31,26 @@
   return kFeatures[static_cast<size_t>(feature)];
 }
 
+std::string MissingFeatures(ProtocolVersion version) {
+  std::string names;
+  for (const FeatureInfo& info : kFeatures) {
+    if (version < info.since) {
+      names += (names.empty() ? "" : ",") + std::string(info.name);
+    }
+  }
+  return names;
+}
+
+std::string DescribeProtocol() {
+  std::ostringstream text;
+  text << "protocol " << kProtocolVersion << '\n';
+  for (const FeatureInfo& info : kFeatures) {
+    text << info.name << ", since protocol " << info.since
+         << "; towards processes without it: " << info.absent << '\n';
+  }
+  return text.str();
+}
+
 bool Supports(ProtocolVersion version, Feature feature) {
   return version >= Describe(feature).since;
 }
--- a/src/forwarding/compatibility/protocol.h
+++ b/src/forwarding/compatibility/protocol.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "src/forwarding/peer.pb.h"
@@ -49,6 +50,14 @@
 /// Returns the row of a feature. Thread-safe.
 const FeatureInfo& Describe(Feature feature);
 
+/// Returns the names of the features that a version lacks, separated by commas.
+/// Thread-safe.
+std::string MissingFeatures(ProtocolVersion version);
+
+/// Returns the own version and the table of features, for operators.
+/// Thread-safe.
+std::string DescribeProtocol();
+
 /// Returns whether processes of a version have a feature. Thread-safe.
 bool Supports(ProtocolVersion version, Feature feature);
 
--- a/src/forwarding/evacuation/unaware_fleet_test.cc
+++ b/src/forwarding/evacuation/unaware_fleet_test.cc
@@ -76,6 +76,10 @@
   const auto [members, lowest] = view.members.CountOtherProtocols(view.now);
   CHECK(members == 1);
   CHECK(lowest == kFirstProtocol);
+  CHECK(MissingFeatures(lowest).find("sound_denials") != std::string::npos);
+  CHECK(MissingFeatures(kEvacuationProtocol) ==
+        "fresh_mentions,stated_version");
+  CHECK(MissingFeatures(kProtocolVersion).empty());
 }
 
 TEST_CASE("the version of a build is read from statuses without one") {
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -337,7 +337,8 @@
   EventLine(Severity::kInfo, differ ? "builds_differ" : "builds_agree")
       .With("protocol", kProtocolVersion)
       .With("lowest", lowest)
-      .With("members", members);
+      .With("members", members)
+      .With("waiting", MissingFeatures(lowest));
 }
 
 void FleetNode::SendContacts(TimePoint now,
