--- a/src/forwarding/evacuation/unaware_fleet_test.cc
+++ b/src/forwarding/evacuation/unaware_fleet_test.cc
@@ -82,6 +82,19 @@
   CHECK(MissingFeatures(kProtocolVersion).empty());
 }
 
+// A replay logged builds_differ for an agent whose load report had come first.
+TEST_CASE("a member that has sent no status is taken for an older build") {
+  AgentView view;
+  FleetMember agent;
+  agent.id = MemberId{5};
+  agent.ip = 5;
+  agent.role = MemberRole::kAgent;
+  view.members.Learn(view.now, agent, kProtocolVersion);
+  view.members.OnLoad(view.now, MemberId{5}, ServerLoad());
+  CHECK(view.members.IsReachable(view.now, *view.members.Find(MemberId{5})));
+  CHECK(view.members.CountOtherProtocols(view.now).first == 0);
+}
+
 TEST_CASE("the version of a build is read from statuses without one") {
   proto::PeerStatus status;
   CHECK(ProtocolOf(status) == kFirstProtocol);
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -329,7 +329,10 @@
   size_t count = 0;
   ProtocolVersion lowest = kProtocolVersion;
   for (const auto& [id, entry] : m_entries) {
-    if (entry.protocol != kProtocolVersion && IsReachable(now, entry)) {
+    // A load report may come before the first status.
+    const bool has_stated = entry.status_at != TimePoint();
+    if (has_stated && entry.protocol != kProtocolVersion &&
+        IsReachable(now, entry)) {
       ++count;
       lowest = std::min(lowest, entry.protocol);
     }
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -71,7 +71,7 @@
 /// What this process knows of another member.
 struct MemberEntry {
   FleetMember member;  ///< Latest known state.
-  /// Of its build; valid once it was heard.
+  /// Of its build; valid once it has sent a status.
   ProtocolVersion protocol = kFirstProtocol;
   TimePoint heard;          ///< Last message from the member; zero: none yet.
   TimePoint status_at;      ///< Last status of this incarnation; zero: none.
