--- a/lab/outage_bound.cc
+++ b/lab/outage_bound.cc
@@ -15,12 +15,11 @@
 
 using nlohmann::json;
 
-/// Copies of a packet on an open flow, and the end of the caller's patience is
-/// the limit of its request.
+/// When a caller sends a packet on an open flow and its copies.
 constexpr std::array<Duration, 5> kDataCopies = {
     Milliseconds(0), Milliseconds(200), Milliseconds(600), Milliseconds(1400),
     Milliseconds(3000)};
-/// Copies of an opening packet, and the end of that attempt.
+/// The same for an opening packet, and the end of that attempt.
 constexpr std::array<Duration, 3> kOpeningCopies = {
     Milliseconds(0), Milliseconds(200), Milliseconds(600)};
 constexpr Duration kAttempt = Milliseconds(1400);
@@ -222,11 +221,19 @@
           ReadNumber(object, key, reason)));
 }
 
+/// Reads a flag that is false if it is missing.
+bool ReadFlag(const json& object, const char* key) {
+  const auto found = object.find(key);
+  return found != object.end() && found->is_boolean() && found->get<bool>();
+}
+
 OutageClass ReadClass(const json& object, Error* reason) {
   OutageClass kind;
-  kind.name = object.value("name", "");
-  kind.repeatable = object.value("repeatable", false);
+  kind.repeatable = ReadFlag(object, "repeatable");
   kind.per_second = ReadNumber(object, "per_second", reason);
+  if (reason->kind == ErrorKind::kNone && kind.per_second <= 0) {
+    Fail(reason, ErrorKind::kMalformedValue, "\"per_second\" must be above 0");
+  }
   kind.clients = static_cast<uint32_t>(ReadNumber(object, "clients", reason));
   kind.flows_per_client =
       static_cast<uint32_t>(ReadNumber(object, "flows_per_client", reason));
@@ -260,11 +267,14 @@
   }
   Outage outage;
   outage.lost_at = ReadMs(values, "lost_at_ms", &fault);
-  for (const json& up : values.value("balancers_up_ms", json::array())) {
-    outage.balancers_up.push_back(
-        Milliseconds(up.is_number() ? up.get<int64_t>() : 0));
+  const auto balancers = values.find("balancers_up_ms");
+  if (balancers != values.end() && balancers->is_array()) {
+    for (const json& up : *balancers) {
+      outage.balancers_up.push_back(
+          Milliseconds(up.is_number() ? up.get<int64_t>() : 0));
+    }
   }
-  outage.servers_end = values.value("servers_end", true);
+  outage.servers_end = ReadFlag(values, "servers_end");
   outage.round_trip = ReadMs(values, "round_trip_ms", &fault);
   outage.window = ReadMs(values, "window_ms", &fault);
   outage.windows = static_cast<uint32_t>(ReadNumber(values, "windows", &fault));
--- a/lab/outage_bound.h
+++ b/lab/outage_bound.h
@@ -11,7 +11,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <string>
 #include <string_view>
 #include <vector>
 
@@ -22,8 +21,7 @@
 
 /// Requests of one kind, and what their callers do.
 struct OutageClass {
-  std::string name;
-  double per_second = 0;
+  double per_second = 0;          ///< Above 0.
   uint32_t clients = 0;           ///< Keep long flows; 0: a flow a request.
   uint32_t flows_per_client = 0;  ///< Long flows of a client at most.
   bool repeatable = false;
--- a/lab/outage_bound_test.cc
+++ b/lab/outage_bound_test.cc
@@ -80,6 +80,11 @@
                           &reason)
                   .has_value());
   CHECK(reason.detail.find("balancers_up_ms") != std::string::npos);
+  reason = Error();
+  CHECK_FALSE(ParseOutage(R"({"classes": [7], "servers_end": 3,
+      "balancers_up_ms": 5})",
+                          &reason)
+                  .has_value());
 }
 
 }  // namespace
