Feature: Logs and a metric tell whom a balancer relies on for the targets

After a change was not in force in time, the logs showed neither whom the balancer that could have read the store relied on, nor how old the store's last answer to that one was: store_check_age_ms is 0 while a watch is under way, answered or not.

target_reading is written when a balancer begins or ceases to rely on others, with the newest contact that another one stated. store_lost, store_regained and the metric store_answer_age_ms give the age of the last answer for the targets. No decision changes.

--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -12,6 +12,20 @@
 
 }  // namespace
 
+std::string_view NameOf(ReadingRole role) {
+  switch (role) {
+    case ReadingRole::kRelying:
+      return "relying";
+    case ReadingRole::kReader:
+      return "reader";
+    case ReadingRole::kSubstitute:
+      return "substitute";
+    case ReadingRole::kOverdue:
+      return "overdue";
+  }
+  return "";
+}
+
 TargetReader::TargetReader(TimePoint now,
                            uint64_t seed,
                            TargetReaderLimits limits)
@@ -42,7 +56,7 @@
                               MemberId self,
                               const MembershipTable& members) {
   std::vector<Candidate> candidates{{self, m_domain, IsFailing()}};
-  TimePoint newest_contact;
+  m_reading = ReadingState();
   for (const auto& [id, entry] : members.Entries()) {
     const bool is_candidate = entry.member.role == MemberRole::kBalancer &&
                               !entry.leaving &&
@@ -50,7 +64,10 @@
                               members.IsReachable(now, entry);
     if (is_candidate) {
       candidates.push_back({id, entry.member.domain, entry.store_failing});
-      newest_contact = std::max(newest_contact, entry.store_answered_at);
+      if (m_reading.newest_contact < entry.store_answered_at) {
+        m_reading.newest = id;
+        m_reading.newest_contact = entry.store_answered_at;
+      }
     }
   }
   const std::vector<Candidate> ranked = RankCandidates(candidates);
@@ -68,8 +85,13 @@
           : ranked.end();
   const bool is_substitute =
       substitute != ranked.end() && substitute->id == self;
-  return IsReader() || is_substitute ||
-         now - newest_contact > m_limits.max_contact_age;
+  const bool is_overdue =
+      now - m_reading.newest_contact > m_limits.max_contact_age;
+  m_reading.role = IsReader()      ? ReadingRole::kReader
+                   : is_substitute ? ReadingRole::kSubstitute
+                   : is_overdue    ? ReadingRole::kOverdue
+                                   : ReadingRole::kRelying;
+  return m_reading.role != ReadingRole::kRelying;
 }
 
 std::vector<TargetReader::Candidate> TargetReader::RankCandidates(
@@ -151,6 +173,7 @@
     m_failures = 0;
     m_unanswered_since = TimePoint();
     m_last_store_contact = now;
+    m_last_answer = now;
     return;
   }
   m_last_store_contact = TimePoint();
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -4,6 +4,7 @@
 #define MEDLARGAUGE_FORWARDING_TARGET_READER_H_
 
 #include <algorithm>
+#include <string_view>
 #include <vector>
 
 #include "src/forwarding/membership_table.h"
@@ -46,6 +47,25 @@
 /// Call to the store that is due.
 enum class ReadAction : uint8_t { kNothing, kRead, kWatch };
 
+/// Part that a process has in reading the targets.
+enum class ReadingRole : uint8_t {
+  kRelying,     ///< It relies on others and makes no call.
+  kReader,      ///< One of the readers.
+  kSubstitute,  ///< It reads because a reader's calls fail.
+  kOverdue,     ///< It reads because no other process is up to date.
+};
+
+/// Returns the name of a role for logs. Thread-safe.
+std::string_view NameOf(ReadingRole role);
+
+/// Why a process makes calls for the targets, or makes none.
+struct ReadingState {
+  ReadingRole role = ReadingRole::kRelying;
+  /// Process that states the newest contact with the store; unset: none does.
+  MemberId newest;
+  TimePoint newest_contact;  ///< The contact that it states.
+};
+
 /// State machine that schedules reads and watches of the targets.
 /// Deterministic: it maps (now, event) to an action and reads no clock. Not
 /// thread-safe.
@@ -97,6 +117,11 @@
                ? now
                : m_last_store_contact;
   }
+  /// Returns when a call to the store last succeeded; zero if none has.
+  TimePoint LastAnswer() const { return m_last_answer; }
+  /// Returns the decision at the last call of Next that no call in progress or
+  /// back-off preceded.
+  const ReadingState& Reading() const { return m_reading; }
   /// Returns the start of the first call since the store's last answer; zero
   /// if there is none.
   TimePoint UnansweredSince() const { return m_unanswered_since; }
@@ -114,7 +139,8 @@
   bool IsReader() const { return m_rank < m_limits.readers; }
 
  private:
-  /// Updates m_rank and m_readers. @return whether this process has to read
+  /// Updates m_rank, m_readers and m_reading. @return whether this process has
+  /// to read
   bool ShouldRead(TimePoint now, MemberId self, const MembershipTable& members);
   /// A balancer that may be a reader.
   struct Candidate {
@@ -135,6 +161,8 @@
   TimePoint m_started_at;           ///< Start of the process.
   TimePoint m_retry_at;             ///< Earliest time of the next call.
   TimePoint m_last_store_contact;   ///< See LastStoreContact.
+  TimePoint m_last_answer;          ///< See LastAnswer.
+  ReadingState m_reading;           ///< See Reading.
   TimePoint m_unanswered_since;     ///< See UnansweredSince.
   uint64_t m_position = 0;          ///< See Position.
   uint32_t m_failures = 0;          ///< Consecutive failed calls.
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -377,6 +377,11 @@
     stats.Set(Stat::store_check_age_ms,
               static_cast<uint64_t>(ToMilliseconds(now - store_contact)));
   }
+  if (m_target_reader.LastAnswer() != TimePoint()) {
+    stats.Set(Stat::store_answer_age_ms,
+              static_cast<uint64_t>(
+                  ToMilliseconds(now - m_target_reader.LastAnswer())));
+  }
   m_hooks.fill_stats(now, &stats);
   return stats.Render();
 }
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -150,6 +150,9 @@
                                   const std::vector<FleetMember>& forgotten);
   /// Starts the read or watch of the targets that is due, if any.
   void ReadTargets(TimePoint now);
+  /// Logs when this process begins or ceases to rely on others for the targets.
+  /// @param before state when the last line was written
+  void LogReadingRole(TimePoint now, const ReadingState& before);
   /// Puts targets in force if they are valid and newer, and broadcasts that.
   /// @param source where they come from, for the log
   void ApplyTargets(const StoredTargets& targets, std::string_view source);
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -131,9 +131,29 @@
   }
 }
 
+void FleetNode::LogReadingRole(TimePoint now, const ReadingState& before) {
+  const ReadingState& reading = m_target_reader.Reading();
+  if (reading.role == before.role) {
+    return;
+  }
+  EventLine line(Severity::kInfo, "target_reading");
+  line.With("role", NameOf(reading.role)).With("before", NameOf(before.role));
+  const MemberEntry* newest = m_members.Find(before.newest);
+  if (newest != nullptr) {
+    line.With("relied_on", FormatIp(newest->member.ip))
+        .With("contact_age_ms", ToMilliseconds(now - before.newest_contact));
+  }
+  if (m_target_reader.LastAnswer() != TimePoint()) {
+    line.With("answer_age_ms",
+              ToMilliseconds(now - m_target_reader.LastAnswer()));
+  }
+}
+
 void FleetNode::ReadTargets(TimePoint now) {
+  const ReadingState before = m_target_reader.Reading();
   const ReadAction action =
       m_target_reader.Next(now, m_self.id, m_members, m_routes.Revision());
+  LogReadingRole(now, before);
   if (action == ReadAction::kNothing) {
     return;
   }
@@ -187,12 +207,16 @@
       result == StoreResult::kRefused || result == StoreResult::kNoAnswer;
   if (unreachable != m_store_unreachable) {
     m_store_unreachable = unreachable;
-    EventLine(unreachable ? Severity::kWarning : Severity::kInfo,
-              unreachable ? "store_lost" : "store_regained")
-        .With("call", call)
+    EventLine line(unreachable ? Severity::kWarning : Severity::kInfo,
+                   unreachable ? "store_lost" : "store_regained");
+    line.With("call", call)
         .With("result", result == StoreResult::kRefused ? "refused"
                         : unreachable                   ? "no_answer"
                                                         : "ok");
+    if (m_target_reader.LastAnswer() != TimePoint()) {
+      line.With("answer_age_ms",
+                ToMilliseconds(SteadyTime() - m_target_reader.LastAnswer()));
+    }
   }
 }
 
