Feature: Test of changes of the targets while most balancers lack the store

A balancer served routes as an older version had them although it could have read the newer one. The test runs the readers of a fleet, their statuses and a store in simulated time, cuts off all balancers but one, changes the targets, and expects them in force at that one within the operators' bound of 3 s.

--- /dev/null
+++ b/src/forwarding/target_fleet_test.cc
@@ -0,0 +1,220 @@
+// @file target_fleet_test.cc Tests of how soon a change of the targets reaches
+// the balancers of a fleet while some are cut off from the store.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "src/forwarding/member_fixture.h"
+#include "src/forwarding/status_schedule.h"
+#include "src/forwarding/target_reader.h"
+
+namespace medlargauge {
+namespace {
+
+constexpr Duration kStep = Milliseconds(10);
+constexpr Duration kTick = Milliseconds(100);
+constexpr Duration kReadTimeout = Milliseconds(900);
+constexpr Duration kWatchGrace = Milliseconds(600);
+/// The operators' bound for a change to be in force.
+constexpr Duration kApplyBound = Milliseconds(3000);
+constexpr uint64_t kFirstRevision = 5;
+
+/// A call that has not ended.
+struct Call {
+  bool is_under_way = false;
+  TimePoint started;
+  Duration wait;  ///< Of a watch.
+};
+
+struct Balancer {
+  MemberId id;
+  MembershipTable members;
+  TargetReader reader;
+  StatusSchedule schedule;
+  uint64_t revision = 0;
+  bool reaches_store = true;
+  TimePoint next_tick;
+  uint32_t sequence = 0;
+  Call read;
+  Call watch;
+};
+
+/// Balancers that hear each other and one store. Calls of a balancer that is
+/// cut off end without an answer, those under way included.
+class TargetFleet {
+ public:
+  explicit TargetFleet(uint64_t size) {
+    for (uint64_t id = 1; id <= size; ++id) {
+      m_balancers.push_back(std::make_unique<Balancer>(
+          Balancer{MemberId{id},
+                   MembershipTable(MemberId{id}, MembershipTimeouts()),
+                   TargetReader(m_now, id, TargetReaderLimits()),
+                   StatusSchedule(MemberRole::kBalancer, kTick, id),
+                   0,
+                   true,
+                   m_now + Milliseconds(static_cast<int64_t>(id * 37 % 100)),
+                   0,
+                   {},
+                   {}}));
+    }
+    for (const auto& balancer : m_balancers) {
+      Broadcast(*balancer);
+    }
+  }
+
+  void RunFor(Duration time) {
+    for (const TimePoint end = m_now + time; m_now < end; m_now += kStep) {
+      for (const auto& balancer : m_balancers) {
+        EndCalls(balancer.get());
+        if (m_now >= balancer->next_tick) {
+          balancer->next_tick += kTick;
+          SendDueStatuses(balancer.get());
+          StartCall(balancer.get());
+        }
+      }
+    }
+  }
+
+  void SetReach(size_t index, bool reaches) {
+    m_balancers[index]->reaches_store = reaches;
+  }
+  void ChangeTargets() { ++m_store_revision; }
+  /// Returns the number of balancers that reach the store and lack the newest
+  /// targets.
+  size_t CountLate() const {
+    return static_cast<size_t>(std::count_if(
+        m_balancers.begin(), m_balancers.end(), [this](const auto& balancer) {
+          return balancer->reaches_store &&
+                 balancer->revision != m_store_revision;
+        }));
+  }
+  /// Returns the number of calls that reached the store.
+  size_t Calls() const { return m_calls; }
+
+ private:
+  proto::PeerStatus StatusOf(Balancer* balancer) {
+    proto::PeerStatus status = member_fixture::MakeStatus(
+        m_now, balancer->id.value, MemberRole::kBalancer, ++balancer->sequence);
+    status.mutable_self()->set_revision(balancer->revision);
+    status.set_members(static_cast<uint32_t>(m_balancers.size()) - 1);
+    status.set_store_failing(balancer->reader.IsFailing());
+    const TimePoint contact = balancer->reader.LastStoreContact(m_now);
+    if (contact != TimePoint()) {
+      status.set_checked_ms(
+          static_cast<uint32_t>(ToMilliseconds(m_now - contact)) + 1);
+    }
+    return status;
+  }
+
+  void Broadcast(Balancer& sender) {
+    const proto::PeerStatus status = StatusOf(&sender);
+    for (const auto& receiver : m_balancers) {
+      Deliver(status, receiver.get());
+    }
+  }
+
+  void Deliver(const proto::PeerStatus& status, Balancer* receiver) {
+    if (MemberId{status.self().id()} == receiver->id) {
+      return;
+    }
+    receiver->members.OnStatus(m_now, status);
+    receiver->schedule.Add(m_now, MemberId{status.self().id()},
+                           m_balancers.size() - 1);
+    // A balancer that is behind fetches the targets of the sender.
+    receiver->revision =
+        std::max<uint64_t>(receiver->revision, status.self().revision());
+  }
+
+  void SendDueStatuses(Balancer* sender) {
+    for (const MemberId id :
+         sender->schedule.TakeDue(m_now, m_balancers.size() - 1)) {
+      Deliver(StatusOf(sender), m_balancers[id.value - 1].get());
+    }
+  }
+
+  void StartCall(Balancer* balancer) {
+    const ReadAction action = balancer->reader.Next(
+        m_now, balancer->id, balancer->members, balancer->revision);
+    if (action == ReadAction::kNothing) {
+      return;
+    }
+    m_calls += balancer->reaches_store ? 1 : 0;
+    Call& call = action == ReadAction::kRead ? balancer->read : balancer->watch;
+    call = {true, m_now, balancer->reader.WatchTimeout()};
+  }
+
+  void EndCalls(Balancer* balancer) {
+    const bool answers = balancer->reaches_store;
+    if (balancer->read.is_under_way &&
+        (answers || m_now >= balancer->read.started + kReadTimeout)) {
+      balancer->read.is_under_way = false;
+      balancer->reader.OnRead(
+          m_now, answers ? StoreResult::kOk : StoreResult::kNoAnswer,
+          answers ? m_store_revision : 0);
+      Adopt(balancer, answers);
+    }
+    const TimePoint watch_end = balancer->watch.started + balancer->watch.wait;
+    const bool has_event =
+        balancer->reader.Position() < m_store_revision || m_now >= watch_end;
+    if (balancer->watch.is_under_way &&
+        (answers ? has_event : m_now >= watch_end + kWatchGrace)) {
+      balancer->watch.is_under_way = false;
+      balancer->reader.OnWatch(
+          m_now, answers ? StoreResult::kOk : StoreResult::kNoAnswer,
+          m_store_revision);
+      Adopt(balancer, answers);
+    }
+  }
+
+  void Adopt(Balancer* balancer, bool has_answer) {
+    if (!has_answer) {
+      Broadcast(*balancer);
+    } else if (balancer->revision != m_store_revision) {
+      balancer->revision = m_store_revision;
+      Broadcast(*balancer);
+    }
+  }
+
+  TimePoint m_now{Seconds(100)};
+  uint64_t m_store_revision = kFirstRevision;
+  size_t m_calls = 0;
+  std::vector<std::unique_ptr<Balancer>> m_balancers;
+};
+
+/// Cuts off all but a few balancers, changes the targets and returns how many
+/// of the others lack them after the operators' bound.
+size_t CountLateAfterCut(uint64_t size, uint64_t staying, uint64_t seed) {
+  std::mt19937_64 random(seed);
+  TargetFleet fleet(size);
+  fleet.RunFor(Seconds(8) +
+               Milliseconds(static_cast<int64_t>(random() % 6000)));
+  std::vector<size_t> order(size);
+  for (size_t i = 0; i < size; ++i) {
+    order[i] = i;
+  }
+  std::shuffle(order.begin(), order.end(), random);
+  for (size_t i = staying; i < size; ++i) {
+    fleet.SetReach(order[i], false);
+  }
+  fleet.RunFor(Milliseconds(static_cast<int64_t>(random() % 1500)));
+  fleet.ChangeTargets();
+  fleet.RunFor(kApplyBound);
+  return fleet.CountLate();
+}
+
+TEST_CASE(
+    "a balancer relied for the targets on others cut off from the store") {
+  for (const uint64_t size : {2, 6, 10}) {
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+      CAPTURE(size);
+      CAPTURE(seed);
+      CHECK(CountLateAfterCut(size, 1, seed) == 0);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace medlargauge
