Fix: Balancers relied for the targets on others cut off from the store

Callers saw routes as an older version of the targets had them, more than 3 s after the newer one was acknowledged, at a balancer that could read the store all the while.

Cause: a reader counted as in contact with the store while a watch was under way, answered or not, for up to 5.6 s. The other balancers relied on what it stated and made no call; each substitute repeated this. None of the times was derived from the bound in which changes have to be in force.

Now only an answer proves that the targets are the newest ones, as of the start of a read, or the end of the wait of a watch. Statuses state the age of the newest proof that their sender has or was told, and a balancer whose newest proof is older than half of the bound reads, even beside its own watch. Watches of the readers end in turn, so that one proof follows another every 0.3 of the bound. Older builds still state contact by a call under way; protocol 3 tells them apart, and their statement counts for nothing.

The test of a watch that counts as contact asserted the fault; in its place one asserts that a call under way proves nothing. The test of a fleet with older builds names one feature more.

--- a/src/forwarding/compatibility/protocol.cc
+++ b/src/forwarding/compatibility/protocol.cc
@@ -23,6 +23,9 @@
     {"fresh_mentions", 2,
      "what it says of an agent does not show that the agent holds no flow"},
     {"stated_version", 2, "the version is taken from the fields of a status"},
+    {"proven_targets", 3,
+     "its contact with the store does not show that its targets are the "
+     "newest"},
 }};
 
 }  // namespace
--- a/src/forwarding/compatibility/protocol.h
+++ b/src/forwarding/compatibility/protocol.h
@@ -25,7 +25,7 @@
 /// Builds that stated evacuations, but no version.
 inline constexpr ProtocolVersion kEvacuationProtocol = 1;
 /// Version of this build.
-inline constexpr ProtocolVersion kProtocolVersion = 2;
+inline constexpr ProtocolVersion kProtocolVersion = 3;
 
 /// What a process can do for others only if it has a certain version.
 enum class Feature : uint8_t {
@@ -37,8 +37,10 @@
   kFreshMentions,  ///< Passes on the state of stopped agents only while it
                    ///< reaches them.
   kStatedVersion,  ///< States its protocol version.
+  kProvenTargets,  ///< States the age of its targets by answers of the store,
+                   ///< not by calls that are under way.
 };
-inline constexpr size_t kFeatureCount = 7;
+inline constexpr size_t kFeatureCount = 8;
 
 /// A row of the table of features.
 struct FeatureInfo {
--- a/src/forwarding/evacuation/unaware_fleet_test.cc
+++ b/src/forwarding/evacuation/unaware_fleet_test.cc
@@ -78,7 +78,7 @@
   CHECK(lowest == kFirstProtocol);
   CHECK(MissingFeatures(lowest).find("sound_denials") != std::string::npos);
   CHECK(MissingFeatures(kEvacuationProtocol) ==
-        "fresh_mentions,stated_version");
+        "fresh_mentions,stated_version,proven_targets");
   CHECK(MissingFeatures(kProtocolVersion).empty());
 }
 
--- a/src/forwarding/membership_table.cc
+++ b/src/forwarding/membership_table.cc
@@ -9,6 +9,10 @@
 namespace medlargauge {
 namespace {
 
+/// Time that a status may have waited in queues on its way. Without it, members
+/// that pass a time on to each other would make it appear more recent.
+constexpr Duration kTransit = Milliseconds(50);
+
 /// Limit of the member counts that others report.
 constexpr uint32_t kMaxMembers = 1U << 20U;
 /// Reachability timeouts before a member is removed.
@@ -54,9 +58,12 @@
   entry.agents_heard = std::min(status.agents_heard(), kMaxMembers);
   entry.serving_digest = status.serving_digest();
   m_has_met_fleet = m_has_met_fleet || member.role == MemberRole::kBalancer;
-  entry.store_answered_at = status.checked_ms() == 0
-                                ? TimePoint()
-                                : now - Milliseconds(status.checked_ms() - 1);
+  const bool states_currency =
+      status.checked_ms() != 0 &&
+      Supports(entry.protocol, Feature::kProvenTargets);
+  entry.current_as_of = states_currency
+                            ? now - Milliseconds(status.checked_ms()) - kTransit
+                            : TimePoint();
   UpdateEnd(now, &entry);
   return is_new;
 }
--- a/src/forwarding/membership_table.h
+++ b/src/forwarding/membership_table.h
@@ -92,8 +92,9 @@
   /// Not heard yet: another process reached the member when it passed on the
   /// state in `member`.
   bool mentioned_as_reachable = false;
-  /// When the store last answered the member; zero: its last call failed.
-  TimePoint store_answered_at;
+  /// Time as of which it knows that its targets and evacuations are the newest
+  /// ones in the store; zero: unknown, or its build does not prove it.
+  TimePoint current_as_of;
   bool store_failing = false;  ///< It says that its last such call failed.
   ProbeState probe;            ///< Reset whenever the member is heard.
 };
--- a/src/forwarding/target_fleet_test.cc
+++ b/src/forwarding/target_fleet_test.cc
@@ -26,7 +26,8 @@
 struct Call {
   bool is_under_way = false;
   TimePoint started;
-  Duration wait;  ///< Of a watch.
+  Duration wait;            ///< Of a watch.
+  bool is_overdue = false;  ///< Made because the targets may be too old.
 };
 
 struct Balancer {
@@ -95,16 +96,21 @@
   size_t Calls() const { return m_calls; }
 
  private:
+  static TargetIdentity Held(const Balancer& balancer) {
+    return {{0, balancer.revision}, 0};
+  }
+
   proto::PeerStatus StatusOf(Balancer* balancer) {
     proto::PeerStatus status = member_fixture::MakeStatus(
         m_now, balancer->id.value, MemberRole::kBalancer, ++balancer->sequence);
     status.mutable_self()->set_revision(balancer->revision);
     status.set_members(static_cast<uint32_t>(m_balancers.size()) - 1);
     status.set_store_failing(balancer->reader.IsFailing());
-    const TimePoint contact = balancer->reader.LastStoreContact(m_now);
-    if (contact != TimePoint()) {
+    const TimePoint current_as_of =
+        balancer->reader.CurrentAsOf(balancer->members, Held(*balancer));
+    if (current_as_of != TimePoint()) {
       status.set_checked_ms(
-          static_cast<uint32_t>(ToMilliseconds(m_now - contact)) + 1);
+          static_cast<uint32_t>(ToMilliseconds(m_now - current_as_of)) + 1);
     }
     return status;
   }
@@ -137,24 +143,28 @@
 
   void StartCall(Balancer* balancer) {
     const ReadAction action = balancer->reader.Next(
-        m_now, balancer->id, balancer->members, balancer->revision);
+        m_now, balancer->id, balancer->members, Held(*balancer));
     if (action == ReadAction::kNothing) {
       return;
     }
     m_calls += balancer->reaches_store ? 1 : 0;
     Call& call = action == ReadAction::kRead ? balancer->read : balancer->watch;
-    call = {true, m_now, balancer->reader.WatchTimeout()};
+    call = {true, m_now, balancer->reader.WatchTimeout(),
+            balancer->reader.Reading().is_overdue};
   }
 
   void EndCalls(Balancer* balancer) {
     const bool answers = balancer->reaches_store;
+    const StoreResult result =
+        answers ? StoreResult::kOk : StoreResult::kNoAnswer;
     if (balancer->read.is_under_way &&
         (answers || m_now >= balancer->read.started + kReadTimeout)) {
       balancer->read.is_under_way = false;
-      balancer->reader.OnRead(
-          m_now, answers ? StoreResult::kOk : StoreResult::kNoAnswer,
-          answers ? m_store_revision : 0);
-      Adopt(balancer, answers);
+      const bool has_changed = Adopt(balancer, answers);
+      balancer->reader.OnRead(m_now, result, answers ? m_store_revision : 0);
+      if (!answers || (balancer->read.is_overdue && !has_changed)) {
+        Broadcast(*balancer);
+      }
     }
     const TimePoint watch_end = balancer->watch.started + balancer->watch.wait;
     const bool has_event =
@@ -162,20 +172,23 @@
     if (balancer->watch.is_under_way &&
         (answers ? has_event : m_now >= watch_end + kWatchGrace)) {
       balancer->watch.is_under_way = false;
-      balancer->reader.OnWatch(
-          m_now, answers ? StoreResult::kOk : StoreResult::kNoAnswer,
-          m_store_revision);
       Adopt(balancer, answers);
+      balancer->reader.OnWatch(m_now, result, m_store_revision);
+      if (!answers) {
+        Broadcast(*balancer);
+      }
     }
   }
 
-  void Adopt(Balancer* balancer, bool has_answer) {
-    if (!has_answer) {
-      Broadcast(*balancer);
-    } else if (balancer->revision != m_store_revision) {
+  /// Puts the newest targets in force. @return whether they are others
+  bool Adopt(Balancer* balancer, bool has_answer) {
+    const bool has_changed =
+        has_answer && balancer->revision != m_store_revision;
+    if (has_changed) {
       balancer->revision = m_store_revision;
       Broadcast(*balancer);
     }
+    return has_changed;
   }
 
   TimePoint m_now{Seconds(100)};
@@ -216,5 +229,18 @@
   }
 }
 
+TEST_CASE("checks of the store cost more calls the larger the fleet is") {
+  for (const uint64_t size : {1, 2, 6, 10, 40, 120}) {
+    TargetFleet fleet(size);
+    fleet.RunFor(Seconds(10));
+    const size_t before = fleet.Calls();
+    fleet.RunFor(Seconds(30));
+    MESSAGE(size << " balancers, calls in 30 s: " << fleet.Calls() - before);
+    const auto checks =
+        static_cast<size_t>(Seconds(30) / TargetReaderLimits().CheckInterval());
+    CHECK(fleet.Calls() - before <= checks * 5 / 4);
+  }
+}
+
 }  // namespace
 }  // namespace medlargauge
--- a/src/forwarding/target_outlook_test.cc
+++ b/src/forwarding/target_outlook_test.cc
@@ -32,7 +32,8 @@
   TargetReader reader(now, 7, TargetReaderLimits());
   CHECK(reader.UnansweredSince() == TimePoint());
   for (int call = 0; call < 4; ++call) {
-    REQUIRE(reader.Next(now, MemberId{1}, members, 0) == ReadAction::kRead);
+    REQUIRE(reader.Next(now, MemberId{1}, members, TargetIdentity()) ==
+            ReadAction::kRead);
     CHECK(reader.UnansweredSince() == kNow);
     now += Milliseconds(900);
     reader.OnRead(
@@ -40,7 +41,8 @@
     CHECK(reader.UnansweredSince() == kNow);
     now += Seconds(2);
   }
-  REQUIRE(reader.Next(now, MemberId{1}, members, 0) == ReadAction::kRead);
+  REQUIRE(reader.Next(now, MemberId{1}, members, TargetIdentity()) ==
+          ReadAction::kRead);
   reader.OnRead(now, StoreResult::kOk, 40);
   CHECK(reader.UnansweredSince() == TimePoint());
 }
--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -34,29 +34,55 @@
 ReadAction TargetReader::Next(TimePoint now,
                               MemberId self,
                               const MembershipTable& members,
-                              uint64_t revision) {
-  if (m_call_in_progress || now < m_retry_at) {
-    return ReadAction::kNothing;
-  }
+                              const TargetIdentity& held) {
+  const bool has_none = held.version.revision == 0;
   const bool waits_for_peer =
-      revision == 0 && now - m_started_at < m_limits.first_read_delay;
-  const bool is_urgent = revision == 0 && !m_knows_none;
-  if (waits_for_peer || (!is_urgent && !ShouldRead(now, self, members))) {
+      has_none && now - m_started_at < m_limits.first_read_delay;
+  if (m_is_reading || now < m_retry_at || waits_for_peer) {
     return ReadAction::kNothing;
   }
-  m_call_in_progress = true;
-  m_is_watching = !m_read_required;
-  if (m_unanswered_since == TimePoint()) {
+  UpdateRole(now, self, members, held);
+  const bool follows = (has_none && !m_knows_none) ||
+                       m_reading.role == ReadingRole::kReader ||
+                       m_reading.role == ReadingRole::kSubstitute;
+  ReadAction action = ReadAction::kNothing;
+  if (m_reading.is_overdue || (follows && m_read_required)) {
+    m_is_reading = true;
+    m_read_started = now;
+    action = ReadAction::kRead;
+  } else if (follows && !m_is_watching && now >= m_next_watch) {
+    StartWatch(now);
+    action = ReadAction::kWatch;
+  }
+  if (action != ReadAction::kNothing && m_unanswered_since == TimePoint()) {
     m_unanswered_since = now;
   }
-  return m_read_required ? ReadAction::kRead : ReadAction::kWatch;
+  return action;
+}
+
+void TargetReader::StartWatch(TimePoint now) {
+  const Duration interval = m_limits.CheckInterval();
+  m_is_watching = true;
+  m_watch_started = now;
+  if (m_in_turn) {
+    m_watch_until = now + interval * static_cast<int64_t>(m_readers);
+    return;
+  }
+  // A change ends the watches of all readers. Those after it have different
+  // lengths, so that their ends are evenly spread from then on.
+  const size_t turn = std::min(m_rank + 1, m_readers);
+  m_watch_until =
+      std::max(now, m_turns_from + interval * static_cast<int64_t>(turn));
+  if (m_watch_until - now < interval / 2) {
+    m_watch_until = now + interval;
+  }
 }
 
-bool TargetReader::ShouldRead(TimePoint now,
+void TargetReader::UpdateRole(TimePoint now,
                               MemberId self,
-                              const MembershipTable& members) {
+                              const MembershipTable& members,
+                              const TargetIdentity& held) {
   std::vector<Candidate> candidates{{self, m_domain, IsFailing()}};
-  m_reading = ReadingState();
   for (const auto& [id, entry] : members.Entries()) {
     const bool is_candidate = entry.member.role == MemberRole::kBalancer &&
                               !entry.leaving &&
@@ -64,10 +90,6 @@
                               members.IsReachable(now, entry);
     if (is_candidate) {
       candidates.push_back({id, entry.member.domain, entry.store_failing});
-      if (m_reading.newest_contact < entry.store_answered_at) {
-        m_reading.newest = id;
-        m_reading.newest_contact = entry.store_answered_at;
-      }
     }
   }
   const std::vector<Candidate> ranked = RankCandidates(candidates);
@@ -77,21 +99,50 @@
   const auto is_failing = [](const Candidate& c) { return c.failing; };
   m_rank = static_cast<size_t>(
       std::find_if(ranked.begin(), ranked.end(), is_self) - ranked.begin());
-  // The other readers may be cut off from the store as well and not know it
-  // yet, as their watches are still under way.
   const auto substitute =
       std::any_of(ranked.begin(), others, is_failing)
           ? std::find_if_not(others, ranked.end(), is_failing)
           : ranked.end();
   const bool is_substitute =
       substitute != ranked.end() && substitute->id == self;
-  const bool is_overdue =
-      now - m_reading.newest_contact > m_limits.max_contact_age;
-  m_reading.role = IsReader()      ? ReadingRole::kReader
-                   : is_substitute ? ReadingRole::kSubstitute
-                   : is_overdue    ? ReadingRole::kOverdue
-                                   : ReadingRole::kRelying;
-  return m_reading.role != ReadingRole::kRelying;
+  const auto [newest, stated] = NewestStatement(members, held);
+  m_reading.newest = newest != nullptr ? newest->member.id : MemberId();
+  m_reading.newest_current_as_of = stated;
+  const Duration spread =
+      std::min(m_limits.read_spread * static_cast<int64_t>(m_rank),
+               m_limits.max_read_spread);
+  // An answer with targets that this process cannot read counts here, as
+  // another call would bring the same ones.
+  m_reading.is_overdue = now - std::max(m_current_as_of, stated) >
+                         m_limits.MaxTargetAge() + spread;
+  m_reading.role = IsReader()             ? ReadingRole::kReader
+                   : is_substitute        ? ReadingRole::kSubstitute
+                   : m_reading.is_overdue ? ReadingRole::kOverdue
+                                          : ReadingRole::kRelying;
+}
+
+std::pair<const MemberEntry*, TimePoint> TargetReader::NewestStatement(
+    const MembershipTable& members,
+    const TargetIdentity& held) const {
+  const MemberEntry* newest = nullptr;
+  TimePoint current_as_of;
+  for (const auto& [id, entry] : members.Entries()) {
+    const bool counts = entry.current_as_of > current_as_of &&
+                        entry.status_at > m_trusted_since &&
+                        (!m_era_known || entry.store_era != 0) &&
+                        !MayBeNewer(entry.member.targets, held);
+    if (counts) {
+      newest = &entry;
+      current_as_of = entry.current_as_of;
+    }
+  }
+  return {newest, current_as_of};
+}
+
+TimePoint TargetReader::CurrentAsOf(const MembershipTable& members,
+                                    const TargetIdentity& held) const {
+  const TimePoint own = m_targets_usable ? m_current_as_of : TimePoint();
+  return std::max(own, NewestStatement(members, held).second);
 }
 
 std::vector<TargetReader::Candidate> TargetReader::RankCandidates(
@@ -120,11 +171,13 @@
 void TargetReader::OnRead(TimePoint now,
                           StoreResult result,
                           uint64_t position) {
-  m_call_in_progress = false;
-  RecordResult(now, result);
+  m_is_reading = false;
+  RecordResult(now, result, m_read_started);
   if (result == StoreResult::kOk || result == StoreResult::kNotFound) {
     m_read_required = false;
     m_position = position;
+    m_turns_from = now;
+    m_in_turn = m_in_turn && m_is_watching;
   }
   m_knows_none = result == StoreResult::kNotFound && position != 0;
   if (result == StoreResult::kNotFound && !m_knows_none) {
@@ -136,8 +189,8 @@
 void TargetReader::OnWatch(TimePoint now,
                            StoreResult result,
                            uint64_t position) {
-  m_call_in_progress = false;
   m_is_watching = false;
+  m_in_turn = result == StoreResult::kOk && now >= m_watch_until;
   if (result == StoreResult::kHistoryCompacted) {
     m_read_required = true;
     // Normally one read recovers from this. Back off from the second time on,
@@ -149,11 +202,14 @@
     ++m_compactions;
     return;
   }
-  RecordResult(now, result);
+  RecordResult(now, result, m_in_turn ? m_watch_until : m_watch_started);
   if (result == StoreResult::kOk) {
-    m_position = position;
+    m_position = std::max(m_position, position);
     m_compactions = 0;
-    m_retry_at = now + m_limits.watch_pause * static_cast<int64_t>(m_rank);
+    if (!m_in_turn) {
+      m_turns_from = now;
+      m_next_watch = now + m_limits.watch_pause * static_cast<int64_t>(m_rank);
+    }
   } else {
     // A watch that failed may have missed changes that have been compacted
     // since.
@@ -162,21 +218,34 @@
   }
 }
 
+void TargetReader::OnSuspended(TimePoint now) {
+  m_read_required = true;
+  m_current_as_of = TimePoint();
+  OnStalled(now);
+}
+
+void TargetReader::OnStalled(TimePoint now) {
+  // Messages that have waited meanwhile are handled shortly after this.
+  constexpr Duration kQueueTime = Milliseconds(100);
+  m_trusted_since = now + kQueueTime;
+}
+
 void TargetReader::OnNewEra(TimePoint now) {
   m_read_required = true;
   m_compactions = 0;
   m_retry_at = std::min(m_retry_at, now);
 }
 
-void TargetReader::RecordResult(TimePoint now, StoreResult result) {
+void TargetReader::RecordResult(TimePoint now,
+                                StoreResult result,
+                                TimePoint current_as_of) {
   if (result == StoreResult::kOk || result == StoreResult::kNotFound) {
     m_failures = 0;
     m_unanswered_since = TimePoint();
-    m_last_store_contact = now;
     m_last_answer = now;
+    m_current_as_of = std::max(m_current_as_of, current_as_of);
     return;
   }
-  m_last_store_contact = TimePoint();
   ScheduleRetry(now, m_failures);
   ++m_failures;
 }
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "src/forwarding/membership_table.h"
@@ -12,26 +13,35 @@
 namespace medlargauge {
 
 /// Settings of reading the targets. A few balancers, the readers, watch the
-/// store and learn of a change at once. All other processes learn of it from a
-/// reader, and read the store themselves if no reader is up to date.
+/// store and learn of a change at once. All others rely on what processes state
+/// about the age of their targets, and read the store themselves when none can
+/// state a recent one.
 struct TargetReaderLimits {
   size_t readers = 3;  ///< Number of readers, chosen by hash.
-  /// Longest time without an answer of the store to any reader. The long-poll
-  /// timeout of a watch is this time for each reader, up to `max_wait`.
-  Duration wait = Milliseconds(2000);
-  Duration max_wait = Milliseconds(5000);
+  /// Time within which the operators expect a change to be in force at all
+  /// balancers that reach the store.
+  Duration apply_bound = Milliseconds(3000);
   /// A reader begins its next watch this much later for each reader that ranks
   /// before it, so that one of several quick changes reaches one reader.
   Duration watch_pause = Milliseconds(400);
-  /// A process reads the store itself if no balancer has had an answer from the
-  /// store within this time.
-  Duration max_contact_age = Milliseconds(3200);
+  /// Of several processes that have to read, one that ranks later begins this
+  /// much later, so that it may hear the result of an earlier one.
+  Duration read_spread = Milliseconds(20);
+  /// Limit of that delay.
+  Duration max_read_spread = Milliseconds(300);
   /// Delay after the first failure; doubles with each further failure.
   Duration initial_backoff = Milliseconds(150);
   /// Upper limit of the delay.
   Duration max_backoff = Milliseconds(1500);
   /// Delay of the first read, during which a peer may deliver the targets.
   Duration first_read_delay = Milliseconds(0);
+
+  /// Age of the targets beyond which a process reads the store. The other half
+  /// of the bound is left for a call without an answer and its repetition.
+  Duration MaxTargetAge() const { return apply_bound / 2; }
+  /// Time between two answers of the store to any reader. They reach the other
+  /// processes with the regular statuses before MaxTargetAge has passed.
+  Duration CheckInterval() const { return apply_bound * 3 / 10; }
 };
 
 /// Result of a call to the store.
@@ -51,8 +61,8 @@
 enum class ReadingRole : uint8_t {
   kRelying,     ///< It relies on others and makes no call.
   kReader,      ///< One of the readers.
-  kSubstitute,  ///< It reads because a reader's calls fail.
-  kOverdue,     ///< It reads because no other process is up to date.
+  kSubstitute,  ///< It watches because a reader's calls fail.
+  kOverdue,     ///< It reads because its targets may be too old.
 };
 
 /// Returns the name of a role for logs. Thread-safe.
@@ -61,12 +71,21 @@
 /// Why a process makes calls for the targets, or makes none.
 struct ReadingState {
   ReadingRole role = ReadingRole::kRelying;
-  /// Process that states the newest contact with the store; unset: none does.
+  /// Process that states the newest CurrentAsOf; unset: none does.
   MemberId newest;
-  TimePoint newest_contact;  ///< The contact that it states.
+  TimePoint newest_current_as_of;  ///< The time that it states.
+  /// Neither this process nor one that it relies on has recent targets.
+  bool is_overdue = false;
 };
 
 /// State machine that schedules reads and watches of the targets.
+///
+/// A process knows that it has the newest targets, and evacuations, only as of
+/// the start of a call that the store has answered since, or as of the end of a
+/// watch that was answered without a change. It states that time to others, and
+/// takes over the newest one that a process with the same or older targets
+/// states. A call under way shows nothing: the store may be out of reach.
+///
 /// Deterministic: it maps (now, event) to an action and reads no clock. Not
 /// thread-safe.
 class TargetReader {
@@ -75,31 +94,42 @@
   TargetReader(TimePoint now, uint64_t seed, TargetReaderLimits limits);
 
   /// Returns the call that is due. The caller of this method carries it out and
-  /// then calls OnRead or OnWatch; until then kNothing is returned.
+  /// then calls OnRead or OnWatch. A read may be due while a watch is under
+  /// way; otherwise kNothing is returned until a call has ended.
   /// @param self id of this process
   /// @param members membership table
-  /// @param revision revision of the targets in force; 0 if there are none
+  /// @param held identifies the targets in force; revision 0: there are none
   ReadAction Next(TimePoint now,
                   MemberId self,
                   const MembershipTable& members,
-                  uint64_t revision);
+                  const TargetIdentity& held);
 
   /// Sets the failure domain of this process, as readers should be in
   /// different ones.
   void SetDomain(DomainId domain) { m_domain = domain; }
 
-  /// Handles the end of a read.
+  /// Handles the end of a read. Precondition: what it has delivered is in
+  /// force.
   /// @param position revision of the store if the read succeeded, or found no
   ///     targets; 0: unknown
   void OnRead(TimePoint now, StoreResult result, uint64_t position);
 
-  /// Handles the end of a watch.
+  /// Handles the end of a watch. Precondition: what it has delivered is in
+  /// force.
   /// @param position revision at which the next watch continues
   void OnWatch(TimePoint now, StoreResult result, uint64_t position);
 
+  /// Records whether this process can read the newest targets in the store. One
+  /// that cannot states no CurrentAsOf of its own.
+  void OnTargetsUsable(bool usable) { m_targets_usable = usable; }
+
   /// Requires a full read next, because the host was suspended and the known
   /// targets may be outdated.
-  void OnSuspended() { m_read_required = true; }
+  void OnSuspended(TimePoint now);
+
+  /// Discards what other processes have stated, because this process did not
+  /// run for a while and messages may have waited for as long.
+  void OnStalled(TimePoint now);
 
   /// Requires a full read next, without delay, because the store was restored
   /// from an older copy: a watch could miss changes whose revisions are below
@@ -110,26 +140,20 @@
   /// readers for this process, as they miss targets after a restore.
   void OnEraKnown() { m_era_known = true; }
 
-  /// Returns when the store last answered; zero if it never did or if the last
-  /// call failed. The store is in contact while it holds a watch.
-  TimePoint LastStoreContact(TimePoint now) const {
-    return m_is_watching && m_last_store_contact != TimePoint()
-               ? now
-               : m_last_store_contact;
-  }
+  /// Returns the newest time as of which `held` and the known evacuations are
+  /// known to be the newest ones in the store; zero: unknown.
+  TimePoint CurrentAsOf(const MembershipTable& members,
+                        const TargetIdentity& held) const;
   /// Returns when a call to the store last succeeded; zero if none has.
   TimePoint LastAnswer() const { return m_last_answer; }
-  /// Returns the decision at the last call of Next that no call in progress or
+  /// Returns the decision at the last call of Next that no read in progress or
   /// back-off preceded.
   const ReadingState& Reading() const { return m_reading; }
   /// Returns the start of the first call since the store's last answer; zero
   /// if there is none.
   TimePoint UnansweredSince() const { return m_unanswered_since; }
   /// Returns the long-poll timeout of the watch that is due.
-  Duration WatchTimeout() const {
-    return std::min<Duration>(m_limits.max_wait,
-                              m_limits.wait * static_cast<int64_t>(m_readers));
-  }
+  Duration WatchTimeout() const { return m_watch_until - m_watch_started; }
   /// Returns the revision at which the next watch continues.
   uint64_t Position() const { return m_position; }
   /// Returns whether the last call to the store failed.
@@ -139,9 +163,18 @@
   bool IsReader() const { return m_rank < m_limits.readers; }
 
  private:
-  /// Updates m_rank, m_readers and m_reading. @return whether this process has
-  /// to read
-  bool ShouldRead(TimePoint now, MemberId self, const MembershipTable& members);
+  /// Updates m_rank, m_readers and m_reading.
+  void UpdateRole(TimePoint now,
+                  MemberId self,
+                  const MembershipTable& members,
+                  const TargetIdentity& held);
+  /// Returns the member whose statement CurrentAsOf takes over, and the time
+  /// that it states; null and zero if there is none.
+  std::pair<const MemberEntry*, TimePoint> NewestStatement(
+      const MembershipTable& members,
+      const TargetIdentity& held) const;
+  /// Sets the times of a watch that starts now.
+  void StartWatch(TimePoint now);
   /// A balancer that may be a reader.
   struct Candidate {
     MemberId id;
@@ -152,28 +185,37 @@
   /// is cut off has few readers, and then the others; by hash among each.
   static std::vector<Candidate> RankCandidates(
       const std::vector<Candidate>& candidates);
-  void RecordResult(TimePoint now, StoreResult result);
+  /// @param current_as_of what a success proves, see CurrentAsOf
+  void RecordResult(TimePoint now, StoreResult result, TimePoint current_as_of);
   void ScheduleRetry(TimePoint now, uint32_t earlier_failures);
 
-  TargetReaderLimits m_limits;      ///< Settings.
-  DomainId m_domain;                ///< See SetDomain.
-  uint64_t m_seed;                  ///< Seed of the spread of retries.
-  TimePoint m_started_at;           ///< Start of the process.
-  TimePoint m_retry_at;             ///< Earliest time of the next call.
-  TimePoint m_last_store_contact;   ///< See LastStoreContact.
-  TimePoint m_last_answer;          ///< See LastAnswer.
-  ReadingState m_reading;           ///< See Reading.
-  TimePoint m_unanswered_since;     ///< See UnansweredSince.
-  uint64_t m_position = 0;          ///< See Position.
-  uint32_t m_failures = 0;          ///< Consecutive failed calls.
-  uint32_t m_compactions = 0;       ///< Consecutive kHistoryCompacted results.
-  bool m_read_required = true;      ///< A watch would miss changes.
-  bool m_era_known = false;         ///< See OnEraKnown.
-  bool m_call_in_progress = false;  ///< A read or watch is in progress.
-  bool m_is_watching = false;       ///< A watch is in progress.
-  bool m_knows_none = false;        ///< The store has no targets yet.
-  size_t m_rank = 0;                ///< Readers that rank before this one.
-  size_t m_readers = 1;             ///< Number of readers.
+  TargetReaderLimits m_limits;   ///< Settings.
+  DomainId m_domain;             ///< See SetDomain.
+  uint64_t m_seed;               ///< Seed of the spread of retries.
+  TimePoint m_started_at;        ///< Start of the process.
+  TimePoint m_retry_at;          ///< Earliest time of the next call.
+  TimePoint m_next_watch;        ///< Earliest time of the next watch.
+  TimePoint m_turns_from;        ///< Last change, or last read.
+  TimePoint m_current_as_of;     ///< By the answers to this process.
+  TimePoint m_trusted_since;     ///< Earlier statements count for nothing.
+  TimePoint m_last_answer;       ///< See LastAnswer.
+  ReadingState m_reading;        ///< See Reading.
+  TimePoint m_unanswered_since;  ///< See UnansweredSince.
+  TimePoint m_read_started;      ///< Of the last read.
+  TimePoint m_watch_started;     ///< Of the last watch.
+  TimePoint m_watch_until;       ///< When the store ends the last watch.
+  uint64_t m_position = 0;       ///< See Position.
+  uint32_t m_failures = 0;       ///< Consecutive failed calls.
+  uint32_t m_compactions = 0;    ///< Consecutive kHistoryCompacted results.
+  bool m_read_required = true;   ///< A watch would miss changes.
+  bool m_era_known = false;      ///< See OnEraKnown.
+  bool m_targets_usable = true;  ///< See OnTargetsUsable.
+  bool m_is_reading = false;     ///< A read is in progress.
+  bool m_is_watching = false;    ///< A watch is in progress.
+  bool m_in_turn = false;        ///< The last watch ended without a change.
+  bool m_knows_none = false;     ///< The store has no targets yet.
+  size_t m_rank = 0;             ///< Readers that rank before this one.
+  size_t m_readers = 1;          ///< Number of readers.
 };
 
 }  // namespace medlargauge
--- a/src/forwarding/target_reader_test.cc
+++ b/src/forwarding/target_reader_test.cc
@@ -11,6 +11,10 @@
 
 using member_fixture::MakeStatus;
 
+/// Targets in force at a balancer.
+constexpr TargetIdentity kHeld{{0, 5}, 0};
+constexpr TargetIdentity kNoTargets;
+
 /// The target reader of a balancer that knows no other members.
 struct ReaderFixture {
   TimePoint now{Seconds(100)};
@@ -30,7 +34,7 @@
             now, MakeStatus(now, other.value, MemberRole::kBalancer, 1, 1));
       }
       TargetReader probe(now, 1, TargetReaderLimits());
-      if (probe.Next(now, id, others, 5) == ReadAction::kNothing) {
+      if (probe.Next(now, id, others, kHeld) == ReadAction::kNothing) {
         return id;
       }
     }
@@ -52,11 +56,11 @@
   };
   TargetReader reader(fixture.now, 1, TargetReaderLimits());
   receive_statuses(1);
-  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kNothing);
+  CHECK(reader.Next(fixture.now, self, members, kHeld) == ReadAction::kNothing);
   // The readers cannot reach the store: all balancers read.
   receive_statuses(0);
   fixture.now += Milliseconds(10);
-  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kRead);
+  CHECK(reader.Next(fixture.now, self, members, kHeld) == ReadAction::kRead);
 }
 
 /// Ten balancers, five in each of two domains, that hear each other.
@@ -81,7 +85,7 @@
       }
       TargetReader reader(now, self, TargetReaderLimits());
       reader.SetDomain(DomainOf(self));
-      if (reader.Next(now, MemberId{self}, members, 5) !=
+      if (reader.Next(now, MemberId{self}, members, kHeld) !=
           ReadAction::kNothing) {
         readers.push_back(self);
       }
@@ -117,7 +121,8 @@
 TEST_CASE("a reader reads first, then watches, and reads again after any gap") {
   ReaderFixture fixture;
   const auto next = [&] {
-    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 5);
+    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                               kHeld);
   };
   CHECK(next() == ReadAction::kRead);
   CHECK(next() == ReadAction::kNothing);
@@ -131,12 +136,11 @@
   fixture.reader.OnRead(fixture.now, StoreResult::kOk, 50);
   CHECK(next() == ReadAction::kWatch);
   fixture.reader.OnWatch(fixture.now, StoreResult::kNoAnswer, 0);
-  CHECK(fixture.reader.LastStoreContact(fixture.now) == TimePoint());
   CHECK(next() == ReadAction::kNothing);  // Backing off.
   fixture.now += Seconds(2);
   CHECK(next() == ReadAction::kRead);
   fixture.reader.OnRead(fixture.now, StoreResult::kOk, 51);
-  fixture.reader.OnSuspended();
+  fixture.reader.OnSuspended(fixture.now);
   CHECK(next() == ReadAction::kRead);
 }
 
@@ -153,7 +157,8 @@
                        MakeStatus(fixture.now, id, MemberRole::kBalancer,
                                   ++fixture.sequence, 1));
     }
-    if (reader.Next(fixture.now, self, members, 0) != ReadAction::kNothing) {
+    if (reader.Next(fixture.now, self, members, kNoTargets) !=
+        ReadAction::kNothing) {
       reader.OnRead(fixture.now, StoreResult::kNotFound, 30);
       ++calls;
     }
@@ -161,41 +166,123 @@
   }
   CHECK(calls == 1);
   // A reader waits for the first targets; without a position it polls.
-  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
-        ReadAction::kRead);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                            kNoTargets) == ReadAction::kRead);
   fixture.reader.OnRead(fixture.now, StoreResult::kNotFound, 30);
-  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
-        ReadAction::kWatch);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                            kNoTargets) == ReadAction::kWatch);
   CHECK(fixture.reader.Position() == 30);
   fixture.reader.OnWatch(fixture.now, StoreResult::kNoAnswer, 0);
   fixture.now += Seconds(2);
-  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
-        ReadAction::kRead);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                            kNoTargets) == ReadAction::kRead);
   fixture.reader.OnRead(fixture.now, StoreResult::kNotFound, 0);
-  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
-        ReadAction::kNothing);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                            kNoTargets) == ReadAction::kNothing);
   fixture.now += Seconds(1);
-  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 0) ==
-        ReadAction::kRead);
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                            kNoTargets) == ReadAction::kRead);
 }
 
-TEST_CASE("a store that holds a watch counts as in contact until it is due") {
+TEST_CASE("a call that the store had not answered counted as contact") {
   ReaderFixture fixture;
   const auto next = [&] {
-    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 5);
+    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                               kHeld);
   };
+  const auto current_as_of = [&] {
+    return fixture.reader.CurrentAsOf(fixture.members, kHeld);
+  };
+  const TimePoint read_at = fixture.now;
   REQUIRE(next() == ReadAction::kRead);
-  fixture.now += Seconds(1);
-  CHECK(fixture.reader.LastStoreContact(fixture.now) == TimePoint());
+  fixture.now += Milliseconds(400);
+  CHECK(current_as_of() == TimePoint());
   fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
-  const TimePoint answered_at = fixture.now;
-  fixture.now += Seconds(1);
-  CHECK(fixture.reader.LastStoreContact(fixture.now) == answered_at);
+  // The store may have answered at any time since the call.
+  CHECK(current_as_of() == read_at);
+  const TimePoint watch_at = fixture.now;
+  REQUIRE(next() == ReadAction::kWatch);
+  fixture.now += fixture.reader.WatchTimeout() - Milliseconds(1);
+  CHECK(current_as_of() == read_at);
+  // The store answers no earlier than it was asked to if nothing has changed.
+  fixture.now += Milliseconds(9);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kOk, 40);
+  const TimePoint proven = watch_at + fixture.reader.WatchTimeout();
+  CHECK(current_as_of() == proven);
   REQUIRE(next() == ReadAction::kWatch);
-  fixture.now += Seconds(4);
-  CHECK(fixture.reader.LastStoreContact(fixture.now) == fixture.now);
+  fixture.now += Milliseconds(10);
+  fixture.reader.OnWatch(fixture.now, StoreResult::kOk, 44);
+  CHECK(current_as_of() == fixture.now - Milliseconds(10));
+  REQUIRE(next() == ReadAction::kWatch);
+  const TimePoint last = current_as_of();
+  fixture.now += fixture.reader.WatchTimeout() + Milliseconds(600);
   fixture.reader.OnWatch(fixture.now, StoreResult::kNoAnswer, 0);
-  CHECK(fixture.reader.LastStoreContact(fixture.now) == TimePoint());
+  CHECK(current_as_of() == last);
+}
+
+TEST_CASE("a reader whose watch is unanswered waits for it before it reads") {
+  ReaderFixture fixture;
+  const auto next = [&] {
+    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                               kHeld);
+  };
+  REQUIRE(next() == ReadAction::kRead);
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
+  REQUIRE(next() == ReadAction::kWatch);
+  fixture.now += TargetReaderLimits().MaxTargetAge() + Milliseconds(1);
+  CHECK(next() == ReadAction::kRead);
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 44);
+  CHECK(next() == ReadAction::kNothing);
+  // The late answer to the watch is older than that of the read.
+  fixture.reader.OnWatch(fixture.now, StoreResult::kOk, 42);
+  CHECK(fixture.reader.Position() == 44);
+}
+
+TEST_CASE("a peer with newer targets or an old build vouched for older ones") {
+  ReaderFixture fixture;
+  const auto current_as_of = [&] {
+    return fixture.reader.CurrentAsOf(fixture.members, kHeld);
+  };
+  proto::PeerStatus status =
+      MakeStatus(fixture.now, 2, MemberRole::kBalancer, 1, 101);
+  status.mutable_self()->set_revision(kHeld.version.revision + 1);
+  fixture.members.OnStatus(fixture.now, status);
+  CHECK(current_as_of() == TimePoint());
+  status.mutable_self()->set_revision(kHeld.version.revision - 1);
+  status.set_sequence(2);
+  fixture.members.OnStatus(fixture.now, status);
+  CHECK(current_as_of() <= fixture.now - Milliseconds(100));
+  CHECK(current_as_of() >= fixture.now - Milliseconds(200));
+  status.set_protocol(2);
+  status.set_sequence(3);
+  fixture.members.OnStatus(fixture.now, status);
+  CHECK(current_as_of() == TimePoint());
+}
+
+TEST_CASE("a process that was stopped took waiting messages for recent ones") {
+  ReaderFixture fixture;
+  fixture.reader.OnStalled(fixture.now);
+  fixture.members.OnStatus(
+      fixture.now, MakeStatus(fixture.now, 2, MemberRole::kBalancer, 1, 1));
+  CHECK(fixture.reader.CurrentAsOf(fixture.members, kHeld) == TimePoint());
+  fixture.now += Milliseconds(200);
+  fixture.members.OnStatus(
+      fixture.now, MakeStatus(fixture.now, 2, MemberRole::kBalancer, 2, 1));
+  CHECK(fixture.reader.CurrentAsOf(fixture.members, kHeld) != TimePoint());
+}
+
+TEST_CASE("a process vouched for targets that it could not read") {
+  ReaderFixture fixture;
+  REQUIRE(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                              kHeld) == ReadAction::kRead);
+  fixture.reader.OnTargetsUsable(false);
+  fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
+  CHECK(fixture.reader.CurrentAsOf(fixture.members, kHeld) == TimePoint());
+  // Another read would bring the same ones, so it goes on to watch.
+  CHECK(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, kHeld) ==
+        ReadAction::kWatch);
+  fixture.reader.OnTargetsUsable(true);
+  CHECK(fixture.reader.CurrentAsOf(fixture.members, kHeld) == fixture.now);
 }
 
 TEST_CASE("each of several quick changes reached all readers from the store") {
@@ -220,7 +307,7 @@
         reader.OnWatch(now, StoreResult::kOk, store_revision);
         is_watching = false;
       }
-      const ReadAction action = reader.Next(now, self, members, 5);
+      const ReadAction action = reader.Next(now, self, members, kHeld);
       calls += action == ReadAction::kNothing ? 0 : 1;
       if (action == ReadAction::kRead) {
         reader.OnRead(now, StoreResult::kOk, store_revision);
@@ -248,18 +335,19 @@
   };
   TargetReader reader(fixture.now, 1, TargetReaderLimits());
   receive_statuses(0);
-  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kNothing);
+  CHECK(reader.Next(fixture.now, self, members, kHeld) == ReadAction::kNothing);
   reader.OnEraKnown();
   receive_statuses(4);
-  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kNothing);
+  CHECK(reader.Next(fixture.now, self, members, kHeld) == ReadAction::kNothing);
   receive_statuses(0);
-  CHECK(reader.Next(fixture.now, self, members, 5) == ReadAction::kRead);
+  CHECK(reader.Next(fixture.now, self, members, kHeld) == ReadAction::kRead);
 }
 
 TEST_CASE("a reader does not watch across a restore of the store") {
   ReaderFixture fixture;
   const auto next = [&] {
-    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members, 5);
+    return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                               kHeld);
   };
   CHECK(next() == ReadAction::kRead);
   fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
@@ -284,7 +372,8 @@
     const TimePoint start = now;
     uint32_t calls = 0;
     while (now - start < Seconds(10)) {
-      if (reader.Next(now, MemberId{1}, members, 0) != ReadAction::kNothing) {
+      if (reader.Next(now, MemberId{1}, members, kNoTargets) !=
+          ReadAction::kNothing) {
         reader.OnRead(now, StoreResult::kRefused, 0);
         ++calls;
         if (calls == 2) {
@@ -307,7 +396,7 @@
   uint32_t calls = 0;
   for (const TimePoint end = now + Seconds(10); now < end;
        now += Milliseconds(5)) {
-    const ReadAction action = reader.Next(now, MemberId{1}, members, 1);
+    const ReadAction action = reader.Next(now, MemberId{1}, members, kHeld);
     calls += action == ReadAction::kNothing ? 0 : 1;
     if (action == ReadAction::kRead) {
       reader.OnRead(now, StoreResult::kOk, 50);
@@ -318,7 +407,7 @@
   CHECK(calls >= 10);  // Enough to keep the targets current.
   CHECK(calls <= 40);
   reader.OnWatch(now, StoreResult::kOk, 60);
-  CHECK(reader.Next(now + Seconds(2), MemberId{1}, members, 1) !=
+  CHECK(reader.Next(now + Seconds(2), MemberId{1}, members, kHeld) !=
         ReadAction::kNothing);
 }
 
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -18,6 +18,8 @@
 constexpr int64_t kMaxEraAgeMs = 3600LL * 1000;
 /// Smaller differences arise because the two clocks are not read at once.
 constexpr Duration kMinReportedSuspension = Milliseconds(200);
+/// Time between two ticks after which this process counts as stalled.
+constexpr Duration kMaxTickDelay = Milliseconds(500);
 /// Limit of the targets served to other members when many start at once.
 constexpr uint64_t kMaxServedBytesPerSecond = 2'000'000;
 constexpr std::string_view kMetricsPath = "/metrics";
@@ -62,7 +64,8 @@
                     [this](const HttpRequest& request) {
                       return HandleHttpRequest(request);
                     }),
-      m_last_suspended_time(SuspendedTime()) {
+      m_last_suspended_time(SuspendedTime()),
+      m_last_tick(SteadyTime()) {
   m_target_reader.SetDomain(m_self.domain);
   SetSeeds(settings.seeds);
   if (settings.first_start != 0) {
@@ -221,10 +224,11 @@
     const int64_t age_ms = std::min(ToMilliseconds(*era_age), kMaxEraAgeMs);
     status.set_era_age_ms(static_cast<uint32_t>(age_ms) + 1);
   }
-  const TimePoint store_contact = m_target_reader.LastStoreContact(now);
-  if (store_contact != TimePoint()) {
+  const TimePoint current_as_of =
+      m_target_reader.CurrentAsOf(m_members, m_routes.Identity());
+  if (current_as_of != TimePoint() && !IsStalled(now)) {
     status.set_checked_ms(
-        static_cast<uint32_t>(ToMilliseconds(now - store_contact)) + 1);
+        static_cast<uint32_t>(ToMilliseconds(now - current_as_of)) + 1);
   }
   return status;
 }
@@ -301,15 +305,23 @@
   BroadcastStatus();
 }
 
+bool FleetNode::IsStalled(TimePoint now) const {
+  return now - m_last_tick > kMaxTickDelay ||
+         SuspendedTime() - m_last_suspended_time > kMinReportedSuspension;
+}
+
 void FleetNode::Tick() {
   const TimePoint now = SteadyTime();
   const Duration suspended_time = SuspendedTime();
   if (suspended_time - m_last_suspended_time > kMinReportedSuspension) {
     EventLine(Severity::kWarning, "host_was_suspended")
         .With("ms", ToMilliseconds(suspended_time - m_last_suspended_time));
-    m_target_reader.OnSuspended();
+    m_target_reader.OnSuspended(now);
+  } else if (IsStalled(now)) {
+    m_target_reader.OnStalled(now);
   }
   m_last_suspended_time = suspended_time;
+  m_last_tick = now;
   LogOtherBuilds(now);
   TickEvacuations(now);
   DeregisterForgottenMembers(now, m_members.OnTick(now));
@@ -372,10 +384,11 @@
   stats.Set(Stat::evacuation_revision, m_evacuations.State().version.revision);
   stats.Set(Stat::store_answers_ignored, m_unusable_store_answers);
   stats.Set(Latency::store_call_ms, m_store_latency);
-  const TimePoint store_contact = m_target_reader.LastStoreContact(now);
-  if (store_contact != TimePoint()) {
+  const TimePoint current_as_of =
+      m_target_reader.CurrentAsOf(m_members, m_routes.Identity());
+  if (current_as_of != TimePoint()) {
     stats.Set(Stat::store_check_age_ms,
-              static_cast<uint64_t>(ToMilliseconds(now - store_contact)));
+              static_cast<uint64_t>(ToMilliseconds(now - current_as_of)));
   }
   if (m_target_reader.LastAnswer() != TimePoint()) {
     stats.Set(Stat::store_answer_age_ms,
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -107,6 +107,9 @@
 
   void OnDatagram(SocketAddress4 from, ByteSpan datagram);
   void OnStatus(TimePoint now, SocketAddress4 from, ByteView message);
+  /// Returns whether this process did not run for a while until just now, so
+  /// that messages that it handles may be as old.
+  bool IsStalled(TimePoint now) const;
   /// Returns a new status of this process, with the next sequence number.
   proto::PeerStatus MakeStatus(TimePoint now);
   /// Sends a status, split over several datagrams if necessary, with the
@@ -155,7 +158,8 @@
   void LogReadingRole(TimePoint now, const ReadingState& before);
   /// Puts targets in force if they are valid and newer, and broadcasts that.
   /// @param source where they come from, for the log
-  void ApplyTargets(const StoredTargets& targets, std::string_view source);
+  /// @return false if they cannot be read
+  bool ApplyTargets(const StoredTargets& targets, std::string_view source);
   /// Keeps targets for balancers that start, without putting them in force, if
   /// this agent is one of those that do so.
   void KeepTargets(TimePoint now);
@@ -248,6 +252,7 @@
   uint64_t m_target_fetches = 0;     ///< Requests for targets since the start.
   uint64_t m_targets_served = 0;     ///< Answers with targets since the start.
   Duration m_last_suspended_time{};  ///< SuspendedTime at the last tick.
+  TimePoint m_last_tick;             ///< Time of the last tick.
 };
 
 }  // namespace medlargauge
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -141,7 +141,8 @@
   const MemberEntry* newest = m_members.Find(before.newest);
   if (newest != nullptr) {
     line.With("relied_on", FormatIp(newest->member.ip))
-        .With("contact_age_ms", ToMilliseconds(now - before.newest_contact));
+        .With("stated_age_ms",
+              ToMilliseconds(now - before.newest_current_as_of));
   }
   if (m_target_reader.LastAnswer() != TimePoint()) {
     line.With("answer_age_ms",
@@ -152,20 +153,28 @@
 void FleetNode::ReadTargets(TimePoint now) {
   const ReadingState before = m_target_reader.Reading();
   const ReadAction action =
-      m_target_reader.Next(now, m_self.id, m_members, m_routes.Revision());
+      m_target_reader.Next(now, m_self.id, m_members, m_routes.Identity());
   LogReadingRole(now, before);
   if (action == ReadAction::kNothing) {
     return;
   }
   ++m_store_calls;
   const bool watches = action == ReadAction::kWatch;
-  const auto done = [this, watches, now](const StoreReply& reply,
-                                         const OperatorEntries& entries,
-                                         uint64_t position) {
+  const bool is_overdue = m_target_reader.Reading().is_overdue;
+  const auto done = [this, watches, is_overdue, now](
+                        const StoreReply& reply, const OperatorEntries& entries,
+                        uint64_t position) {
     const TimePoint completed_at = SteadyTime();
     const std::string_view call = watches ? "watch_targets" : "fetch_targets";
     const StoreResult result = CheckEra(reply, call);
     const bool was_failing = m_target_reader.IsFailing();
+    const TargetVersion before_call = m_routes.Identity().version;
+    if (entries.evacuations.has_value()) {
+      OnStoredEvacuations(completed_at, *entries.evacuations);
+    }
+    if (result == StoreResult::kOk && entries.targets.has_value()) {
+      m_target_reader.OnTargetsUsable(ApplyTargets(*entries.targets, "store"));
+    }
     if (watches) {
       m_target_reader.OnWatch(completed_at, result, position);
     } else {
@@ -173,15 +182,14 @@
       m_store_latency.Add(completed_at - now);
     }
     LogStoreTransition(result, call);
-    if (m_target_reader.IsReader() && !was_failing &&
-        m_target_reader.IsFailing()) {
-      BroadcastStatusToBalancers();  // One of them takes over.
-    }
-    if (entries.evacuations.has_value()) {
-      OnStoredEvacuations(completed_at, *entries.evacuations);
-    }
-    if (result == StoreResult::kOk && entries.targets.has_value()) {
-      ApplyTargets(*entries.targets, "store");
+    const bool begins_to_fail = m_target_reader.IsReader() && !was_failing &&
+                                m_target_reader.IsFailing();
+    // Others that are overdue as well need not read. A change was broadcast
+    // already.
+    const bool helps_others = is_overdue && result == StoreResult::kOk &&
+                              m_routes.Identity().version == before_call;
+    if (begins_to_fail || helps_others) {
+      BroadcastStatusToBalancers();
     }
     ReadTargets(completed_at);
   };
@@ -220,11 +228,11 @@
   }
 }
 
-void FleetNode::ApplyTargets(const StoredTargets& targets,
+bool FleetNode::ApplyTargets(const StoredTargets& targets,
                              std::string_view source) {
   const TargetIdentity previous = m_routes.Identity();
   if (targets.version == previous.version) {
-    return;
+    return true;
   }
   Error reason;
   std::optional<RouteTable> table = m_platform->parse_targets(targets, &reason);
@@ -234,7 +242,7 @@
         .With("revision", targets.version.revision)
         .With("source", source)
         .With("reason", reason.detail);
-    return;
+    return false;
   }
   if (!table->unread.empty()) {
     EventLine(Severity::kError, "target_entries_ignored")
@@ -257,7 +265,7 @@
           .With("in_force", previous.operators_version)
           .With("source", source);
     }
-    return;
+    return true;
   }
   m_stored_targets = targets;
   EventLine(Severity::kInfo, "targets_in_force")
@@ -268,6 +276,7 @@
       .With("routes", routes)
       .With("source", source);
   BroadcastStatus();
+  return true;
 }
 
 void FleetNode::KeepTargets(TimePoint now) {
