Feature: The operators' bound for changes to be in force is a setting

Reads of the targets took the bound of 3 s for granted; operators of larger deployments state 5 s, also for evacuations, and paid for more calls than they need. targets_in_force_ms and evacuation_in_force_ms come from the settings of the platform; the smaller one sets when balancers check the store, as the same calls bring both. SIGHUP reloads them.

--- a/src/daemon/settings_test.cc
+++ b/src/daemon/settings_test.cc
@@ -38,6 +38,7 @@
   const auto settings = ParseSettings(kValidSettings, "file.json", &reason);
   REQUIRE(settings.has_value());
   CHECK(settings->name == "balancer-1");
+  CHECK(settings->targets_in_force_ms == 3000);
   CHECK(settings->heartbeat_ms == 500);
 }
 
--- a/src/forwarding/target_fleet_test.cc
+++ b/src/forwarding/target_fleet_test.cc
@@ -47,12 +47,14 @@
 /// cut off end without an answer, those under way included.
 class TargetFleet {
  public:
-  explicit TargetFleet(uint64_t size) {
+  explicit TargetFleet(uint64_t size, Duration apply_bound = kApplyBound) {
+    TargetReaderLimits limits;
+    limits.apply_bound = apply_bound;
     for (uint64_t id = 1; id <= size; ++id) {
       m_balancers.push_back(std::make_unique<Balancer>(
           Balancer{MemberId{id},
                    MembershipTable(MemberId{id}, MembershipTimeouts()),
-                   TargetReader(m_now, id, TargetReaderLimits()),
+                   TargetReader(m_now, id, limits),
                    StatusSchedule(MemberRole::kBalancer, kTick, id),
                    0,
                    true,
@@ -199,9 +201,12 @@
 
 /// Cuts off all but a few balancers, changes the targets and returns how many
 /// of the others lack them after the operators' bound.
-size_t CountLateAfterCut(uint64_t size, uint64_t staying, uint64_t seed) {
+size_t CountLateAfterCut(uint64_t size,
+                         uint64_t staying,
+                         uint64_t seed,
+                         Duration apply_bound = kApplyBound) {
   std::mt19937_64 random(seed);
-  TargetFleet fleet(size);
+  TargetFleet fleet(size, apply_bound);
   fleet.RunFor(Seconds(8) +
                Milliseconds(static_cast<int64_t>(random() % 6000)));
   std::vector<size_t> order(size);
@@ -214,7 +219,7 @@
   }
   fleet.RunFor(Milliseconds(static_cast<int64_t>(random() % 1500)));
   fleet.ChangeTargets();
-  fleet.RunFor(kApplyBound);
+  fleet.RunFor(apply_bound);
   return fleet.CountLate();
 }
 
@@ -242,5 +247,20 @@
   }
 }
 
+TEST_CASE("reads did not follow the bound that the operators state") {
+  for (const Duration bound : {Seconds(2), Seconds(5), Seconds(10)}) {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+      CAPTURE(ToMilliseconds(bound));
+      CAPTURE(seed);
+      CHECK(CountLateAfterCut(6, 1, seed, bound) == 0);
+    }
+    TargetFleet fleet(6, bound);
+    fleet.RunFor(Seconds(10));
+    const size_t before = fleet.Calls();
+    fleet.RunFor(3 * bound);
+    CHECK(fleet.Calls() - before <= 13);  // A check every 0.3 of the bound.
+  }
+}
+
 }  // namespace
 }  // namespace medlargauge
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -93,6 +93,9 @@
   /// @param seed spreads the retries of different processes over time
   TargetReader(TimePoint now, uint64_t seed, TargetReaderLimits limits);
 
+  /// Replaces the operators' bound. A watch under way keeps its length.
+  void SetApplyBound(Duration bound) { m_limits.apply_bound = bound; }
+
   /// Returns the call that is due. The caller of this method carries it out and
   /// then calls OnRead or OnWatch. A read may be due while a watch is under
   /// way; otherwise kNothing is returned until a call has ended.
--- a/src/runtime/balancer_runtime.cc
+++ b/src/runtime/balancer_runtime.cc
@@ -356,6 +356,7 @@
 
 void BalancerRuntime::Reload(const Settings& settings) {
   m_settings.stop_grace_ms = settings.stop_grace_ms;
+  m_fleet_node.SetBounds(settings);
   m_fleet_node.SetSeeds(settings.seeds);
 }
 
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -24,6 +24,15 @@
 constexpr uint64_t kMaxServedBytesPerSecond = 2'000'000;
 constexpr std::string_view kMetricsPath = "/metrics";
 
+/// Returns the limits of a process whose operators state these bounds.
+TargetReaderLimits MakeReaderLimits(const Settings& settings) {
+  TargetReaderLimits limits;
+  // The same calls bring targets and evacuations.
+  limits.apply_bound = Milliseconds(
+      std::min(settings.targets_in_force_ms, settings.evacuation_in_force_ms));
+  return limits;
+}
+
 /// Returns the IP address of a seed; 0 if it is invalid.
 uint32_t ParseSeedIp(const std::string& seed) {
   const std::optional<SocketAddress4> address = ParseAddress4(seed);
@@ -59,7 +68,9 @@
       m_status_schedule(role, kTickInterval, m_self.id.value),
       m_serving_budget(kMaxServedBytesPerSecond),
       m_target_keeper(m_self.id, TargetKeeperLimits()),
-      m_target_reader(SteadyTime(), m_self.id.value, TargetReaderLimits()),
+      m_target_reader(SteadyTime(),
+                      m_self.id.value,
+                      MakeReaderLimits(settings)),
       m_http_server(loop,
                     [this](const HttpRequest& request) {
                       return HandleHttpRequest(request);
@@ -73,6 +84,10 @@
   }
 }
 
+void FleetNode::SetBounds(const Settings& settings) {
+  m_target_reader.SetApplyBound(MakeReaderLimits(settings).apply_bound);
+}
+
 void FleetNode::SetSeeds(const std::vector<std::string>& seeds) {
   std::vector<uint32_t> ips;
   for (const std::string& seed : seeds) {
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -77,6 +77,10 @@
   /// Adds this process to the store again if LeaveStore has removed it.
   void RejoinStore();
 
+  /// Replaces the bounds within which changes of the operators have to be in
+  /// force.
+  void SetBounds(const Settings& settings);
+
   /// Replaces the addresses of the processes to join through. Invalid addresses
   /// and the own one are ignored.
   void SetSeeds(const std::vector<std::string>& seeds);
