Fix: A watch from before a suspension or a restore proved that targets were newest

A balancer could take its targets for newer than they were proven, and state so to others, in two cases found by reading. A host that was suspended while a call was under way: the steady clock does not count that time, so the answer looks younger. A store that was restored while a watch waited: the watch continues from a revision that the restored store has yet to reach, so changes do not end it.

A call that started before either event now proves nothing. A suspension or a stall is noticed before a status or an answer is handled that may have waited meanwhile, not at the next tick only. A read that was overdue is told to all balancers only if no newer proof has arrived by its end, so that a store that comes back does not cause a broadcast of each balancer.

--- a/src/forwarding/target_fleet_test.cc
+++ b/src/forwarding/target_fleet_test.cc
@@ -37,6 +37,7 @@
   StatusSchedule schedule;
   uint64_t revision = 0;
   bool reaches_store = true;
+  bool is_old_build = false;  ///< States contact whether it has any or not.
   TimePoint next_tick;
   uint32_t sequence = 0;
   Call read;
@@ -58,6 +59,7 @@
                    StatusSchedule(MemberRole::kBalancer, kTick, id),
                    0,
                    true,
+                   false,
                    m_now + Milliseconds(static_cast<int64_t>(id * 37 % 100)),
                    0,
                    {},
@@ -84,6 +86,7 @@
   void SetReach(size_t index, bool reaches) {
     m_balancers[index]->reaches_store = reaches;
   }
+  void SetOldBuild(size_t index) { m_balancers[index]->is_old_build = true; }
   void ChangeTargets() { ++m_store_revision; }
   /// Returns the number of balancers that reach the store and lack the newest
   /// targets.
@@ -114,6 +117,10 @@
       status.set_checked_ms(
           static_cast<uint32_t>(ToMilliseconds(m_now - current_as_of)) + 1);
     }
+    if (balancer->is_old_build) {
+      status.set_protocol(2);
+      status.set_checked_ms(1);
+    }
     return status;
   }
 
@@ -234,6 +241,26 @@
   }
 }
 
+TEST_CASE("a balancer relied on older builds, which count a call as contact") {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    TargetFleet fleet(6);
+    for (const size_t index : {1, 2, 3}) {
+      fleet.SetOldBuild(index);
+    }
+    fleet.RunFor(Seconds(8) +
+                 Milliseconds(static_cast<int64_t>(random() % 6000)));
+    for (size_t index = 1; index < 6; ++index) {
+      fleet.SetReach(index, false);
+    }
+    fleet.RunFor(Milliseconds(static_cast<int64_t>(random() % 1500)));
+    fleet.ChangeTargets();
+    fleet.RunFor(kApplyBound);
+    CHECK(fleet.CountLate() == 0);
+  }
+}
+
 TEST_CASE("checks of the store cost more calls the larger the fleet is") {
   for (const uint64_t size : {1, 2, 6, 10, 40, 120}) {
     TargetFleet fleet(size);
--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -111,10 +111,7 @@
   const Duration spread =
       std::min(m_limits.read_spread * static_cast<int64_t>(m_rank),
                m_limits.max_read_spread);
-  // An answer with targets that this process cannot read counts here, as
-  // another call would bring the same ones.
-  m_reading.is_overdue = now - std::max(m_current_as_of, stated) >
-                         m_limits.MaxTargetAge() + spread;
+  m_reading.is_overdue = IsOverdue(now - spread, members, held);
   m_reading.role = IsReader()             ? ReadingRole::kReader
                    : is_substitute        ? ReadingRole::kSubstitute
                    : m_reading.is_overdue ? ReadingRole::kOverdue
@@ -145,6 +142,13 @@
   return std::max(own, NewestStatement(members, held).second);
 }
 
+bool TargetReader::IsOverdue(TimePoint now,
+                             const MembershipTable& members,
+                             const TargetIdentity& held) const {
+  const TimePoint stated = NewestStatement(members, held).second;
+  return now - std::max(m_current_as_of, stated) > m_limits.MaxTargetAge();
+}
+
 std::vector<TargetReader::Candidate> TargetReader::RankCandidates(
     const std::vector<Candidate>& candidates) {
   std::vector<MemberId> ids;
@@ -172,12 +176,12 @@
                           StoreResult result,
                           uint64_t position) {
   m_is_reading = false;
-  RecordResult(now, result, m_read_started);
+  RecordResult(now, result, m_read_started, m_read_started);
   if (result == StoreResult::kOk || result == StoreResult::kNotFound) {
     m_read_required = false;
     m_position = position;
     m_turns_from = now;
-    m_in_turn = m_in_turn && m_is_watching;
+    m_in_turn = false;
   }
   m_knows_none = result == StoreResult::kNotFound && position != 0;
   if (result == StoreResult::kNotFound && !m_knows_none) {
@@ -202,7 +206,8 @@
     ++m_compactions;
     return;
   }
-  RecordResult(now, result, m_in_turn ? m_watch_until : m_watch_started);
+  RecordResult(now, result, m_watch_started,
+               m_in_turn ? m_watch_until : m_watch_started);
   if (result == StoreResult::kOk) {
     m_position = std::max(m_position, position);
     m_compactions = 0;
@@ -221,6 +226,7 @@
 void TargetReader::OnSuspended(TimePoint now) {
   m_read_required = true;
   m_current_as_of = TimePoint();
+  m_proofs_from = now;
   OnStalled(now);
 }
 
@@ -232,18 +238,22 @@
 
 void TargetReader::OnNewEra(TimePoint now) {
   m_read_required = true;
+  m_proofs_from = now;
   m_compactions = 0;
   m_retry_at = std::min(m_retry_at, now);
 }
 
 void TargetReader::RecordResult(TimePoint now,
                                 StoreResult result,
+                                TimePoint started,
                                 TimePoint current_as_of) {
   if (result == StoreResult::kOk || result == StoreResult::kNotFound) {
     m_failures = 0;
     m_unanswered_since = TimePoint();
     m_last_answer = now;
-    m_current_as_of = std::max(m_current_as_of, current_as_of);
+    if (started >= m_proofs_from) {
+      m_current_as_of = std::max(m_current_as_of, current_as_of);
+    }
     return;
   }
   ScheduleRetry(now, m_failures);
--- a/src/forwarding/target_reader.h
+++ b/src/forwarding/target_reader.h
@@ -74,8 +74,7 @@
   /// Process that states the newest CurrentAsOf; unset: none does.
   MemberId newest;
   TimePoint newest_current_as_of;  ///< The time that it states.
-  /// Neither this process nor one that it relies on has recent targets.
-  bool is_overdue = false;
+  bool is_overdue = false;         ///< See TargetReader::IsOverdue.
 };
 
 /// State machine that schedules reads and watches of the targets.
@@ -147,6 +146,12 @@
   /// known to be the newest ones in the store; zero: unknown.
   TimePoint CurrentAsOf(const MembershipTable& members,
                         const TargetIdentity& held) const;
+  /// Returns whether the targets may be so old that the store has to be read.
+  /// Targets in the store that this process cannot read count as known, as
+  /// another read would bring the same ones.
+  bool IsOverdue(TimePoint now,
+                 const MembershipTable& members,
+                 const TargetIdentity& held) const;
   /// Returns when a call to the store last succeeded; zero if none has.
   TimePoint LastAnswer() const { return m_last_answer; }
   /// Returns the decision at the last call of Next that no read in progress or
@@ -188,8 +193,12 @@
   /// is cut off has few readers, and then the others; by hash among each.
   static std::vector<Candidate> RankCandidates(
       const std::vector<Candidate>& candidates);
+  /// @param started when the call started
   /// @param current_as_of what a success proves, see CurrentAsOf
-  void RecordResult(TimePoint now, StoreResult result, TimePoint current_as_of);
+  void RecordResult(TimePoint now,
+                    StoreResult result,
+                    TimePoint started,
+                    TimePoint current_as_of);
   void ScheduleRetry(TimePoint now, uint32_t earlier_failures);
 
   TargetReaderLimits m_limits;   ///< Settings.
@@ -201,6 +210,7 @@
   TimePoint m_turns_from;        ///< Last change, or last read.
   TimePoint m_current_as_of;     ///< By the answers to this process.
   TimePoint m_trusted_since;     ///< Earlier statements count for nothing.
+  TimePoint m_proofs_from;       ///< Calls that started earlier prove nothing.
   TimePoint m_last_answer;       ///< See LastAnswer.
   ReadingState m_reading;        ///< See Reading.
   TimePoint m_unanswered_since;  ///< See UnansweredSince.
--- a/src/forwarding/target_reader_test.cc
+++ b/src/forwarding/target_reader_test.cc
@@ -271,6 +271,29 @@
   CHECK(fixture.reader.CurrentAsOf(fixture.members, kHeld) != TimePoint());
 }
 
+TEST_CASE("a watch from before a suspension or a restore proved the targets") {
+  for (const bool is_suspended : {true, false}) {
+    CAPTURE(is_suspended);
+    ReaderFixture fixture;
+    const auto next = [&] {
+      return fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
+                                 kHeld);
+    };
+    REQUIRE(next() == ReadAction::kRead);
+    fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
+    REQUIRE(next() == ReadAction::kWatch);
+    const TimePoint before = fixture.now;
+    fixture.now += fixture.reader.WatchTimeout();
+    is_suspended ? fixture.reader.OnSuspended(fixture.now)
+                 : fixture.reader.OnNewEra(fixture.now);
+    fixture.reader.OnWatch(fixture.now, StoreResult::kOk, 40);
+    CHECK(fixture.reader.CurrentAsOf(fixture.members, kHeld) <= before);
+    REQUIRE(next() == ReadAction::kRead);
+    fixture.reader.OnRead(fixture.now, StoreResult::kOk, 40);
+    CHECK(fixture.reader.CurrentAsOf(fixture.members, kHeld) == fixture.now);
+  }
+}
+
 TEST_CASE("a process vouched for targets that it could not read") {
   ReaderFixture fixture;
   REQUIRE(fixture.reader.Next(fixture.now, MemberId{1}, fixture.members,
--- a/src/runtime/fleet_node.cc
+++ b/src/runtime/fleet_node.cc
@@ -18,8 +18,8 @@
 constexpr int64_t kMaxEraAgeMs = 3600LL * 1000;
 /// Smaller differences arise because the two clocks are not read at once.
 constexpr Duration kMinReportedSuspension = Milliseconds(200);
-/// Time between two ticks after which this process counts as stalled.
-constexpr Duration kMaxTickDelay = Milliseconds(500);
+/// Time without a tick after which this process counts as stalled.
+constexpr Duration kMaxRunDelay = Milliseconds(500);
 /// Limit of the targets served to other members when many start at once.
 constexpr uint64_t kMaxServedBytesPerSecond = 2'000'000;
 constexpr std::string_view kMetricsPath = "/metrics";
@@ -76,7 +76,7 @@
                       return HandleHttpRequest(request);
                     }),
       m_last_suspended_time(SuspendedTime()),
-      m_last_tick(SteadyTime()) {
+      m_last_run(SteadyTime()) {
   m_target_reader.SetDomain(m_self.domain);
   SetSeeds(settings.seeds);
   if (settings.first_start != 0) {
@@ -144,6 +144,7 @@
 }
 
 void FleetNode::OnStatus(TimePoint now, SocketAddress4 from, ByteView message) {
+  CheckForStall(now);
   proto::PeerStatus status;
   const bool is_valid =
       status.ParseFromArray(message.data(), static_cast<int>(message.size())) &&
@@ -241,7 +242,7 @@
   }
   const TimePoint current_as_of =
       m_target_reader.CurrentAsOf(m_members, m_routes.Identity());
-  if (current_as_of != TimePoint() && !IsStalled(now)) {
+  if (current_as_of != TimePoint()) {
     status.set_checked_ms(
         static_cast<uint32_t>(ToMilliseconds(now - current_as_of)) + 1);
   }
@@ -320,23 +321,22 @@
   BroadcastStatus();
 }
 
-bool FleetNode::IsStalled(TimePoint now) const {
-  return now - m_last_tick > kMaxTickDelay ||
-         SuspendedTime() - m_last_suspended_time > kMinReportedSuspension;
-}
-
-void FleetNode::Tick() {
-  const TimePoint now = SteadyTime();
+void FleetNode::CheckForStall(TimePoint now) {
   const Duration suspended_time = SuspendedTime();
   if (suspended_time - m_last_suspended_time > kMinReportedSuspension) {
     EventLine(Severity::kWarning, "host_was_suspended")
         .With("ms", ToMilliseconds(suspended_time - m_last_suspended_time));
     m_target_reader.OnSuspended(now);
-  } else if (IsStalled(now)) {
+  } else if (now - m_last_run > kMaxRunDelay) {
     m_target_reader.OnStalled(now);
   }
   m_last_suspended_time = suspended_time;
-  m_last_tick = now;
+  m_last_run = now;
+}
+
+void FleetNode::Tick() {
+  const TimePoint now = SteadyTime();
+  CheckForStall(now);
   LogOtherBuilds(now);
   TickEvacuations(now);
   DeregisterForgottenMembers(now, m_members.OnTick(now));
--- a/src/runtime/fleet_node.h
+++ b/src/runtime/fleet_node.h
@@ -111,9 +111,9 @@
 
   void OnDatagram(SocketAddress4 from, ByteSpan datagram);
   void OnStatus(TimePoint now, SocketAddress4 from, ByteView message);
-  /// Returns whether this process did not run for a while until just now, so
-  /// that messages that it handles may be as old.
-  bool IsStalled(TimePoint now) const;
+  /// Discards what may be outdated if this process did not run for a while
+  /// until just now. Call it before what has arrived meanwhile is handled.
+  void CheckForStall(TimePoint now);
   /// Returns a new status of this process, with the next sequence number.
   proto::PeerStatus MakeStatus(TimePoint now);
   /// Sends a status, split over several datagrams if necessary, with the
@@ -255,8 +255,8 @@
   uint64_t m_store_calls = 0;        ///< Calls to the store since the start.
   uint64_t m_target_fetches = 0;     ///< Requests for targets since the start.
   uint64_t m_targets_served = 0;     ///< Answers with targets since the start.
-  Duration m_last_suspended_time{};  ///< SuspendedTime at the last tick.
-  TimePoint m_last_tick;             ///< Time of the last tick.
+  Duration m_last_suspended_time{};  ///< SuspendedTime at m_last_run.
+  TimePoint m_last_run;              ///< Time of the last CheckForStall.
 };
 
 }  // namespace medlargauge
--- a/src/runtime/fleet_node_store.cc
+++ b/src/runtime/fleet_node_store.cc
@@ -160,11 +160,11 @@
   }
   ++m_store_calls;
   const bool watches = action == ReadAction::kWatch;
-  const bool is_overdue = m_target_reader.Reading().is_overdue;
-  const auto done = [this, watches, is_overdue, now](
-                        const StoreReply& reply, const OperatorEntries& entries,
-                        uint64_t position) {
+  const auto done = [this, watches, now](const StoreReply& reply,
+                                         const OperatorEntries& entries,
+                                         uint64_t position) {
     const TimePoint completed_at = SteadyTime();
+    CheckForStall(completed_at);
     const std::string_view call = watches ? "watch_targets" : "fetch_targets";
     const StoreResult result = CheckEra(reply, call);
     const bool was_failing = m_target_reader.IsFailing();
@@ -175,6 +175,8 @@
     if (result == StoreResult::kOk && entries.targets.has_value()) {
       m_target_reader.OnTargetsUsable(ApplyTargets(*entries.targets, "store"));
     }
+    const bool was_overdue =
+        m_target_reader.IsOverdue(completed_at, m_members, m_routes.Identity());
     if (watches) {
       m_target_reader.OnWatch(completed_at, result, position);
     } else {
@@ -186,7 +188,7 @@
                                 m_target_reader.IsFailing();
     // Others that are overdue as well need not read. A change was broadcast
     // already.
-    const bool helps_others = is_overdue && result == StoreResult::kOk &&
+    const bool helps_others = was_overdue && result == StoreResult::kOk &&
                               m_routes.Identity().version == before_call;
     if (begins_to_fail || helps_others) {
       BroadcastStatusToBalancers();
