--- a/src/forwarding/target_reader.cc
+++ b/src/forwarding/target_reader.cc
@@ -1,4 +1,5 @@
-// @file target_reader.cc Reader selection and back-off of store calls.
+// @file target_reader.cc Choice of the readers, age of the targets and back-off
+// of store calls.
 #include "src/forwarding/target_reader.h"
 
 #include <algorithm>
@@ -74,6 +75,7 @@
   m_watch_until =
       std::max(now, m_turns_from + interval * static_cast<int64_t>(turn));
   if (m_watch_until - now < interval / 2) {
+    // The last change lies back too far, as calls have failed since.
     m_watch_until = now + interval;
   }
 }
