--- a/review/tools/case_main.cc
+++ b/review/tools/case_main.cc
@@ -10,6 +10,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <utility>
 
 #include "platform/packet_header.h"
 #include "platform/standin/packet_writer.h"
@@ -86,7 +87,10 @@
   };
 
   Endpoint(EventLoop* loop, Options options, Record* record, uint64_t seed)
-      : m_loop(loop), m_options(options), m_record(record), m_random(seed) {
+      : m_loop(loop),
+        m_options(std::move(options)),
+        m_record(record),
+        m_random(seed) {
     loop->Every(kTick, [this] { Tick(); });
   }
 
