--- a/review/tools/case_main.cc
+++ b/review/tools/case_main.cc
@@ -2,11 +2,13 @@
 // processes, and stand-ins for the store, the routers, the endpoints and the
 // consumers around them. Usage: review_case CASE PROGRAM RECORD DIRECTORY
 // Exit code: 1 if a rule was broken, 0 if it held, 2 if the case could not run.
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdlib>
 #include <deque>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -43,9 +45,10 @@
 /// Requests that an endpoint works on at once, and the time that each takes.
 constexpr uint32_t kSlots = 5;
 constexpr Duration kWorkTime = Milliseconds(52);
-constexpr uint32_t kRouteIp = 0xC6120001;  ///< 198.18.0.1
+constexpr uint32_t kRouteIp = 0x7F640001;  ///< 127.100.0.1
 constexpr uint16_t kRoutePort = 8443;
 constexpr char kService[] = "lote-api";
+constexpr int kKeptFlows = 360;
 
 ByteView ViewOf(const std::string& bytes) {
   return {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()};
@@ -165,6 +168,7 @@
 
   const Options& GetOptions() const { return m_options; }
   bool IsRunning() const { return m_socket != nullptr; }
+  bool HoldsFlow(const FlowKey& key) const { return m_flows.count(key) > 0; }
   TimePoint LastReport() const { return m_last_report; }
   /// Returns the number of flows that opened later than the rule allows.
   int LateFlows() const { return m_late_flows; }
@@ -404,7 +408,7 @@
   int m_served = 0;
 };
 
-/// Consumers that open a flow for each request.
+/// Consumers that open a flow for each request, or keep flows open.
 class Consumers {
  public:
   Consumers(EventLoop* loop, soak::RouterStandin* router, Record* record)
@@ -416,10 +420,34 @@
       return false;
     }
     m_loop->Every(kTick, [this] { Tick(); });
-    m_loop->Every(interval, [this] { Open(); });
+    m_loop->Every(interval, [this] {
+      if (m_flow_limit == 0 || m_sent < m_flow_limit) {
+        Open();
+      }
+    });
     return true;
   }
 
+  /// Opens only this many flows and keeps them open.
+  /// @param is_held tells whether an endpoint holds a flow
+  void KeepFlows(int limit, std::function<bool(const FlowKey& key)> is_held) {
+    m_flow_limit = limit;
+    m_is_held = std::move(is_held);
+  }
+
+  /// Sends another request on each open flow.
+  void AskAgain() {
+    for (auto& [key, flow] : m_flows) {
+      if (flow.stream != nullptr && flow.request == 0) {
+        Ask(key, &flow);
+      }
+    }
+  }
+
+  /// Returns the number of open flows that the system has reset although their
+  /// endpoints hold them.
+  int WrongResets() const { return m_wrong_resets; }
+
   int Sent() const { return m_sent; }
   int Answered() const { return m_answered; }
   int Failed() const { return m_failed; }
@@ -430,10 +458,20 @@
     uint32_t first = 0;
     int copies = 0;
     TimePoint opened_at;
+    TimePoint asked_at;  ///< When the request in progress began.
     std::unique_ptr<Stream> stream;
     std::string received;
   };
 
+  void Ask(const FlowKey& key, Flow* flow) {
+    flow->request = ++m_sent;
+    flow->asked_at = SteadyTime();
+    m_record->Line("request " + std::to_string(flow->request) + " from " +
+                   FormatAddress(key.caller) + " on its open flow");
+    flow->stream->Write(SteadyTime(),
+                        platform::standin::WriteRequest({flow->request, 600}));
+  }
+
   void Open() {
     FlowKey key{{m_ip, m_next_port}, {kRouteIp, kRoutePort}};
     m_next_port = m_next_port == 60000 ? 2000 : m_next_port + 1;
@@ -441,6 +479,7 @@
     flow.request = ++m_sent;
     flow.first = static_cast<uint32_t>(m_random());
     flow.opened_at = SteadyTime();
+    flow.asked_at = flow.opened_at;
     m_record->Line("request " + std::to_string(flow.request) + " from " +
                    FormatAddress(key.caller));
     SendOpening(key, &flow);
@@ -461,13 +500,13 @@
   }
 
   void Tick() {
-    m_socket.Receive([this](SocketAddress4 /*from*/, ByteSpan datagram) {
-      OnDatagram(datagram);
+    m_socket.Receive([this](SocketAddress4 from, ByteSpan datagram) {
+      OnDatagram(from, datagram);
     });
     const TimePoint now = SteadyTime();
     for (auto it = m_flows.begin(); it != m_flows.end();) {
       Flow& flow = it->second;
-      const Duration age = now - flow.opened_at;
+      const Duration age = now - flow.asked_at;
       if (flow.stream == nullptr) {
         constexpr std::array<Duration, 3> kCopies = {
             Milliseconds(0), Milliseconds(200), Milliseconds(600)};
@@ -479,13 +518,14 @@
         flow.stream->OnTick(now);
       }
       const bool has_failed =
+          flow.request != 0 &&
           age > (flow.stream == nullptr ? Milliseconds(1400) : Seconds(4));
       m_failed += has_failed ? 1 : 0;
       it = has_failed ? m_flows.erase(it) : std::next(it);
     }
   }
 
-  void OnDatagram(ByteSpan datagram) {
+  void OnDatagram(SocketAddress4 from, ByteSpan datagram) {
     const ByteView view(datagram.data, datagram.size);
     const std::optional<FlowPacket> packet = platform::ReadPacket(view, false);
     const auto found =
@@ -495,7 +535,15 @@
     }
     Flow& flow = found->second;
     if (packet->rst) {
-      m_record->Line("reset: " + std::to_string(flow.request));
+      const bool is_wrong = flow.stream != nullptr && m_is_held &&
+                            !platform::standin::HasValidChecksum(view) &&
+                            flow.stream->AcceptsReset(packet->sequence) &&
+                            m_is_held(found->first);
+      m_wrong_resets += is_wrong ? 1 : 0;
+      m_record->Line((is_wrong
+                          ? "FLOW: open flow, held by its endpoint, reset by "
+                          : "reset by ") +
+                     FormatIp(from.ip) + ": " + std::to_string(flow.request));
       ++m_failed;
       m_flows.erase(found);
       return;
@@ -523,6 +571,11 @@
       m_record->Line("answer: " + std::to_string(flow.request) + " status " +
                      std::to_string(answer->status));
       ++m_answered;
+      if (m_flow_limit > 0) {
+        flow.stream->SendAck();
+        flow.request = 0;
+        return;
+      }
       flow.stream->Finish(SteadyTime());
       m_flows.erase(found);
     }
@@ -536,9 +589,12 @@
   uint16_t m_next_port = 2000;
   std::mt19937_64 m_random{1};
   std::map<FlowKey, Flow> m_flows;
+  int m_flow_limit = 0;  ///< See KeepFlows; 0: a flow for each request.
+  std::function<bool(const FlowKey& key)> m_is_held;  ///< See KeepFlows.
   int m_sent = 0;
   int m_answered = 0;
   int m_failed = 0;
+  int m_wrong_resets = 0;
 };
 
 /// A deployment of two balancers and three endpoints with their agents.
@@ -556,7 +612,7 @@
                     }),
         m_store(&m_loop) {}
 
-  bool SetUp(bool states_born, Error* reason);
+  bool SetUp(bool states_born, uint32_t endpoints, Error* reason);
   /// Returns the exit code.
   int Play(const std::string& name, bool has_trouble);
 
@@ -567,6 +623,11 @@
                  bool is_agent);
   void PlayLateReport(bool has_trouble);
   void PlayForeignReport(bool has_trouble);
+  void PlayDenial(bool has_trouble);
+  /// Sends a report of another writer, without the field zone.
+  void SendForeignReport(uint64_t sequence);
+  /// Lets the platform stop and start a daemon.
+  void Restart(size_t daemon);
   void RestartEndpoint(const std::string& id);
 
   EventLoop m_loop;
@@ -579,7 +640,7 @@
   std::vector<std::unique_ptr<Endpoint>> m_endpoints;
   std::unique_ptr<HttpClient> m_foreign_client;
   bool m_has_failed = false;        ///< A stand-in could not start.
-  bool m_was_acknowledged = false;  ///< That an endpoint leaves.
+  bool m_was_acknowledged = false;  ///< The checked moment was reached.
 };
 
 void World::AddDaemon(const std::string& name,
@@ -613,7 +674,7 @@
   m_processes.Add(name, ip, is_agent, settings.dump(2));
 }
 
-bool World::SetUp(bool states_born, Error* reason) {
+bool World::SetUp(bool states_born, uint32_t endpoints, Error* reason) {
   constexpr uint8_t kFirstOctet = 60;
   constexpr uint8_t kLastOctet = 99;
   bool has_address = false;
@@ -651,15 +712,16 @@
     balancers.push_back(m_addresses.BalancerIp(i));
     AddDaemon("edge-" + zones[i], balancers.back(), zones[i], false);
   }
-  for (uint32_t i = 0; i < zones.size(); ++i) {
+  for (uint32_t i = 0; i < endpoints; ++i) {
     const uint32_t ip = m_addresses.AgentIp(i);
-    AddDaemon("side-" + zones[i], ip, zones[i], true);
+    const std::string& zone = zones[i % zones.size()];
+    AddDaemon("side-" + zone + "-" + std::to_string(i + 1), ip, zone, true);
     m_endpoints.push_back(
         std::make_unique<Endpoint>(&m_loop,
                                    Endpoint::Options{{ip, soak::kServerPort},
                                                      {ip, soak::kOutboundPort},
                                                      {ip, soak::kHeartbeatPort},
-                                                     zones[i],
+                                                     zone,
                                                      states_born},
                                    &m_record, i + 1));
   }
@@ -713,39 +775,77 @@
   m_loop.After(Seconds(27), [=] { m_loop.Stop(); });
 }
 
+void World::SendForeignReport(uint64_t sequence) {
+  const Endpoint::Options& endpoint = m_endpoints[0]->GetOptions();
+  const json body = {
+      {"service", kService}, {"address", FormatAddress(endpoint.address)},
+      {"version", "v1"},     {"concurrency", kSlots},
+      {"state", "ready"},    {"warmupLeftMs", 0},
+      {"seq", sequence},     {"born", WallClockMs()}};
+  m_foreign_client = std::make_unique<HttpClient>(&m_loop, endpoint.reports);
+  m_foreign_client->Send(
+      "POST", "/Endpoints.Heartbeat/x-1", body.dump(), kReportTimeout,
+      [this, body](const HttpResponse& answer) {
+        m_record.Line("report of another writer: x-1 " + body.dump() + " -> " +
+                      std::to_string(answer.status));
+      });
+}
+
 // Another writer sends a status report without the field zone; later the
 // endpoint says that it leaves.
 void World::PlayForeignReport(bool has_trouble) {
   Endpoint* endpoint = m_endpoints[0].get();
   m_loop.After(Seconds(8), [=] {
-    if (!has_trouble) {
-      return;
+    if (has_trouble) {
+      SendForeignReport(4);
     }
-    const json body = {
-        {"service", kService},
-        {"address", FormatAddress(endpoint->GetOptions().address)},
-        {"version", "v1"},
-        {"concurrency", kSlots},
-        {"state", "ready"},
-        {"warmupLeftMs", 0},
-        {"seq", 4},
-        {"born", WallClockMs()}};
-    m_foreign_client =
-        std::make_unique<HttpClient>(&m_loop, endpoint->GetOptions().reports);
-    m_foreign_client->Send(
-        "POST", "/Endpoints.Heartbeat/x-1", body.dump(), kReportTimeout,
-        [this, body](const HttpResponse& answer) {
-          m_record.Line("report of another writer: x-1 " + body.dump() +
-                        " -> " + std::to_string(answer.status));
-        });
   });
   m_loop.After(Seconds(10), [=] { endpoint->Drain(); });
   m_loop.After(Seconds(20), [=] { m_loop.Stop(); });
 }
 
+void World::Restart(size_t daemon) {
+  Daemon* restarted = &m_processes.Daemons()[daemon];
+  // The whole system starts for the first time only once.
+  std::ifstream old_file(restarted->settings_file);
+  json settings = json::parse(old_file);
+  settings["first_start"] = 0;
+  std::ofstream(restarted->settings_file) << settings.dump(2);
+  m_record.Line("platform stops and starts " + restarted->name);
+  m_processes.Restart(restarted, Milliseconds(500));
+}
+
+// Agents are stopped and started in turn, then a balancer, while flows are
+// open. Between them another writer sends a report with the number 1.
+void World::PlayDenial(bool has_trouble) {
+  m_consumers->KeepFlows(kKeptFlows, [this](const FlowKey& key) {
+    return std::any_of(
+        m_endpoints.begin(), m_endpoints.end(),
+        [&key](const auto& endpoint) { return endpoint->HoldsFlow(key); });
+  });
+  constexpr size_t kBalancers = 2;
+  for (size_t i = 0; i < m_endpoints.size(); ++i) {
+    m_loop.After(Milliseconds(8000 + 300 * static_cast<int>(i)),
+                 [=] { Restart(kBalancers + i); });
+  }
+  m_loop.After(Milliseconds(12500), [=] {
+    if (has_trouble) {
+      SendForeignReport(1);
+    }
+  });
+  m_loop.After(Milliseconds(13000), [=] { Restart(0); });
+  m_loop.After(Milliseconds(18000), [=] {
+    m_was_acknowledged = true;
+    m_consumers->AskAgain();
+  });
+  m_loop.After(Seconds(23), [=] { m_loop.Stop(); });
+}
+
 int World::Play(const std::string& name, bool has_trouble) {
   if (name == "late-report") {
     PlayLateReport(has_trouble);
+  } else if (name == "denial") {
+    PlayDenial(has_trouble);
   } else {
     PlayForeignReport(has_trouble);
   }
@@ -759,8 +859,10 @@
   m_record.Line("requests " + std::to_string(m_consumers->Sent()) +
                 ", answered " + std::to_string(m_consumers->Answered()) +
                 ", failed " + std::to_string(m_consumers->Failed()) +
-                ", opened later than the rule allows " + std::to_string(late));
+                ", opened later than the rule allows " + std::to_string(late) +
+                ", wrong resets " + std::to_string(m_consumers->WrongResets()));
   m_processes.StopAll();
+  late += m_consumers->WrongResets();
   return late > 0 ? 1 : !m_was_acknowledged || m_has_failed ? 2 : 0;
 }
 
@@ -774,7 +876,7 @@
   const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
   World world(argv[2], argv[3], argv[4]);
   Error reason;
-  if (!world.SetUp(name != "late-report", &reason)) {
+  if (!world.SetUp(name != "late-report", name == "denial" ? 10 : 3, &reason)) {
     std::cerr << "cannot start: " << reason.detail << '\n';
     return 2;
   }
