--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 g++ -std=c++17 -O1 -Wall -Wextra -I. -o target/review_case \
-  review/tools/case_main.cc \
+  review/1/case_main.cc \
   platform/standin/packet_writer.cc platform/standin/store_standin.cc \
   platform/standin/stream.cc platform/standin/work_text.cc \
   soak/process_supervisor.cc soak/router_standin.cc \
