--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,7 +9,8 @@
 # The project's own stand-ins.
 objects=()
 for source in platform/standin/packet_writer.cc platform/standin/stream.cc \
-  platform/standin/work_text.cc soak/process_supervisor.cc; do
+  platform/standin/work_text.cc soak/process_supervisor.cc \
+  soak/tcp_relay.cc; do
   object="$out/$(basename "$source" .cc).o"
   g++ "${flags[@]}" -c "$source" -o "$object" &
   objects+=("$object")
